--- /dev/null
+++ b/cmd/pollenlead/main.go
@@ -0,0 +1,4 @@
+// Command pollenlead runs an entry instance.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/fold/grant.go
@@ -0,0 +1,335 @@
+package fold
+
+import (
+	"slices"
+
+	"pollenlead/internal/allot"
+	"pollenlead/internal/record"
+)
+
+// slotsPerPick is the number of slots of one instance that a holder takes at a time. With 8 slots an instance is shared by
+// about two holders, which bounds the worker leases that each holder renews.
+const slotsPerPick = 4
+
+func (s *State) markAllDirty() {
+	for name := range s.d.Teams {
+		s.dirtyTeams[name] = true
+	}
+	for _, team := range s.doc.Teams {
+		s.dirtyTeams[team.Name] = true
+	}
+	for _, pool := range s.doc.Pools {
+		s.dirtyPools[pool.Name] = true
+	}
+}
+
+// regrant gives free units and slots of the resources that the current record touched to holders below their target.
+func (s *State) regrant() {
+	for _, name := range sortedKeys(s.dirtyTeams) {
+		s.grantTeam(name)
+	}
+	for _, name := range sortedKeys(s.dirtyPools) {
+		s.grantPool(name)
+	}
+	clear(s.dirtyTeams)
+	clear(s.dirtyPools)
+}
+
+func (s *State) setDemand(session *Session, op record.Demand) Outcome {
+	for _, want := range op.Teams {
+		if want.Wanted < 0 {
+			return rejected(ReasonInvalid, "team %s: negative demand", want.Name)
+		}
+	}
+	for _, want := range op.Pools {
+		if want.Wanted < 0 {
+			return rejected(ReasonInvalid, "pool %s: negative demand", want.Name)
+		}
+	}
+	for _, want := range op.Teams {
+		if _, ok := s.doc.Team(want.Name); !ok {
+			continue
+		}
+		setWanted(s.team(want.Name).Wanted, session.Holder, want.Wanted)
+		s.dirtyTeams[want.Name] = true
+	}
+	for _, want := range op.Pools {
+		if _, ok := s.doc.Pool(want.Name); !ok {
+			continue
+		}
+		setWanted(s.pool(want.Name).Wanted, session.Holder, want.Wanted)
+		s.dirtyPools[want.Name] = true
+	}
+	return accepted()
+}
+
+func setWanted(wanted map[string]int, holder string, n int) {
+	if n == 0 {
+		delete(wanted, holder)
+		return
+	}
+	wanted[holder] = n
+}
+
+// release takes back what the holder offers. It is all or nothing, so that a rejected release changes nothing.
+func (s *State) release(session *Session, op record.Release) Outcome {
+	startedByTeam, startedByInstance := s.startedJobs(session.Holder)
+	teams, slots := map[string]int{}, map[string]int{}
+	for _, t := range op.Teams {
+		teams[t.Name] += t.Units
+		if t.Units <= 0 || s.TeamUnits(session.Holder, t.Name)-startedByTeam[t.Name] < teams[t.Name] {
+			return rejected(ReasonNotHeld, "team %s: %d units", t.Name, t.Units)
+		}
+	}
+	for _, i := range op.Slots {
+		slots[i.Instance] += i.Slots
+		if i.Slots <= 0 || s.InstanceSlots(session.Holder, i.Instance)-startedByInstance[i.Instance] < slots[i.Instance] {
+			return rejected(ReasonNotHeld, "instance %s: %d slots", i.Instance, i.Slots)
+		}
+	}
+	for name, n := range teams {
+		subtract(s.d.Teams[name].Held, session.Holder, n)
+		s.dirtyTeams[name] = true
+	}
+	for _, id := range sortedKeys(slots) {
+		instance := s.d.Instances[id]
+		subtract(instance.Held, session.Holder, slots[id])
+		s.settleMove(instance)
+		s.dirtyPools[instance.Pool] = true
+	}
+	return accepted()
+}
+
+func subtract(held map[string]int, holder string, n int) {
+	held[holder] -= n
+	if held[holder] == 0 {
+		delete(held, holder)
+	}
+}
+
+// startedJobs counts the started jobs of holder, whose allotments must stay.
+func (s *State) startedJobs(holder string) (byTeam, byInstance map[string]int) {
+	byTeam, byInstance = map[string]int{}, map[string]int{}
+	for _, job := range s.d.Jobs {
+		if job.Holder == holder && job.State == JobStarted {
+			byTeam[job.Team]++
+			byInstance[job.Instance]++
+		}
+	}
+	return byTeam, byInstance
+}
+
+func (s *State) team(name string) *allotment {
+	team, ok := s.d.Teams[name]
+	if !ok {
+		team = newAllotment()
+		s.d.Teams[name] = team
+	}
+	return team
+}
+
+func (s *State) pool(name string) *poolState {
+	pool, ok := s.d.Pools[name]
+	if !ok {
+		pool = &poolState{Wanted: map[string]int{}}
+		s.d.Pools[name] = pool
+	}
+	return pool
+}
+
+func sum(m map[string]int) int {
+	total := 0
+	for _, n := range m {
+		total += n
+	}
+	return total
+}
+
+func (s *State) grantTeam(name string) {
+	declared, ok := s.doc.Team(name)
+	if !ok {
+		s.forgetTeam(name)
+		return
+	}
+	team := s.team(name)
+	free := declared.UpperLimit - sum(team.Held)
+	for _, g := range s.gaps("team/"+name, declared.UpperLimit, team.Wanted, team.Held) {
+		n := min(g.gap, free)
+		if n <= 0 {
+			continue
+		}
+		team.Held[g.holder] += n
+		free -= n
+	}
+}
+
+// forgetTeam drops a team that is no longer declared, once no holder has units of it.
+func (s *State) forgetTeam(name string) {
+	if team, ok := s.d.Teams[name]; ok && len(team.Held) == 0 {
+		delete(s.d.Teams, name)
+	}
+}
+
+// gap is how far a holder is below its target.
+type gap struct {
+	holder string
+	gap    int
+}
+
+// gaps returns the holders below target, the largest gap first.
+func (s *State) gaps(resource string, capacity int, wanted, held map[string]int) []gap {
+	claims := s.claims(wanted)
+	targets := allot.Divide(resource, capacity, claims)
+	var gaps []gap
+	for i, c := range claims {
+		if missing := targets[i] - held[c.Holder]; missing > 0 {
+			gaps = append(gaps, gap{holder: c.Holder, gap: missing})
+		}
+	}
+	slices.SortStableFunc(gaps, func(a, b gap) int { return b.gap - a.gap })
+	return gaps
+}
+
+func (s *State) claims(wanted map[string]int) []allot.Claim {
+	holders := s.holders()
+	claims := make([]allot.Claim, len(holders))
+	for i, h := range holders {
+		claims[i] = allot.Claim{Holder: h, Wanted: wanted[h]}
+	}
+	return claims
+}
+
+func (s *State) grantPool(name string) {
+	if _, ok := s.doc.Pool(name); !ok {
+		return
+	}
+	members := s.grantable(name)
+	capacity, held := 0, map[string]int{}
+	free := map[string]int{}
+	for _, instance := range members {
+		capacity += instance.Facts.Slots
+		for holder, n := range instance.Held {
+			held[holder] += n
+		}
+		if n := instance.Facts.Slots - sum(instance.Held); n > 0 {
+			free[instance.Facts.ID] = n
+		}
+	}
+	for _, g := range s.gaps("pool/"+name, capacity, s.pool(name).Wanted, held) {
+		for g.gap > 0 {
+			instance := pickInstance(members, free, g.holder)
+			if instance == nil {
+				return
+			}
+			n := min(g.gap, free[instance.Facts.ID], slotsPerPick)
+			instance.Held[g.holder] += n
+			free[instance.Facts.ID] -= n
+			g.gap -= n
+		}
+	}
+}
+
+// pickInstance chooses the instance with free slots whose availability zone gives the holder the fewest slots now, so that
+// the loss of a zone takes an even part of every holder. Ties go by rendezvous hash.
+func pickInstance(members []*Instance, free map[string]int, holder string) *Instance {
+	byZone := map[string]int{}
+	for _, instance := range members {
+		byZone[instance.Facts.AvailabilityZone] += instance.Held[holder]
+	}
+	var best *Instance
+	bestZone, bestScore := 0, uint64(0)
+	for _, instance := range members {
+		if free[instance.Facts.ID] == 0 {
+			continue
+		}
+		zone, score := byZone[instance.Facts.AvailabilityZone], allot.Score(instance.Facts.ID, holder)
+		if best == nil || zone < bestZone || (zone == bestZone && score > bestScore) {
+			best, bestZone, bestScore = instance, zone, score
+		}
+	}
+	return best
+}
+
+// TeamUnits is the number of units of the team that holder has.
+func (s *State) TeamUnits(holder, team string) int {
+	t, ok := s.d.Teams[team]
+	if !ok {
+		return 0
+	}
+	return t.Held[holder]
+}
+
+// InstanceSlots is the number of slots of the instance that holder has.
+func (s *State) InstanceSlots(holder, instance string) int {
+	i, ok := s.d.Instances[instance]
+	if !ok {
+		return 0
+	}
+	return i.Held[holder]
+}
+
+// Allotment is what one holder has and should have.
+type Allotment struct {
+	// Teams is the number of units per team.
+	Teams map[string]Grant
+	// Pools is the number of slots per pool.
+	Pools map[string]Grant
+	// Slots is the number of slots per instance.
+	Slots map[string]SlotGrant
+}
+
+// Grant is what a holder has of a resource and the target that the fold computes for it.
+type Grant struct {
+	Held   int
+	Target int
+}
+
+// SlotGrant is what a holder has of one instance.
+type SlotGrant struct {
+	Pool string
+	Held int
+	// Withdrawn means that the instance is leaving or being moved: start nothing there and release the slots.
+	Withdrawn bool
+}
+
+// Allotment returns what holder has. It recomputes targets, so callers keep the answer until the state changes.
+func (s *State) Allotment(holder string) Allotment {
+	a := Allotment{Teams: map[string]Grant{}, Pools: map[string]Grant{}, Slots: map[string]SlotGrant{}}
+	for name, team := range s.d.Teams {
+		limit := 0
+		if declared, ok := s.doc.Team(name); ok {
+			limit = declared.UpperLimit
+		}
+		target := s.target("team/"+name, limit, team.Wanted, holder)
+		a.Teams[name] = Grant{Held: team.Held[holder], Target: target}
+	}
+	heldByPool, capacityByPool := map[string]int{}, map[string]int{}
+	for id, instance := range s.d.Instances {
+		if instance.grantable() {
+			capacityByPool[instance.Pool] += instance.Facts.Slots
+			heldByPool[instance.Pool] += instance.Held[holder]
+		}
+		if n := instance.Held[holder]; n > 0 {
+			a.Slots[id] = SlotGrant{Pool: instance.Pool, Held: n, Withdrawn: !instance.grantable()}
+		}
+	}
+	for _, pool := range s.doc.Pools {
+		wanted := map[string]int{}
+		if p, ok := s.d.Pools[pool.Name]; ok {
+			wanted = p.Wanted
+		}
+		target := s.target("pool/"+pool.Name, capacityByPool[pool.Name], wanted, holder)
+		a.Pools[pool.Name] = Grant{Held: heldByPool[pool.Name], Target: target}
+	}
+	return a
+}
+
+func (s *State) target(resource string, capacity int, wanted map[string]int, holder string) int {
+	claims := s.claims(wanted)
+	for i, t := range allot.Divide(resource, capacity, claims) {
+		if claims[i].Holder == holder {
+			return t
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/fold/instances.go
@@ -0,0 +1,208 @@
+package fold
+
+import (
+	"strings"
+
+	"pollenlead/internal/config"
+	"pollenlead/internal/record"
+)
+
+// Instance is a worker instance with its pool and the slots that holders have of it.
+type Instance struct {
+	Facts record.Instance `json:"facts"`
+	Pool  string          `json:"pool"`
+	// MovingTo is the pool that the instance joins when the last slot is released, or "".
+	MovingTo string `json:"moving_to,omitempty"`
+	// Moved means that an operator chose the pool, so declared prefixes no longer decide it.
+	Moved bool           `json:"moved,omitempty"`
+	Held  map[string]int `json:"held"`
+}
+
+// GoneInstance remembers the pool of an instance that left the list.
+type GoneInstance struct {
+	ID    string `json:"id"`
+	Pool  string `json:"pool"`
+	Moved bool   `json:"moved,omitempty"`
+}
+
+// grantable reports whether slots of the instance may be granted and used for new work.
+func (i *Instance) grantable() bool {
+	return i.Facts.Phase == record.PhaseLive && i.MovingTo == ""
+}
+
+// Instances returns the instances ordered by ID. The caller must not change them.
+func (s *State) Instances() []*Instance {
+	instances := make([]*Instance, 0, len(s.d.Instances))
+	for _, id := range sortedKeys(s.d.Instances) {
+		instances = append(instances, s.d.Instances[id])
+	}
+	return instances
+}
+
+// Instance returns one instance. The caller must not change it.
+func (s *State) Instance(id string) (*Instance, bool) {
+	i, ok := s.d.Instances[id]
+	return i, ok
+}
+
+func (s *State) grantable(pool string) []*Instance {
+	var members []*Instance
+	for _, id := range sortedKeys(s.d.Instances) {
+		if i := s.d.Instances[id]; i.Pool == pool && i.grantable() {
+			members = append(members, i)
+		}
+	}
+	return members
+}
+
+// ListVersion is the version of the platform's list that the state reflects.
+func (s *State) ListVersion() uint64 { return s.d.ListVersion }
+
+func (s *State) reportInstances(op record.InstancesReport) Outcome {
+	if op.ListVersion < s.d.ListVersion {
+		return rejected(ReasonStaleList, "list version %d is older than %d", op.ListVersion, s.d.ListVersion)
+	}
+	for _, facts := range op.Instances {
+		if facts.ID == "" || facts.Slots < 0 || facts.Connections < 0 {
+			return rejected(ReasonInvalid, "instance %q", facts.ID)
+		}
+	}
+	s.d.ListVersion = op.ListVersion
+	for _, facts := range op.Instances {
+		s.reportInstance(facts)
+	}
+	return accepted()
+}
+
+func (s *State) reportInstance(facts record.Instance) {
+	instance, known := s.d.Instances[facts.ID]
+	if facts.Phase == record.PhaseGone {
+		if known {
+			s.forgetInstance(instance)
+		}
+		return
+	}
+	if !known {
+		instance = s.returnInstance(facts.ID)
+		s.d.Instances[facts.ID] = instance
+	}
+	instance.Facts = facts
+	s.dirtyPools[instance.Pool] = true
+}
+
+func (s *State) returnInstance(id string) *Instance {
+	instance := &Instance{Held: map[string]int{}, Pool: declaredPool(s.doc, id)}
+	for n, gone := range s.d.GoneInstances {
+		if gone.ID != id {
+			continue
+		}
+		s.d.GoneInstances = append(s.d.GoneInstances[:n:n], s.d.GoneInstances[n+1:]...)
+		if _, ok := s.doc.Pool(gone.Pool); ok && gone.Moved {
+			instance.Pool, instance.Moved = gone.Pool, true
+		}
+		break
+	}
+	return instance
+}
+
+// forgetInstance removes an instance that left the list. Work that may still run there stays charged to its holder's
+// team units; only the slots end with the instance.
+func (s *State) forgetInstance(instance *Instance) {
+	pool := instance.Pool
+	if instance.MovingTo != "" {
+		pool = instance.MovingTo
+	}
+	s.d.GoneInstances = append(s.d.GoneInstances, GoneInstance{ID: instance.Facts.ID, Pool: pool, Moved: instance.Moved})
+	if extra := len(s.d.GoneInstances) - maxGoneInstances; extra > 0 {
+		s.d.GoneInstances = s.d.GoneInstances[extra:]
+	}
+	delete(s.d.Instances, instance.Facts.ID)
+	s.dirtyPools[instance.Pool] = true
+}
+
+func (s *State) moveInstance(op record.InstanceMove) Outcome {
+	instance, ok := s.d.Instances[op.Instance]
+	if !ok {
+		return rejected(ReasonUnknownInstance, "instance %s", op.Instance)
+	}
+	if _, ok := s.doc.Pool(op.To); !ok {
+		return rejected(ReasonUnknownPool, "pool %s", op.To)
+	}
+	if instance.Pool != op.From {
+		return rejected(ReasonStalePool, "instance %s is in pool %s", op.Instance, instance.Pool)
+	}
+	if instance.MovingTo != "" {
+		return rejected(ReasonMoveUnderWay, "instance %s is moving to pool %s", op.Instance, instance.MovingTo)
+	}
+	if op.To == op.From {
+		return rejected(ReasonInvalid, "instance %s is in pool %s already", op.Instance, op.To)
+	}
+	instance.MovingTo = op.To
+	instance.Moved = true
+	s.settleMove(instance)
+	return accepted()
+}
+
+// settleMove ends a move when no holder has slots of the instance any more.
+func (s *State) settleMove(instance *Instance) {
+	s.dirtyPools[instance.Pool] = true
+	if instance.MovingTo == "" || len(instance.Held) > 0 {
+		return
+	}
+	instance.Pool, instance.MovingTo = instance.MovingTo, ""
+	s.dirtyPools[instance.Pool] = true
+}
+
+func (s *State) dropSlots(instance *Instance, holder string) {
+	if _, ok := instance.Held[holder]; !ok {
+		return
+	}
+	delete(instance.Held, holder)
+	s.settleMove(instance)
+}
+
+// placeInstances applies a new document to the pools of instances. An instance whose pool is no longer declared goes to the
+// pool that the document gives it; one that waits in the spare pool goes to a pool that now claims it.
+func (s *State) placeInstances() {
+	spare := sparePool(s.doc)
+	for _, id := range sortedKeys(s.d.Instances) {
+		instance := s.d.Instances[id]
+		if _, ok := s.doc.Pool(instance.MovingTo); !ok {
+			instance.MovingTo = ""
+		}
+		_, declared := s.doc.Pool(instance.Pool)
+		if declared && (instance.Pool != spare || instance.Moved) {
+			continue
+		}
+		if !declared {
+			instance.Moved = false
+		}
+		target := declaredPool(s.doc, id)
+		if target == instance.Pool {
+			continue
+		}
+		instance.MovingTo = target
+		s.settleMove(instance)
+	}
+}
+
+// declaredPool is the pool whose member prefix matches the instance, or the spare pool.
+func declaredPool(doc *config.Document, id string) string {
+	for _, pool := range doc.Pools {
+		for _, prefix := range pool.Members {
+			if strings.HasPrefix(id, prefix) {
+				return pool.Name
+			}
+		}
+	}
+	return sparePool(doc)
+}
+
+func sparePool(doc *config.Document) string {
+	for _, pool := range doc.Pools {
+		if pool.Spare {
+			return pool.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/fold/session.go
@@ -0,0 +1,137 @@
+package fold
+
+import (
+	"pollenlead/internal/allot"
+	"pollenlead/internal/record"
+)
+
+// Session is an entry instance's right to hold allotments. Its holder is the incarnation of the process.
+type Session struct {
+	Holder           string `json:"holder"`
+	Name             string `json:"name"`
+	AvailabilityZone string `json:"availability_zone"`
+	Region           string `json:"region"`
+	PeerAddress      string `json:"peer_address"`
+	CallerAddress    string `json:"caller_address"`
+	OpenedAt         uint64 `json:"opened_at"`
+	LastRenewal      uint64 `json:"last_renewal"`
+	Seq              uint64 `json:"seq"`
+}
+
+// Sessions returns the open sessions ordered by holder.
+func (s *State) Sessions() []Session {
+	sessions := make([]Session, 0, len(s.d.Sessions))
+	for _, h := range s.holders() {
+		sessions = append(sessions, *s.d.Sessions[h])
+	}
+	return sessions
+}
+
+// Session returns the open session of holder.
+func (s *State) Session(holder string) (Session, bool) {
+	session, ok := s.d.Sessions[holder]
+	if !ok {
+		return Session{}, false
+	}
+	return *session, true
+}
+
+func (s *State) openSession(offset uint64, r record.Record, op record.SessionOpen) Outcome {
+	if _, ok := s.d.Sessions[r.Incarnation]; ok {
+		return rejected(ReasonSessionExists, "the session is open")
+	}
+	for _, closed := range s.d.ClosedSessions {
+		if closed.Holder == r.Incarnation {
+			return rejected(ReasonSessionExists, "the session of this incarnation has ended")
+		}
+	}
+	s.d.Sessions[r.Incarnation] = &Session{
+		Holder:           r.Incarnation,
+		Name:             r.Writer,
+		AvailabilityZone: op.AvailabilityZone,
+		Region:           op.Region,
+		PeerAddress:      op.PeerAddress,
+		CallerAddress:    op.CallerAddress,
+		OpenedAt:         offset,
+		LastRenewal:      offset,
+		Seq:              r.Seq,
+	}
+	s.assignOrphans()
+	s.markAllDirty()
+	return accepted()
+}
+
+func (s *State) closeSession(session *Session, seq uint64) Outcome {
+	session.Seq = seq
+	s.endSession(session, true)
+	return accepted()
+}
+
+func (s *State) revokeSession(writer *Session, op record.SessionRevoke) Outcome {
+	session, ok := s.d.Sessions[op.Holder]
+	if !ok {
+		return rejected(ReasonSessionNotOpen, "%s has no open session", op.Holder)
+	}
+	if op.Holder == writer.Holder {
+		return rejected(ReasonInvalid, "a holder closes its own session")
+	}
+	if session.LastRenewal != op.LastRenewal {
+		return rejected(ReasonStaleRenewal, "%s renewed at offset %d", op.Holder, session.LastRenewal)
+	}
+	s.endSession(session, false)
+	return accepted()
+}
+
+// endSession frees what the session holds and gives its jobs to other sessions. After a graceful close the tasks of its
+// started jobs still run, so their allotments move with the jobs.
+func (s *State) endSession(session *Session, graceful bool) {
+	delete(s.d.Sessions, session.Holder)
+	s.d.ClosedSessions = append(s.d.ClosedSessions, ClosedSession{Holder: session.Holder, Seq: session.Seq})
+	if extra := len(s.d.ClosedSessions) - maxClosedSessions; extra > 0 {
+		s.d.ClosedSessions = s.d.ClosedSessions[extra:]
+	}
+	for _, team := range s.d.Teams {
+		delete(team.Held, session.Holder)
+		delete(team.Wanted, session.Holder)
+	}
+	for _, pool := range s.d.Pools {
+		delete(pool.Wanted, session.Holder)
+	}
+	for _, id := range sortedKeys(s.d.Instances) {
+		s.dropSlots(s.d.Instances[id], session.Holder)
+	}
+	for _, id := range sortedKeys(s.d.Jobs) {
+		job := s.d.Jobs[id]
+		if job.Holder != session.Holder || job.Finished() {
+			continue
+		}
+		s.reassignJob(job, graceful)
+	}
+	s.markAllDirty()
+}
+
+// assignOrphans gives jobs without a holder to the sessions that are open now.
+func (s *State) assignOrphans() {
+	for _, id := range sortedKeys(s.d.Jobs) {
+		if job := s.d.Jobs[id]; job.Holder == "" && !job.Finished() {
+			s.reassignJob(job, false)
+		}
+	}
+}
+
+func (s *State) reassignJob(job *Job, keepAllotment bool) {
+	job.Holder = allot.Preferred(job.ID, s.holders())
+	if job.State != JobStarted {
+		return
+	}
+	job.Adopted = true
+	if !keepAllotment || job.Holder == "" {
+		return
+	}
+	if team, ok := s.d.Teams[job.Team]; ok {
+		team.Held[job.Holder]++
+	}
+	if instance, ok := s.d.Instances[job.Instance]; ok {
+		instance.Held[job.Holder]++
+	}
+}
