--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -24,7 +24,9 @@
 	Writer      string `json:"writer"`
 	Incarnation string `json:"incarnation"`
 	Seq         uint64 `json:"seq"`
-	Ops         []Op   `json:"ops"`
+	// AtUnixMS is the writer's wall clock in milliseconds. It is shown in the audit trail; the fold never decides by it.
+	AtUnixMS int64 `json:"at_unix_ms,omitempty"`
+	Ops      []Op  `json:"ops"`
 }
 
 // NewerSchemaError says that a record was written by a newer binary. The reader must stop and not guess.
