--- /dev/null
+++ b/internal/ctl/jobs.go
@@ -0,0 +1,108 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+)
+
+// SubmitCmd submits a job.
+type SubmitCmd struct {
+	Service        string `help:"The service that runs the job." xor:"target" required:""`
+	Queue          string `help:"The queue to submit to; open queues need no key." xor:"target" required:""`
+	File           string `arg:"" help:"The job's body, or - for standard input." default:"-"`
+	Name           string `help:"A name for people; it never decides the team."`
+	IdempotencyKey string `help:"Repeating a submission with the same key gives the same job."`
+	NonIdempotent  bool   `help:"The job must run at most once."`
+	Urgent         bool   `help:"Go before work that is not urgent, if the team may."`
+	ContentType    string `help:"The body's media type." default:"application/octet-stream"`
+}
+
+// JobResult is the output of submit and job.
+type JobResult struct {
+	Location string          `json:"location,omitempty"`
+	Job      json.RawMessage `json:"job"`
+}
+
+// Run submits the job.
+func (c *SubmitCmd) Run(s *session) error {
+	body, err := s.readInput(c.File)
+	if err != nil {
+		return fmt.Errorf("read the body: %w", err)
+	}
+	header := http.Header{"Content-Type": {c.ContentType}}
+	setIf(header, "Pollenlead-Job-Name", c.Name)
+	setIf(header, "Idempotency-Key", c.IdempotencyKey)
+	if c.NonIdempotent {
+		header.Set("Pollenlead-Non-Idempotent", "true")
+	}
+	if c.Urgent {
+		header.Set("Pollenlead-Urgent", "true")
+	}
+	path := "/v1/services/" + url.PathEscape(c.Service) + "/jobs"
+	if c.Queue != "" {
+		path = "/v1/queues/" + url.PathEscape(c.Queue) + "/jobs"
+	}
+	resp, data, err := s.callRaw(http.MethodPost, s.cli.Callers, path, header, body)
+	if err != nil {
+		return err
+	}
+	return s.printJob(resp.Header.Get("Location"), data)
+}
+
+func setIf(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+func (s *session) printJob(location string, data []byte) error {
+	return s.print(JobResult{Location: location, Job: data}, func(w io.Writer) {
+		var indented bytes.Buffer
+		if json.Indent(&indented, data, "", "  ") != nil {
+			indented.Write(data)
+		}
+		fmt.Fprintln(w, indented.String())
+	})
+}
+
+// JobCmd shows a job.
+type JobCmd struct {
+	ID     string `arg:"" help:"The job's ID."`
+	Result bool   `help:"Print the result's body and nothing else."`
+}
+
+// Run prints the job or its result.
+func (c *JobCmd) Run(s *session) error {
+	path := "/v1/jobs/" + url.PathEscape(c.ID)
+	if c.Result {
+		_, data, err := s.callRaw(http.MethodGet, s.cli.Callers, path+"/result", nil, nil)
+		if err != nil {
+			return err
+		}
+		_, err = s.stdout.Write(data)
+		return err
+	}
+	_, data, err := s.callRaw(http.MethodGet, s.cli.Callers, path, nil, nil)
+	if err != nil {
+		return err
+	}
+	return s.printJob("", data)
+}
+
+// CancelCmd cancels a job.
+type CancelCmd struct {
+	ID string `arg:"" help:"The job's ID."`
+}
+
+// Run cancels the job.
+func (c *CancelCmd) Run(s *session) error {
+	_, data, err := s.callRaw(http.MethodDelete, s.cli.Callers, "/v1/jobs/"+url.PathEscape(c.ID), nil, nil)
+	if err != nil {
+		return err
+	}
+	return s.printJob("", data)
+}
--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,308 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"pollenlead/internal/audit"
+	"pollenlead/internal/config"
+	"pollenlead/internal/fold"
+	"pollenlead/internal/record"
+	"pollenlead/internal/replica"
+)
+
+// maxDocumentBytes bounds a posted document.
+const maxDocumentBytes = 4 << 20
+
+// Committer appends ops to the log.
+type Committer interface {
+	Submit(ctx context.Context, ops ...record.Op) ([]fold.Outcome, error)
+}
+
+// Follower gives access to the folded state.
+type Follower interface {
+	View(read func(*fold.State))
+}
+
+// Trail is the audit trail.
+type Trail interface {
+	Select(q audit.Query) []audit.Entry
+}
+
+// Bootstrap is the operator of the settings, who may publish the first document only.
+type Bootstrap struct {
+	Name   string
+	SHA256 string
+}
+
+// Options are the parts that the handler needs.
+type Options struct {
+	Committer Committer
+	Follower  Follower
+	Trail     Trail
+	Bootstrap Bootstrap
+	// Status fills in the answer to a status request.
+	Status func() StatusResponse
+	// Ready reports whether the balancer should send callers, and why not.
+	Ready func() (ready bool, reason string)
+}
+
+// Handler serves the operators' interface.
+type Handler struct {
+	Options
+	router chi.Router
+}
+
+// NewHandler returns the operators' interface.
+func NewHandler(o Options) *Handler {
+	h := &Handler{Options: o, router: chi.NewRouter()}
+	h.router.Get("/livez", h.live)
+	h.router.Get("/readyz", h.ready)
+	h.router.Method(http.MethodGet, "/debug/vars", expvar.Handler())
+	h.router.Get("/v1/config", h.authorized(config.RoleView, h.getConfig))
+	h.router.Put("/v1/config", h.authorized(config.RolePublish, h.putConfig))
+	h.router.Post("/v1/config/check", h.authorized(config.RoleView, h.checkConfig))
+	h.router.Get("/v1/status", h.authorized(config.RoleView, h.status))
+	h.router.Get("/v1/audit", h.authorized(config.RoleView, h.audit))
+	h.router.Post("/v1/instances/{instance}/move", h.authorized(config.RoleOperate, h.moveInstance))
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
+
+type operatorHandler func(w http.ResponseWriter, r *http.Request, operator string)
+
+// authorized calls next for an operator whose role includes the needed one.
+func (h *Handler) authorized(needed config.Role, next operatorHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name, role, ok := h.authenticate(r)
+		if !ok {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeError(w, ErrorResponse{Status: http.StatusUnauthorized, Reason: "unknown_key", Detail: "the operator key is missing, unknown or withdrawn"})
+			return
+		}
+		if rank(role) < rank(needed) {
+			writeError(w, ErrorResponse{Status: http.StatusForbidden, Reason: "role", Detail: "operator " + name + " has role " + string(role) + ", but the request needs " + string(needed)})
+			return
+		}
+		next(w, r, name)
+	}
+}
+
+func rank(role config.Role) int {
+	switch role {
+	case config.RolePublish:
+		return 3
+	case config.RoleOperate:
+		return 2
+	case config.RoleView:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (h *Handler) authenticate(r *http.Request) (name string, role config.Role, ok bool) {
+	scheme, token, found := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") {
+		return "", "", false
+	}
+	current := h.config()
+	if current.Version == 0 {
+		return h.Bootstrap.Name, config.RolePublish, h.isBootstrap(token)
+	}
+	identity, ok := current.Document.Authenticate(token)
+	if !ok || identity.Operator == "" {
+		return "", "", false
+	}
+	return identity.Operator, identity.Role, true
+}
+
+func (h *Handler) isBootstrap(token string) bool {
+	if h.Bootstrap.SHA256 == "" {
+		return false
+	}
+	sum := sha256.Sum256([]byte(token))
+	return subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(h.Bootstrap.SHA256)) == 1
+}
+
+func (h *Handler) config() fold.ConfigVersion {
+	var current fold.ConfigVersion
+	h.Follower.View(func(s *fold.State) { current = s.Config() })
+	return current
+}
+
+func (h *Handler) live(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := h.Ready()
+	if !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (h *Handler) getConfig(w http.ResponseWriter, _ *http.Request, _ string) {
+	current := h.config()
+	writeJSON(w, http.StatusOK, ConfigResponse{Version: current.Version, Offset: current.Offset, Document: current.Text})
+}
+
+func (h *Handler) putConfig(w http.ResponseWriter, r *http.Request, operator string) {
+	expect, err := strconv.ParseUint(r.URL.Query().Get("expect"), 10, 64)
+	if err != nil {
+		writeError(w, ErrorResponse{Status: http.StatusBadRequest, Reason: "expect", Detail: "the query parameter expect must be the version that the document was made against"})
+		return
+	}
+	text, ok := readDocument(w, r)
+	if !ok {
+		return
+	}
+	if _, problems := config.Parse(text); len(problems) > 0 {
+		writeError(w, ErrorResponse{Status: http.StatusUnprocessableEntity, Reason: "invalid_document", Detail: "the document was not published", Problems: problems})
+		return
+	}
+	outcome, ok := h.submit(w, r, record.Op{ConfigPublish: &record.ConfigPublish{Expect: expect, Document: string(text), Actor: operator}})
+	if !ok {
+		return
+	}
+	writeJSON(w, http.StatusOK, PublishResponse{Version: outcome.Version})
+}
+
+func (h *Handler) checkConfig(w http.ResponseWriter, r *http.Request, _ string) {
+	text, ok := readDocument(w, r)
+	if !ok {
+		return
+	}
+	current := h.config()
+	response := CheckResponse{Version: current.Version}
+	doc, problems := config.Parse(text)
+	response.Problems = problems
+	if len(problems) == 0 {
+		old := current.Document
+		if current.Version == 0 {
+			old = nil
+		}
+		response.Changes = config.Diff(old, doc)
+	}
+	writeJSON(w, http.StatusOK, response)
+}
+
+func (h *Handler) status(w http.ResponseWriter, _ *http.Request, _ string) {
+	writeJSON(w, http.StatusOK, h.Status())
+}
+
+func (h *Handler) audit(w http.ResponseWriter, r *http.Request, _ string) {
+	query, err := auditQuery(r)
+	if err != nil {
+		writeError(w, ErrorResponse{Status: http.StatusBadRequest, Reason: "query", Detail: err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, AuditResponse{Entries: h.Trail.Select(query)})
+}
+
+func auditQuery(r *http.Request) (audit.Query, error) {
+	values := r.URL.Query()
+	q := audit.Query{Actor: values.Get("actor"), Object: values.Get("object"), Kind: record.Kind(values.Get("kind")), Limit: 100}
+	for name, at := range map[string]*time.Time{"since": &q.Since, "until": &q.Until} {
+		text := values.Get(name)
+		if text == "" {
+			continue
+		}
+		parsed, err := time.Parse(time.RFC3339, text)
+		if err != nil {
+			return audit.Query{}, errors.New(name + " must be a time like 2026-01-31T15:04:05Z")
+		}
+		*at = parsed
+	}
+	if text := values.Get("limit"); text != "" {
+		limit, err := strconv.Atoi(text)
+		if err != nil || limit < 1 {
+			return audit.Query{}, errors.New("limit must be a positive number")
+		}
+		q.Limit = limit
+	}
+	return q, nil
+}
+
+func (h *Handler) moveInstance(w http.ResponseWriter, r *http.Request, operator string) {
+	var move MoveRequest
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&move); err != nil {
+		writeError(w, ErrorResponse{Status: http.StatusBadRequest, Reason: "body", Detail: "the body must be {\"from\":POOL,\"to\":POOL}: " + err.Error()})
+		return
+	}
+	op := record.InstanceMove{Instance: chi.URLParam(r, "instance"), From: move.From, To: move.To, Actor: operator}
+	if _, ok := h.submit(w, r, record.Op{InstanceMove: &op}); ok {
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func readDocument(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
+	if err != nil {
+		writeError(w, ErrorResponse{Status: http.StatusRequestEntityTooLarge, Reason: "document_too_large", Detail: err.Error()})
+		return nil, false
+	}
+	return text, true
+}
+
+// submit appends one op and answers with the reason if it did not take effect.
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request, op record.Op) (fold.Outcome, bool) {
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
+	defer cancel()
+	outcomes, err := h.Committer.Submit(ctx, op)
+	switch {
+	case errors.Is(err, replica.ErrNotSent):
+		writeError(w, ErrorResponse{Status: http.StatusServiceUnavailable, Reason: "log_unavailable", Detail: "nothing was changed: " + err.Error()})
+		return fold.Outcome{}, false
+	case err != nil:
+		writeError(w, ErrorResponse{Status: http.StatusGatewayTimeout, Reason: "unresolved", Detail: "the change may still take effect; read the status before trying again: " + err.Error()})
+		return fold.Outcome{}, false
+	}
+	outcome := outcomes[0]
+	if outcome.Accepted {
+		return outcome, true
+	}
+	status := http.StatusConflict
+	switch outcome.Reason {
+	case fold.ReasonInvalidDocument:
+		status = http.StatusUnprocessableEntity
+	case fold.ReasonUnknownInstance, fold.ReasonUnknownPool:
+		status = http.StatusNotFound
+	case fold.ReasonSessionNotOpen:
+		status = http.StatusServiceUnavailable
+	}
+	writeError(w, ErrorResponse{Status: status, Reason: string(outcome.Reason), Detail: outcome.Detail, Version: outcome.Version})
+	return fold.Outcome{}, false
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeError(w http.ResponseWriter, e ErrorResponse) {
+	e.Type = "about:blank"
+	e.Title = http.StatusText(e.Status)
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(e.Status)
+	_ = json.NewEncoder(w).Encode(e)
+}
