--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -142,7 +142,7 @@
 	MemoryBytes     int64
 }
 
-// ServiceRequest is a synchronous request to a backend server.
+// ServiceRequest is a synchronous request to a backend server. Path is relative to the service and in escaped form.
 type ServiceRequest struct {
 	Method        string
 	Service       string
