--- /dev/null
+++ b/internal/platform/fleetlist/client_test.go
@@ -0,0 +1,42 @@
+package fleetlist
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/platform"
+	"pollenlead/internal/record"
+	"pollenlead/standin"
+)
+
+// Guards against fields that are lost or mixed up between the list's protocol and the records, and against an outage
+// that looks like an empty list.
+func TestList(t *testing.T) {
+	is := is.New(t)
+	list := standin.NewList()
+	server, err := list.Start()
+	is.NoErr(err)
+	defer server.Close()
+	list.Set(standin.Instance{
+		ID: "e-1", Kind: standin.KindEntry, Address: "127.0.0.1:1", AvailabilityZone: "z1", Phase: standin.PhaseLeaving,
+	})
+	list.Set(standin.Instance{
+		ID: "w-1", Kind: standin.KindWorker, Address: "127.0.0.1:2", Region: "r", AvailabilityZone: "z2", Rack: "k",
+		Phase: standin.PhaseLive, Slots: 8, Connections: 64, Cores: 32, MemoryBytes: 64 << 30, Accelerators: 2,
+	})
+	c := New(server.Address, 0)
+	listing, err := c.List(t.Context())
+	is.NoErr(err)
+	is.Equal(listing, platform.Listing{
+		Version: 2,
+		Entries: []platform.EntryListing{{ID: "e-1", Address: "127.0.0.1:1", AvailabilityZone: "z1", Phase: record.PhaseLeaving}},
+		Workers: []record.Instance{{
+			ID: "w-1", Address: "127.0.0.1:2", Region: "r", AvailabilityZone: "z2", Rack: "k",
+			Phase: record.PhaseLive, Slots: 8, Connections: 64, Cores: 32, MemoryBytes: 64 << 30, Accelerators: 2,
+		}},
+	})
+	list.SetFaults(standin.ListFaults{Outage: true})
+	_, err = c.List(t.Context())
+	is.True(err != nil)
+}
