--- /dev/null
+++ b/internal/devmode/document.go
@@ -0,0 +1,88 @@
+package devmode
+
+import (
+	"fmt"
+
+	"go.yaml.in/yaml/v3"
+
+	"pollenlead/internal/config"
+)
+
+// demoServices are the five services of the demo; each has a pool of its own name.
+var demoServices = []string{"price-check", "order-entry", "stock-count", "ledger-close", "crew-plan"}
+
+// demoTeam describes a team of the demo.
+type demoTeam struct {
+	name       string
+	share      int
+	upperLimit int
+	weight     int
+	mayUrgent  bool
+}
+
+// demoTeams are six client accounts, two of them large.
+var demoTeams = []demoTeam{
+	{name: "counter", share: 4, upperLimit: 120, weight: 8, mayUrgent: true},
+	{name: "warehouse", share: 4, upperLimit: 120, weight: 8},
+	{name: "billing", share: 2, upperLimit: 60, weight: 3},
+	{name: "field-crews", share: 2, upperLimit: 60, weight: 3, mayUrgent: true},
+	{name: "reports", share: 1, upperLimit: 24, weight: 2},
+	{name: "trials", share: 1, upperLimit: 12, weight: 1},
+}
+
+// demoKeys are the secrets of the demo's teams and its operator.
+type demoKeys struct {
+	teams    map[string]string
+	rotated  string
+	operator string
+}
+
+// buildDocument returns the demo's document with new keys. The first team has a second key, which the demo withdraws.
+func buildDocument() (*config.Document, demoKeys, error) {
+	keys := demoKeys{teams: map[string]string{}}
+	doc := &config.Document{
+		Schema: config.DocumentSchema,
+		Limits: config.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, JobBodyBytes: 256 << 10, QueueLength: 2000, QueueSeconds: 10, JobResultSeconds: 3600},
+		Pools:  []config.Pool{{Name: "spare", Spare: true}},
+	}
+	for _, service := range demoServices {
+		doc.Pools = append(doc.Pools, config.Pool{
+			Name: service, Members: []string{"w-" + service + "-"},
+			AvailabilityBudget: config.AvailabilityBudget{MinAvailablePercent: 80},
+		})
+		doc.Services = append(doc.Services, config.Service{Name: service, Pool: service, TimeoutSeconds: 10})
+	}
+	for _, t := range demoTeams {
+		token, key, err := config.NewKey(t.name + "-1")
+		if err != nil {
+			return nil, demoKeys{}, fmt.Errorf("make the key of team %s: %w", t.name, err)
+		}
+		keys.teams[t.name] = token
+		doc.Teams = append(doc.Teams, config.Team{
+			Name: t.name, Share: t.share, UpperLimit: t.upperLimit, MayUrgent: t.mayUrgent, Keys: []config.Key{key},
+		})
+	}
+	token, key, err := config.NewKey(demoTeams[0].name + "-2")
+	if err != nil {
+		return nil, demoKeys{}, fmt.Errorf("make the second key: %w", err)
+	}
+	keys.rotated = token
+	doc.Teams[0].Keys = append(doc.Teams[0].Keys, key)
+	token, key, err = config.NewKey("demo-operator")
+	if err != nil {
+		return nil, demoKeys{}, fmt.Errorf("make the operator's key: %w", err)
+	}
+	keys.operator = token
+	doc.Operators = []config.Operator{{Name: "demo", Role: config.RolePublish, Key: key}}
+	doc.Queues = []config.Queue{{Name: "shelf-checks", Service: "price-check", Open: true, Team: "counter"}}
+	return doc, keys, nil
+}
+
+// render returns the YAML text of a document.
+func render(doc *config.Document) ([]byte, error) {
+	text, err := yaml.Marshal(doc)
+	if err != nil {
+		return nil, fmt.Errorf("render the document: %w", err)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/devmode/platform.go
@@ -0,0 +1,93 @@
+package devmode
+
+import (
+	"errors"
+	"fmt"
+
+	"pollenlead/standin"
+)
+
+// The fleet of the development mode: today's size of one user.
+const (
+	poolInstances    = 10
+	spareInstances   = 2
+	instanceSlots    = 8
+	instanceConns    = 64
+	instanceCores    = 32
+	instanceMemory   = 64 << 30
+	instancesPerRack = 4
+	region           = "region-1"
+)
+
+// zones are the availability zones of the development mode.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// standIns are the fakes of the platform that the development mode runs on.
+type standIns struct {
+	log      *standin.Log
+	logURL   string
+	list     *standin.List
+	listURL  string
+	observer *standin.Observer
+	workers  map[string]*standin.Worker
+	zoneOf   map[string]string
+	servers  []*standin.Server
+}
+
+// startStandIns starts the log, the list and the workers of every pool on loopback.
+func startStandIns(pools []string) (*standIns, error) {
+	s := &standIns{
+		log: standin.NewLog(), list: standin.NewList(), observer: standin.NewObserver(),
+		workers: map[string]*standin.Worker{}, zoneOf: map[string]string{},
+	}
+	logServer, err := standin.Start(s.log)
+	if err != nil {
+		return nil, fmt.Errorf("start the log stand-in: %w", err)
+	}
+	s.servers = append(s.servers, logServer)
+	listServer, err := standin.Start(s.list)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("start the list stand-in: %w", err), s.close())
+	}
+	s.servers = append(s.servers, listServer)
+	s.logURL, s.listURL = logServer.URL, listServer.URL
+	for _, pool := range pools {
+		for n := range poolInstances {
+			if err := s.startWorker(fmt.Sprintf("w-%s-%02d", pool, n), n); err != nil {
+				return nil, errors.Join(err, s.close())
+			}
+		}
+	}
+	for n := range spareInstances {
+		if err := s.startWorker(fmt.Sprintf("w-extra-%02d", n), n); err != nil {
+			return nil, errors.Join(err, s.close())
+		}
+	}
+	return s, nil
+}
+
+func (s *standIns) startWorker(id string, n int) error {
+	worker := standin.NewWorker(standin.WorkerConfig{ID: id, Slots: instanceSlots, Connections: instanceConns, Observer: s.observer})
+	server, err := worker.Start()
+	if err != nil {
+		return fmt.Errorf("start worker stand-in %s: %w", id, err)
+	}
+	zone := zones[n%len(zones)]
+	s.servers = append(s.servers, server)
+	s.workers[id] = worker
+	s.zoneOf[id] = zone
+	s.list.Set(standin.Instance{
+		ID: id, Kind: "worker", Address: server.Address, Region: region, AvailabilityZone: zone,
+		Rack: fmt.Sprintf("%s-rack-%d", zone, n/instancesPerRack), Phase: "live",
+		Slots: instanceSlots, Connections: instanceConns, Cores: instanceCores, MemoryBytes: instanceMemory,
+	})
+	return nil
+}
+
+func (s *standIns) close() error {
+	var errs []error
+	for _, server := range s.servers {
+		errs = append(errs, server.Close())
+	}
+	return errors.Join(errs...)
+}
