Decode YAML with the position of every problem

Cause: documents and settings must report all errors in one run, with line, column and field path, and the fold must get the same result on every entry instance. Change: package yamldoc walks the nodes of the YAML library along the Go types and checks required fields and ranges from the jsonschema tags. It refuses aliases, anchors, explicit tags and a second YAML document. Separators are counted before the parse and the list of problems is bounded.

--- /dev/null
+++ b/internal/yamldoc/yamldoc.go
@@ -0,0 +1,254 @@
+// Package yamldoc decodes one YAML document into a struct and reports every problem with its position and field path.
+//
+// It is stricter than yaml.Unmarshal: unknown fields, duplicate keys, wrong types, anchors, aliases and explicit tags are
+// problems. Equal input gives equal output, so that a deterministic state machine can use it.
+//
+// Fields are named by their yaml tag. The jsonschema tag of a field may hold the rules required, minimum=N and maximum=N,
+// which Decode checks, so that a JSON Schema generated from the same types states the same rules.
+package yamldoc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"go.yaml.in/yaml/v3"
+)
+
+const (
+	// maxPathKey bounds the length in bytes of a key of the text that is repeated in a path.
+	maxPathKey = 64
+	// maxSeparators bounds the nodes of a text before the YAML library allocates them. A generated document of 38 pools and
+	// 26 teams with 4 keys each has 2,329 separators. Without this bound a text of 4 MiB took 2.6 GiB of memory.
+	maxSeparators = 100_000
+	// MaxProblems bounds the list of problems; a text of 4 MiB can have millions.
+	MaxProblems = 1000
+)
+
+// Problem is one error in a document. Line and Column count from 1.
+type Problem struct {
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	if p.Path == "" {
+		return fmt.Sprintf("%d:%d: %s", p.Line, p.Column, p.Message)
+	}
+	return fmt.Sprintf("%d:%d: %s: %s", p.Line, p.Column, p.Path, p.Message)
+}
+
+// separators counts the characters that can end a YAML node; a text has at most about twice as many nodes.
+func separators(text []byte) int {
+	n := 0
+	for _, b := range text {
+		switch b {
+		case '\n', '\r', ',', ':', '?', '-', '[', '{':
+			n++
+		}
+	}
+	return n
+}
+
+type position struct{ line, column int }
+
+// Checker holds the positions of all decoded fields and the problems found so far.
+type Checker struct {
+	at       map[string]position
+	reported map[string]bool
+	broken   map[string]bool // mappings and lists that are of another type in the text
+	problems []Problem
+	omitted  int
+}
+
+// Decode decodes text into the struct that into points to. Fields that the text does not name keep their values, so the
+// caller sets defaults before the call. The messages never repeat values of the text, because a value may be a secret.
+func Decode(text []byte, maxBytes int, into any) *Checker {
+	c := &Checker{at: map[string]position{}, reported: map[string]bool{}, broken: map[string]bool{}}
+	if len(text) > maxBytes {
+		c.add(position{1, 1}, "", "the document has %d bytes, more than %d", len(text), maxBytes)
+		return c
+	}
+	if n := separators(text); n > maxSeparators {
+		c.add(position{1, 1}, "", "the document has %d separators of YAML entries, more than %d", n, maxSeparators)
+		return c
+	}
+	root := c.parse(text)
+	if root == nil {
+		return c
+	}
+	c.at[""] = position{root.Line, root.Column}
+	c.refuse(root, nil)
+	c.value(root, reflect.ValueOf(into).Elem(), "", field{})
+	return c
+}
+
+// Has reports whether the text names the field.
+func (c *Checker) Has(path string) bool {
+	_, ok := c.at[path]
+	return ok
+}
+
+// Failed reports whether the field has a problem, so that its value means nothing.
+func (c *Checker) Failed(path string) bool { return c.reported[path] }
+
+// Readable reports whether the text is a mapping, so that checks of its fields make sense.
+func (c *Checker) Readable() bool { return c.Has("") && !c.broken[""] }
+
+// Reportf adds a problem of the field at path, unless the path already has one or lies below a value of the wrong type:
+// checks of a value that could not be decoded would only repeat that problem. If the text does not name the field, the
+// position is that of its nearest parent.
+func (c *Checker) Reportf(path, format string, args ...any) {
+	for up := path; up != ""; up = parent(up) {
+		if c.broken[up] {
+			return
+		}
+	}
+	c.add(c.nearest(path), path, format, args...)
+}
+
+// Problems returns the problems by position. If there are more than MaxProblems, the last entry says so.
+func (c *Checker) Problems() []Problem {
+	sorted := slices.Clone(c.problems)
+	slices.SortStableFunc(sorted, func(a, b Problem) int {
+		if a.Line != b.Line {
+			return a.Line - b.Line
+		}
+		return a.Column - b.Column
+	})
+	if c.omitted > 0 && len(sorted) > 0 {
+		last := sorted[len(sorted)-1]
+		sorted = append(sorted, Problem{last.Line, last.Column, "", fmt.Sprintf("%d more problems are not listed", c.omitted)})
+	}
+	return sorted
+}
+
+func (c *Checker) add(at position, path, format string, args ...any) {
+	if c.reported[path] {
+		return
+	}
+	c.reported[path] = true
+	c.always(at, path, format, args...)
+}
+
+// always adds a problem that does not depend on whether the value could be decoded.
+func (c *Checker) always(at position, path, format string, args ...any) {
+	if len(c.problems) == MaxProblems {
+		c.omitted++
+		return
+	}
+	c.problems = append(c.problems, Problem{at.line, at.column, path, fmt.Sprintf(format, args...)})
+}
+
+func (c *Checker) nearest(path string) position {
+	for {
+		if at, ok := c.at[path]; ok {
+			return at
+		}
+		if path == "" {
+			return position{1, 1}
+		}
+		path = parent(path)
+	}
+}
+
+// parent returns the path of the mapping or list that holds the field, "" for the root.
+func parent(path string) string { return path[:max(strings.LastIndexAny(path, ".["), 0)] }
+
+// parse returns the root node of the only YAML document in text, or nil if there is none.
+//
+// The recover is there because the fold parses documents from the log: a panic of the YAML library would stop every entry
+// instance at the same record, and again after each restart.
+func (c *Checker) parse(text []byte) (root *yaml.Node) {
+	defer func() {
+		if recover() != nil {
+			c.add(position{1, 1}, "", "the YAML parser failed on this text")
+			root = nil
+		}
+	}()
+	dec := yaml.NewDecoder(bytes.NewReader(text))
+	var first, second yaml.Node
+	if err := dec.Decode(&first); errors.Is(err, io.EOF) {
+		c.add(position{1, 1}, "", "the document is empty")
+		return nil
+	} else if err != nil {
+		c.addSyntax(err)
+		return nil
+	}
+	if err := dec.Decode(&second); err == nil {
+		c.add(position{second.Line, second.Column}, "", "the text has more than one YAML document")
+		return nil
+	} else if !errors.Is(err, io.EOF) {
+		c.addSyntax(err)
+		return nil
+	}
+	return first.Content[0]
+}
+
+var syntaxLine = regexp.MustCompile(`^line (\d+): `)
+
+// addSyntax reports an error of the YAML library, which gives at most a line.
+func (c *Checker) addSyntax(err error) {
+	message := strings.TrimPrefix(err.Error(), "yaml: ")
+	at := position{1, 1}
+	if m := syntaxLine.FindStringSubmatch(message); m != nil {
+		at.line, _ = strconv.Atoi(m[1])
+		message = message[len(m[0]):]
+	}
+	c.add(at, "", "not valid YAML: %s", message)
+}
+
+// refuse reports anchors, aliases and explicit tags anywhere below n. Aliases can make a small text expand exponentially.
+func (c *Checker) refuse(n *yaml.Node, path []string) {
+	at := position{n.Line, n.Column}
+	if n.Kind == yaml.AliasNode {
+		c.add(at, strings.Join(path, ""), "aliases are not allowed")
+	}
+	if n.Anchor != "" {
+		c.always(at, strings.Join(path, ""), "anchors are not allowed")
+	}
+	if n.Style&yaml.TaggedStyle != 0 {
+		c.always(at, strings.Join(path, ""), "explicit tags are not allowed")
+	}
+	for i, child := range n.Content {
+		segment := ""
+		switch {
+		case n.Kind == yaml.SequenceNode:
+			segment = index(i)
+		case len(path) == 0:
+			segment = clip(n.Content[i&^1].Value)
+		default:
+			segment = "." + clip(n.Content[i&^1].Value)
+		}
+		c.refuse(child, append(path, segment))
+	}
+}
+
+func index(i int) string { return "[" + strconv.Itoa(i) + "]" }
+
+// clip shortens a key of the text for use in a path.
+func clip(key string) string {
+	if len(key) <= maxPathKey {
+		return key
+	}
+	cut := maxPathKey
+	for cut > 0 && !utf8.RuneStart(key[cut]) {
+		cut--
+	}
+	return key[:cut] + "..."
+}
+
+// Fresh returns a checker with the same positions and no problems.
+func (c *Checker) Fresh() *Checker {
+	return &Checker{at: c.at, reported: map[string]bool{}}
+}
