Validate documents and authenticate API keys

Cause: a publish must be refused for undefined references, overlapping prefixes and impossible numbers, and a request is charged to the team of its key.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -1,30 +1,54 @@
 // Package config holds the document that operators publish: its types, parsing, validation, differences and API keys.
 package config
 
-import "time"
+import (
+	"time"
+
+	"pollenlead/internal/yamldoc"
+)
 
 // DocumentSchema is the schema number of the documents that this binary understands.
 const DocumentSchema = 1
 
+// MaxBytes is the largest size of a document. A document travels in one log record and every entry instance parses it.
+const MaxBytes = 4 << 20
+
 // Document is the whole configuration in force.
+//
+// The jsonschema tags hold the rules that Parse checks for single fields; see package yamldoc.
 type Document struct {
-	Schema    int        `yaml:"schema"`
+	Schema    int        `yaml:"schema" jsonschema:"required,minimum=1"`
 	Limits    Limits     `yaml:"limits"`
-	Pools     []Pool     `yaml:"pools"`
+	Pools     []Pool     `yaml:"pools" jsonschema:"required"`
 	Services  []Service  `yaml:"services"`
 	Teams     []Team     `yaml:"teams"`
 	Queues    []Queue    `yaml:"queues"`
 	Operators []Operator `yaml:"operators"`
+
+	// keys is the index of API keys by ID. Parse builds it; a document made otherwise authenticates nobody.
+	keys map[string]keyEntry
 }
 
 // Limits bound what one request or job may use of an entry instance.
 type Limits struct {
-	HeaderBytes      int   `yaml:"header_bytes"`
-	BodyBytes        int64 `yaml:"body_bytes"`
-	JobBodyBytes     int64 `yaml:"job_body_bytes"`
-	QueueLength      int   `yaml:"queue_length"`
-	QueueSeconds     int   `yaml:"queue_seconds"`
-	JobResultSeconds int   `yaml:"job_result_seconds"`
+	HeaderBytes      int   `yaml:"header_bytes" jsonschema:"minimum=1024,maximum=1048576"`
+	BodyBytes        int64 `yaml:"body_bytes" jsonschema:"minimum=1,maximum=1073741824"`
+	JobBodyBytes     int64 `yaml:"job_body_bytes" jsonschema:"minimum=1,maximum=1048576"`
+	QueueLength      int   `yaml:"queue_length" jsonschema:"minimum=1,maximum=100000"`
+	QueueSeconds     int   `yaml:"queue_seconds" jsonschema:"minimum=1,maximum=300"`
+	JobResultSeconds int   `yaml:"job_result_seconds" jsonschema:"minimum=1,maximum=604800"`
+}
+
+// DefaultLimits returns the limits that hold where the document names none.
+func DefaultLimits() Limits {
+	return Limits{
+		HeaderBytes:      16 << 10,
+		BodyBytes:        8 << 20,
+		JobBodyBytes:     256 << 10,
+		QueueLength:      2000,
+		QueueSeconds:     10,
+		JobResultSeconds: 3600,
+	}
 }
 
 // QueueTimeout is the longest time that a request waits for capacity.
@@ -37,7 +61,7 @@
 
 // Pool is a set of instances that serve the same services.
 type Pool struct {
-	Name               string             `yaml:"name"`
+	Name               string             `yaml:"name" jsonschema:"required,minLength=1,maxLength=63,pattern=^[a-z0-9-]+$"`
 	Members            []string           `yaml:"members"`
 	Spare              bool               `yaml:"spare"`
 	AvailabilityBudget AvailabilityBudget `yaml:"availability_budget"`
@@ -45,14 +69,14 @@
 
 // AvailabilityBudget is what maintenance must leave running in a pool.
 type AvailabilityBudget struct {
-	MinAvailablePercent int `yaml:"min_available_percent"`
+	MinAvailablePercent int `yaml:"min_available_percent" jsonschema:"required,minimum=0,maximum=100"`
 }
 
 // Service is a kind of backend server, run by the instances of one pool.
 type Service struct {
-	Name           string `yaml:"name"`
-	Pool           string `yaml:"pool"`
-	TimeoutSeconds int    `yaml:"timeout_seconds"`
+	Name           string `yaml:"name" jsonschema:"required,minLength=1,maxLength=63,pattern=^[a-z0-9-]+$"`
+	Pool           string `yaml:"pool" jsonschema:"required,minLength=1,maxLength=63,pattern=^[a-z0-9-]+$"`
+	TimeoutSeconds int    `yaml:"timeout_seconds" jsonschema:"required,minimum=1,maximum=3600"`
 	Urgent         bool   `yaml:"urgent"`
 }
 
@@ -61,25 +85,25 @@
 
 // Team is a client account.
 type Team struct {
-	Name       string `yaml:"name"`
-	Share      int    `yaml:"share"`
-	UpperLimit int    `yaml:"upper_limit"`
+	Name       string `yaml:"name" jsonschema:"required,minLength=1,maxLength=63,pattern=^[a-z0-9-]+$"`
+	Share      int    `yaml:"share" jsonschema:"required,minimum=1,maximum=1000"`
+	UpperLimit int    `yaml:"upper_limit" jsonschema:"required,minimum=0,maximum=100000"`
 	MayUrgent  bool   `yaml:"may_urgent"`
 	Keys       []Key  `yaml:"keys"`
 }
 
 // Key is an API key of a team or operator; only its hash is in the document.
 type Key struct {
-	ID     string `yaml:"id"`
-	SHA256 string `yaml:"sha256"`
+	ID     string `yaml:"id" jsonschema:"required,minLength=1,maxLength=63,pattern=^[a-z0-9-]+$"`
+	SHA256 string `yaml:"sha256" jsonschema:"required,minLength=64,maxLength=64,pattern=^[0-9a-f]+$"`
 }
 
 // Queue is an entry for jobs of one service. An open queue takes jobs without a key and charges them to Team.
 type Queue struct {
-	Name    string `yaml:"name"`
-	Service string `yaml:"service"`
+	Name    string `yaml:"name" jsonschema:"required,minLength=1,maxLength=63,pattern=^[a-z0-9-]+$"`
+	Service string `yaml:"service" jsonschema:"required,minLength=1,maxLength=63,pattern=^[a-z0-9-]+$"`
 	Open    bool   `yaml:"open"`
-	Team    string `yaml:"team"`
+	Team    string `yaml:"team" jsonschema:"minLength=1,maxLength=63,pattern=^[a-z0-9-]+$"`
 }
 
 // Role is what an operator may do. Each role includes the ones before it.
@@ -94,18 +118,13 @@
 
 // Operator is a person or tool that may use the operators' interface.
 type Operator struct {
-	Name string `yaml:"name"`
-	Role Role   `yaml:"role"`
-	Key  Key    `yaml:"key"`
+	Name string `yaml:"name" jsonschema:"required,minLength=1,maxLength=63,pattern=^[a-z0-9-]+$"`
+	Role Role   `yaml:"role" jsonschema:"required,enum=view,enum=operate,enum=publish"`
+	Key  Key    `yaml:"key" jsonschema:"required"`
 }
 
 // Problem is one error in a document.
-type Problem struct {
-	Line    int    `json:"line"`
-	Column  int    `json:"column"`
-	Path    string `json:"path"`
-	Message string `json:"message"`
-}
+type Problem = yamldoc.Problem
 
 // Pool returns the pool with the given name.
 func (d *Document) Pool(name string) (Pool, bool) {
