--- /dev/null
+++ b/internal/config/schema.go
@@ -0,0 +1,33 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+
+	"github.com/invopop/jsonschema"
+)
+
+// schemaTitle is the title of the JSON Schema.
+const schemaTitle = "pollenlead document"
+
+// Schema returns the JSON Schema of the document, generated from the types and their jsonschema tags. It covers the form of
+// the document; references, uniqueness, overlaps and the spare pool are checked only by Parse.
+func Schema() []byte {
+	r := jsonschema.Reflector{Anonymous: true, FieldNameTag: "yaml", RequiredFromJSONSchemaTags: true}
+	s := r.Reflect(&Document{})
+	s.Title = schemaTitle
+	limits := reflect.ValueOf(DefaultLimits())
+	for i := range limits.NumField() {
+		name := limits.Type().Field(i).Tag.Get("yaml")
+		property, _ := s.Definitions["Limits"].Properties.Get(name)
+		property.Default = limits.Field(i).Int()
+	}
+	schema, _ := s.Definitions["Document"].Properties.Get("schema")
+	schema.Const = DocumentSchema
+	text, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		panic("config: schema of the document types: " + err.Error())
+	}
+	return append(bytes.TrimSpace(text), '\n')
+}
