--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,294 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/fold"
+	"pollenlead/internal/platform"
+	"pollenlead/internal/record"
+)
+
+// Guards against a lost answer that makes the committer repeat an op, skip it, or report a guess.
+func TestLostAnswerAtEveryAppend(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	log.lose = 1000
+	n := startNode(t, log, "a")
+	n.open(t)
+	for i := range 5 {
+		outcomes, err := n.c.Submit(t.Context(), report(fmt.Sprint(i)), renew())
+		is.NoErr(err)
+		is.Equal(len(outcomes), 2)
+		is.Equal(outcomes[0].Kind, record.KindInstancesReport)
+		is.True(outcomes[0].Accepted && outcomes[1].Accepted)
+	}
+	effective, instances := log.effects(t, "a-1")
+	is.Equal(effective, 6)
+	is.Equal(len(instances), 5)
+}
+
+// Guards against a record stored twice by the log that takes effect twice.
+func TestDuplicateAppends(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	log.double = 1000
+	n := startNode(t, log, "a")
+	n.open(t)
+	for range 3 {
+		_, err := n.c.Submit(t.Context(), renew())
+		is.NoErr(err)
+	}
+	effective, _ := log.effects(t, "a-1")
+	is.Equal(effective, 4)
+	is.Equal(len(log.data), 8)
+}
+
+// Guards against an op that takes effect after its caller was told that it was not sent.
+func TestWithdrawnOpNeverTakesEffect(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	n := startNode(t, log, "a")
+	n.open(t)
+	log.set(func() { log.outage = true })
+	ctx, cancel := context.WithCancel(t.Context())
+	results := make(chan error, 20)
+	for i := range 20 {
+		go func() {
+			_, err := n.c.Submit(ctx, report(fmt.Sprint(i)))
+			results <- err
+		}()
+	}
+	for n.c.Stats().FailedAppends == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	notSent := 0
+	for range 20 {
+		err := <-results
+		is.True(errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnresolved))
+		if errors.Is(err, ErrNotSent) {
+			notSent++
+		}
+	}
+	log.set(func() { log.outage = false })
+	_, err := n.c.Submit(t.Context(), renew())
+	is.NoErr(err)
+	_, instances := log.effects(t, "a-1")
+	is.True(len(instances) <= 20-notSent)
+}
+
+// Guards against a full queue that grows or blocks, and against ops of a replaced identity that are sent under the new one.
+func TestFullQueueAndReset(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	log.outage = true
+	f := NewFollower(log, FollowerOptions{})
+	c := NewCommitter(log, f, Identity{"a", "a-1"}, CommitterOptions{QueueOps: 2})
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := c.Submit(t.Context(), renew(), renew())
+		waiting <- err
+	}()
+	for {
+		c.mu.Lock()
+		queued := c.queuedOps
+		c.mu.Unlock()
+		if queued == 2 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_, err := c.Submit(t.Context(), renew())
+	is.True(errors.Is(err, ErrNotSent)) // full
+	b, err := c.nextBatch(t.Context())
+	is.NoErr(err)
+	c.Reset(Identity{"a", "a-2"})
+	is.True(errors.Is(<-waiting, ErrUnresolved)) // it was in a record
+	is.True(b.ctx.Err() != nil)
+	_, err = c.SubmitAs(t.Context(), Identity{"a", "a-1"}, renew())
+	is.True(errors.Is(err, ErrNotSent))
+}
+
+// Guards against records that exceed the bounds of a record or mix up the outcomes of different callers.
+func TestGroupCommitBounds(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	n := startNode(t, log, "a")
+	n.open(t)
+	_, err := n.c.Submit(t.Context(), make([]record.Op, maxBatchOps+1)...)
+	is.True(errors.Is(err, ErrNotSent))
+	var callers sync.WaitGroup
+	for i := range 600 {
+		callers.Go(func() {
+			ops := []record.Op{renew()}
+			if i%2 == 0 {
+				ops = []record.Op{{JobForget: &record.JobForget{}}, renew()}
+			}
+			outcomes, err := n.c.Submit(context.Background(), ops...)
+			if err != nil || len(outcomes) != len(ops) || outcomes[0].Kind != ops[0].Kind() {
+				t.Errorf("outcomes %v, error %v", outcomes, err)
+			}
+		})
+	}
+	callers.Wait()
+	for _, data := range log.data {
+		r, err := record.Decode(data)
+		is.NoErr(err)
+		is.True(len(r.Ops) <= maxBatchOps)
+	}
+}
+
+// Guards against a follower or committer that gives up during an outage.
+func TestOutageThenRecovery(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	log.outage = true
+	n := startNode(t, log, "a")
+	done := make(chan struct{})
+	go func() { defer close(done); n.open(t) }()
+	for n.c.Stats().FailedAppends < 4 || n.f.Stats().FailedReads < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(n.f.LastContact().IsZero())
+	log.set(func() { log.outage = false })
+	<-done
+}
+
+// Guards against a node that is cut off from the log alone and does not use its peers.
+func TestPeersRelayReadsAndAppends(t *testing.T) {
+	is := is.New(t)
+	peer, cut := newFakeLog(), newFakeLog()
+	cut.outage = true
+	n := startNode(t, cut, "a", peer)
+	n.open(t)
+	is.True(n.f.Stats().PeerReads > 0)
+	is.True(n.c.Stats().Relayed > 0)
+	is.True(!n.f.LastContact().IsZero())
+}
+
+// Guards against an old binary that guesses the meaning of newer records, and callers that wait for it for ever.
+func TestNewerSchemaStops(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	n := startNode(t, log, "a")
+	n.open(t)
+	_, err := log.Append(t.Context(), []byte(`{"schema":99}`))
+	is.NoErr(err)
+	for n.f.Err() == nil {
+		<-n.f.Changed()
+	}
+	is.True(errors.Is(n.f.Err(), fold.ErrNewerSchema))
+	is.True(n.f.WaitFor(t.Context(), 1000) != nil)
+	_, err = n.c.Submit(t.Context(), renew())
+	is.True(errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnresolved))
+}
+
+// Guards against a start from a trimmed log that misses state, and against trust in a damaged snapshot.
+func TestSnapshots(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	n := startNode(t, log, "a")
+	n.open(t)
+	_, err := n.c.Submit(t.Context(), report("early"))
+	is.NoErr(err)
+	is.NoErr(n.w.WriteSnapshot(t.Context()))
+	whole := uint64(0)
+	n.f.View(func(s *fold.State) { p, _ := s.WholeSnapshot(); whole = p.Offset })
+	log.set(func() { log.first = whole })
+	_, err = n.c.Submit(t.Context(), report("late"))
+	is.NoErr(err)
+	is.NoErr(n.w.WriteSnapshot(t.Context()))
+	for _, corrupt := range []bool{false, true} {
+		if corrupt {
+			log.corruptNewestChunk(t)
+		}
+		other := startNode(t, log, fmt.Sprint("b", corrupt))
+		is.NoErr(other.f.WaitFor(t.Context(), n.f.Applied()))
+		is.Equal(other.f.Stats().SnapshotLoads, uint64(1))
+		is.Equal(hash(n.f), hash(other.f))
+	}
+}
+
+// Guards against an outcome that is guessed when the follower jumps over the record by a snapshot.
+func TestRecordCoveredBySnapshotIsUnresolved(t *testing.T) {
+	is := is.New(t)
+	c := NewCommitter(nil, NewFollower(nil, FollowerOptions{}), Identity{"a", "a-1"}, CommitterOptions{})
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Submit(t.Context(), renew())
+		result <- err
+	}()
+	<-c.wake
+	b, err := c.nextBatch(t.Context())
+	is.NoErr(err)
+	r, err := record.Decode(b.data)
+	is.NoErr(err)
+	c.onResult(fold.Result{Record: r, Duplicate: true})
+	is.True(errors.Is(<-result, ErrUnresolved))
+}
+
+// Guards against a delayed answer or a gap that counts as contact, on which revocations and keyed work depend.
+func TestContact(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	is.Equal(answeredAt(start, start.Add(time.Minute), time.Second), start.Add(time.Second))
+	is.Equal(answeredAt(start, start.Add(time.Millisecond), time.Second), start.Add(time.Millisecond))
+	c := Contact{}
+	is.Equal(c.Unbroken(start), time.Duration(0))
+	for i := range 10 {
+		c = c.mark(start.Add(time.Duration(i) * unbrokenGap))
+	}
+	is.Equal(c.Unbroken(c.Last), 9*unbrokenGap)
+	is.Equal(c.Unbroken(c.Last.Add(unbrokenGap+1)), time.Duration(0))
+	c = c.mark(c.Last.Add(unbrokenGap + 1))
+	is.Equal(c.Unbroken(c.Last), time.Duration(0))
+}
+
+// Guards against a log without snapshots, one full of them, and a writer's role that no session takes.
+func TestSnapshotPolicy(t *testing.T) {
+	is := is.New(t)
+	is.True(!SnapshotDue(0, snapshotEvery, 0))
+	is.True(SnapshotDue(0, snapshotEvery+1, 0))
+	is.True(SnapshotDue(5000, 9000, 6000))
+	is.True(!SnapshotDue(5000, 5600, 5000))
+	sessions := []string{"a", "b", "c"}
+	first := 0
+	for _, s := range sessions {
+		if SnapshotTurn(s, sessions, 0) {
+			first++
+		}
+		is.True(SnapshotTurn(s, sessions, 2*snapshotTakeover))
+	}
+	is.Equal(first, 1)
+	is.True(!SnapshotTurn("unknown", sessions, time.Hour))
+}
+
+func hash(f *Follower) (sum [32]byte) {
+	f.View(func(s *fold.State) { sum, _ = s.Hash() })
+	return sum
+}
+
+func (l *fakeLog) corruptNewestChunk(t *testing.T) {
+	is := is.New(t)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := len(l.data) - 1; i >= 0; i-- {
+		r, err := record.Decode(l.data[i])
+		is.NoErr(err)
+		if r.Ops[0].SnapshotChunk != nil {
+			r.Ops[0].SnapshotChunk.Data[20] ^= 1
+			l.data[i], err = record.Encode(r)
+			is.NoErr(err)
+			return
+		}
+	}
+}
+
+var _ platform.Log = (*fakeLog)(nil)
