Add membership: sessions, peers, contact rule, list watcher

Cause: a holder may use its allotments only under a session lease, keyed work needs proof that no withdrawn key is missed, and an instance that is cut off from the log alone must work through its peers. Change: the decisions (contact rule, lease end, revocation, digest merge) are pure functions; the loops around them are thin.

--- /dev/null
+++ b/internal/membership/session.go
@@ -0,0 +1,227 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"pollenlead/internal/fold"
+	"pollenlead/internal/record"
+	"pollenlead/internal/replica"
+)
+
+const (
+	// sessionTick is the time between checks of the lease and of the folded session.
+	sessionTick = 100 * time.Millisecond
+	// reopenPause keeps a session that cannot be opened from filling the log.
+	reopenPause = 500 * time.Millisecond
+)
+
+// errSessionLost says that the session ended without being closed: it was revoked or its lease expired.
+var errSessionLost = errors.New("the session was lost")
+
+// runSession opens the session, keeps it, and opens another under a new incarnation when it is lost.
+func (m *Member) runSession(ctx context.Context) {
+	for ctx.Err() == nil && !m.lease.isClosed() {
+		err := m.openSession(ctx)
+		if err == nil {
+			err = m.keepSession(ctx)
+		}
+		m.lease.drop()
+		if ctx.Err() != nil || m.lease.isClosed() {
+			return
+		}
+		if !errors.Is(err, replica.ErrNotSent) {
+			m.count(func(s *Stats) { s.SessionsLost++ })
+			m.reincarnate()
+		}
+		sleep(ctx, reopenPause)
+	}
+}
+
+// reincarnate gives the process a new holder. The old one stays in its digest entry until the log shows its end.
+func (m *Member) reincarnate() {
+	identity := replica.Identity{Writer: m.opts.Name, Incarnation: m.opts.NewIncarnation()}
+	m.mu.Lock()
+	m.holders = append(m.holders, identity.Incarnation)
+	m.holders = m.holders[max(0, len(m.holders)-maxEntryHolders):]
+	m.mu.Unlock()
+	m.opts.Committer.Reset(identity)
+}
+
+func (m *Member) openSession(ctx context.Context) error {
+	identity := m.opts.Committer.Identity()
+	sent := m.opts.Clock()
+	open := m.opts.Session
+	outcomes, err := m.opts.Committer.SubmitAs(ctx, identity, record.Op{SessionOpen: &open})
+	if err != nil {
+		return fmt.Errorf("open session %s: %w", identity.Incarnation, err)
+	}
+	if !outcomes[0].Accepted {
+		return fmt.Errorf("open session %s: rejected: %s", identity.Incarnation, outcomes[0].Reason)
+	}
+	m.lease.start(identity.Incarnation, sent)
+	m.count(func(s *Stats) { s.SessionsOpened++ })
+	m.dropEndedHolders()
+	return nil
+}
+
+// dropEndedHolders shortens the list of own holders by those that have no session any more, except the current one.
+func (m *Member) dropEndedHolders() {
+	open := map[string]bool{}
+	m.opts.Follower.View(func(s *fold.State) {
+		for _, session := range s.Sessions() {
+			open[session.Holder] = true
+		}
+	})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current := m.holders[len(m.holders)-1]
+	m.holders = slices.DeleteFunc(m.holders, func(h string) bool { return h != current && !open[h] })
+}
+
+// keepSession renews the lease until the session is lost. One renewal is on its way at a time.
+func (m *Member) keepSession(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	holder := m.lease.Holder()
+	renewals := make(chan error, 1)
+	renewing := false
+	nextRenewal := m.opts.Clock().Add(renewInterval)
+	ticker := time.NewTicker(sessionTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-renewals:
+			renewing = false
+			if errors.Is(err, replica.ErrNotSent) {
+				nextRenewal = m.opts.Clock().Add(reopenPause)
+			} else if err != nil {
+				return err
+			}
+		case <-ticker.C:
+		}
+		if m.lease.isClosed() {
+			return nil
+		}
+		now := m.opts.Clock()
+		if m.lease.Valid() && m.contactView(now).logDownForAll() {
+			m.lease.extend(now)
+		}
+		if !m.lease.Valid() || !m.sessionOpen(holder) {
+			return errSessionLost
+		}
+		if !renewing && !now.Before(nextRenewal) {
+			renewing = true
+			nextRenewal = now.Add(renewInterval)
+			go func() { renewals <- m.renewOnce(ctx, holder) }()
+		}
+	}
+}
+
+// renewOnce submits one renewal. It counts from before it was submitted, and only once its outcome is known.
+func (m *Member) renewOnce(ctx context.Context, holder string) error {
+	identity := replica.Identity{Writer: m.opts.Name, Incarnation: holder}
+	sent := m.opts.Clock()
+	outcomes, err := m.opts.Committer.SubmitAs(ctx, identity, record.Op{SessionRenew: &record.SessionRenew{}})
+	if err != nil {
+		return fmt.Errorf("renew session %s: %w", holder, err)
+	}
+	if !outcomes[0].Accepted {
+		return errSessionLost
+	}
+	m.lease.renew(holder, sent)
+	return nil
+}
+
+func (m *Member) sessionOpen(holder string) (open bool) {
+	m.opts.Follower.View(func(s *fold.State) { _, open = s.Session(holder) })
+	return open
+}
+
+// Close ends the session at once, after the last work has ended. The lease ends before the close is sent, because the
+// allotments are free from the moment the close is folded. An open that is on its way is closed too: it comes first.
+func (m *Member) Close(ctx context.Context) error {
+	m.lease.close()
+	identity := m.opts.Committer.Identity()
+	outcomes, err := m.opts.Committer.SubmitAs(ctx, identity, record.Op{SessionClose: &record.SessionClose{}})
+	if err != nil {
+		return fmt.Errorf("close session %s: %w", identity.Incarnation, err)
+	}
+	if o := outcomes[0]; !o.Accepted && o.Reason != fold.ReasonSessionNotOpen {
+		return fmt.Errorf("close session %s: rejected: %s", identity.Incarnation, o.Reason)
+	}
+	return nil
+}
+
+// renewalSeen is the last renewal of a session and when this process read it, at the earliest.
+type renewalSeen struct {
+	offset uint64
+	at     time.Time
+}
+
+// runRevoker proposes to revoke sessions that are not renewed.
+func (m *Member) runRevoker(ctx context.Context) {
+	seen := map[string]renewalSeen{}
+	for {
+		sleep(ctx, sessionTick)
+		if ctx.Err() != nil {
+			return
+		}
+		for _, revoke := range m.overdue(seen) {
+			m.revoke(ctx, revoke)
+		}
+	}
+}
+
+// overdue updates seen from the folded state and returns the revocations that are due. The state is read before the clock,
+// so a renewal never counts as read earlier than it was.
+func (m *Member) overdue(seen map[string]renewalSeen) []record.SessionRevoke {
+	var sessions []fold.Session
+	m.opts.Follower.View(func(s *fold.State) { sessions = s.Sessions() })
+	contact := m.opts.Follower.Contact()
+	now := m.opts.Clock()
+	return overdueSessions(seen, sessions, m.lease.Holder(), now, func(at time.Time) bool {
+		return revocationDue(now, at, contact, m.lease.Valid())
+	})
+}
+
+func overdueSessions(seen map[string]renewalSeen, sessions []fold.Session, own string, now time.Time, due func(time.Time) bool) []record.SessionRevoke {
+	var revocations []record.SessionRevoke
+	open := map[string]bool{}
+	for _, session := range sessions {
+		open[session.Holder] = true
+		last, ok := seen[session.Holder]
+		if !ok || last.offset != session.LastRenewal {
+			seen[session.Holder] = renewalSeen{offset: session.LastRenewal, at: now}
+			continue
+		}
+		if session.Holder != own && due(last.at) {
+			revocations = append(revocations, record.SessionRevoke{Holder: session.Holder, LastRenewal: last.offset})
+		}
+	}
+	for holder := range seen {
+		if !open[holder] {
+			delete(seen, holder)
+		}
+	}
+	return revocations
+}
+
+// revoke proposes one revocation. The fold rejects it if the session was renewed or ended meanwhile.
+func (m *Member) revoke(ctx context.Context, op record.SessionRevoke) {
+	identity := replica.Identity{Writer: m.opts.Name, Incarnation: m.lease.Holder()}
+	ctx, cancel := context.WithTimeout(ctx, revokeAfter-leaseLength)
+	defer cancel()
+	outcomes, err := m.opts.Committer.SubmitAs(ctx, identity, record.Op{SessionRevoke: &op})
+	m.count(func(s *Stats) {
+		s.RevocationsProposed++
+		if err == nil && outcomes[0].Accepted {
+			s.RevocationsAccepted++
+		}
+	})
+}
