Keep the fold's job counts and pool members in an index

Cause: every job_start and release scanned all jobs, every session end sorted all jobs, and every pool that a record touched sorted all instances. The cost per record grew with the number of jobs and instances.

Change: unfinished jobs by holder, started jobs by holder, team and instance, and the members of each pool are kept in an index that follows the data and is built again by Restore. Allotment also says what the fold knows of demand and started jobs; AllotmentsChanged tells callers when to ask again.

--- a/internal/fold/apply.go
+++ b/internal/fold/apply.go
@@ -52,6 +52,7 @@
 		result.Duplicate = true
 		return result
 	}
+	s.at = s.d.Next
 	for _, op := range r.Ops {
 		outcome := s.applyOp(offset, r, op)
 		outcome.Kind = op.Kind()
--- a/internal/fold/grant.go
+++ b/internal/fold/grant.go
@@ -25,6 +25,9 @@
 
 // regrant gives free units and slots of the resources that the current record touched to holders below their target.
 func (s *State) regrant() {
+	if len(s.dirtyTeams) > 0 || len(s.dirtyPools) > 0 {
+		s.allotmentsChanged = s.d.Next
+	}
 	for _, name := range sortedKeys(s.dirtyTeams) {
 		s.grantTeam(name)
 	}
@@ -73,17 +76,17 @@
 
 // release takes back what the holder offers. It is all or nothing, so that a rejected release changes nothing.
 func (s *State) release(session *Session, op record.Release) Outcome {
-	startedByTeam, startedByInstance := s.startedJobs(session.Holder)
+	started := s.startedOf(session.Holder)
 	teams, slots := map[string]int{}, map[string]int{}
 	for _, t := range op.Teams {
 		teams[t.Name] += t.Units
-		if t.Units <= 0 || s.TeamUnits(session.Holder, t.Name)-startedByTeam[t.Name] < teams[t.Name] {
+		if t.Units <= 0 || s.TeamUnits(session.Holder, t.Name)-started.teams[t.Name] < teams[t.Name] {
 			return rejected(ReasonNotHeld, "team %s: %d units", t.Name, t.Units)
 		}
 	}
 	for _, i := range op.Slots {
 		slots[i.Instance] += i.Slots
-		if i.Slots <= 0 || s.InstanceSlots(session.Holder, i.Instance)-startedByInstance[i.Instance] < slots[i.Instance] {
+		if i.Slots <= 0 || s.InstanceSlots(session.Holder, i.Instance)-started.instances[i.Instance] < slots[i.Instance] {
 			return rejected(ReasonNotHeld, "instance %s: %d slots", i.Instance, i.Slots)
 		}
 	}
@@ -107,18 +110,6 @@
 	}
 }
 
-// startedJobs counts the started jobs of holder, whose allotments must stay.
-func (s *State) startedJobs(holder string) (byTeam, byInstance map[string]int) {
-	byTeam, byInstance = map[string]int{}, map[string]int{}
-	for _, job := range s.d.Jobs {
-		if job.Holder == holder && job.State == JobStarted {
-			byTeam[job.Team]++
-			byInstance[job.Instance]++
-		}
-	}
-	return byTeam, byInstance
-}
-
 func (s *State) team(name string) *allotment {
 	team, ok := s.d.Teams[name]
 	if !ok {
@@ -178,7 +169,7 @@
 
 // gaps returns the holders below target, the largest gap first.
 func (s *State) gaps(resource string, capacity int, wanted, held map[string]int) []gap {
-	claims := s.claims(wanted)
+	claims := claims(s.holders(), wanted)
 	targets := allot.Divide(resource, capacity, claims)
 	var gaps []gap
 	for i, c := range claims {
@@ -190,8 +181,7 @@
 	return gaps
 }
 
-func (s *State) claims(wanted map[string]int) []allot.Claim {
-	holders := s.holders()
+func claims(holders []string, wanted map[string]int) []allot.Claim {
 	claims := make([]allot.Claim, len(holders))
 	for i, h := range holders {
 		claims[i] = allot.Claim{Holder: h, Wanted: wanted[h]}
@@ -282,6 +272,13 @@
 type Grant struct {
 	Held   int
 	Target int
+	// Wanted is the demand of the holder that the fold knows.
+	Wanted int
+	// Declared means that the document in force names the resource; demand for another one is ignored.
+	Declared bool
+	// Started is the number of started jobs of the holder, and Adopted how many of them an earlier holder started.
+	Started int
+	Adopted int
 }
 
 // SlotGrant is what a holder has of one instance.
@@ -290,18 +287,32 @@
 	Held int
 	// Withdrawn means that the instance is leaving or being moved: start nothing there and release the slots.
 	Withdrawn bool
+	// Started is the number of started jobs of the holder, and Adopted how many of them an earlier holder started.
+	Started int
+	Adopted int
+	Facts   record.Instance
 }
 
-// Allotment returns what holder has. It recomputes targets, so callers keep the answer until the state changes.
+// AllotmentsChanged is the offset after the last record that may have changed what Allotment returns for holder.
+func (s *State) AllotmentsChanged(holder string) uint64 {
+	return max(s.allotmentsChanged, s.startedChanged[holder])
+}
+
+// Allotment returns what holder has. It recomputes targets, so callers keep the answer until AllotmentsChanged grows.
 func (s *State) Allotment(holder string) Allotment {
 	a := Allotment{Teams: map[string]Grant{}, Pools: map[string]Grant{}, Slots: map[string]SlotGrant{}}
+	holders := s.holders()
+	started := s.startedOf(holder)
 	for name, team := range s.d.Teams {
-		limit := 0
-		if declared, ok := s.doc.Team(name); ok {
-			limit = declared.UpperLimit
+		declared, ok := s.doc.Team(name)
+		a.Teams[name] = Grant{
+			Held:     team.Held[holder],
+			Target:   target("team/"+name, declared.UpperLimit, holders, team.Wanted, holder),
+			Wanted:   team.Wanted[holder],
+			Declared: ok,
+			Started:  started.teams[name],
+			Adopted:  started.adoptedTeams[name],
 		}
-		target := s.target("team/"+name, limit, team.Wanted, holder)
-		a.Teams[name] = Grant{Held: team.Held[holder], Target: target}
 	}
 	heldByPool, capacityByPool := map[string]int{}, map[string]int{}
 	for id, instance := range s.d.Instances {
@@ -310,7 +321,14 @@
 			heldByPool[instance.Pool] += instance.Held[holder]
 		}
 		if n := instance.Held[holder]; n > 0 {
-			a.Slots[id] = SlotGrant{Pool: instance.Pool, Held: n, Withdrawn: !instance.grantable()}
+			a.Slots[id] = SlotGrant{
+				Pool:      instance.Pool,
+				Held:      n,
+				Withdrawn: !instance.grantable(),
+				Started:   started.instances[id],
+				Adopted:   started.adoptedInstances[id],
+				Facts:     instance.Facts,
+			}
 		}
 	}
 	for _, pool := range s.doc.Pools {
@@ -318,18 +336,20 @@
 		if p, ok := s.d.Pools[pool.Name]; ok {
 			wanted = p.Wanted
 		}
-		target := s.target("pool/"+pool.Name, capacityByPool[pool.Name], wanted, holder)
-		a.Pools[pool.Name] = Grant{Held: heldByPool[pool.Name], Target: target}
+		a.Pools[pool.Name] = Grant{
+			Held:     heldByPool[pool.Name],
+			Target:   target("pool/"+pool.Name, capacityByPool[pool.Name], holders, wanted, holder),
+			Wanted:   wanted[holder],
+			Declared: true,
+		}
 	}
 	return a
 }
 
-func (s *State) target(resource string, capacity int, wanted map[string]int, holder string) int {
-	claims := s.claims(wanted)
-	for i, t := range allot.Divide(resource, capacity, claims) {
-		if claims[i].Holder == holder {
-			return t
-		}
+func target(resource string, capacity int, holders []string, wanted map[string]int, holder string) int {
+	at := slices.Index(holders, holder)
+	if at < 0 {
+		return 0
 	}
-	return 0
+	return allot.Divide(resource, capacity, claims(holders, wanted))[at]
 }
--- a/internal/fold/instances.go
+++ b/internal/fold/instances.go
@@ -47,8 +47,8 @@
 
 func (s *State) grantable(pool string) []*Instance {
 	var members []*Instance
-	for _, id := range sortedKeys(s.d.Instances) {
-		if i := s.d.Instances[id]; i.Pool == pool && i.grantable() {
+	for _, i := range s.members[pool] {
+		if i.grantable() {
 			members = append(members, i)
 		}
 	}
@@ -84,7 +84,9 @@
 	}
 	if !known {
 		instance = s.returnInstance(facts.ID)
+		instance.Facts = facts
 		s.d.Instances[facts.ID] = instance
+		s.addMember(instance)
 	}
 	instance.Facts = facts
 	s.dirtyPools[instance.Pool] = true
@@ -117,6 +119,7 @@
 		s.d.GoneInstances = s.d.GoneInstances[extra:]
 	}
 	delete(s.d.Instances, instance.Facts.ID)
+	s.removeMember(instance)
 	s.dirtyPools[instance.Pool] = true
 }
 
@@ -149,7 +152,9 @@
 	if instance.MovingTo == "" || len(instance.Held) > 0 {
 		return
 	}
+	s.removeMember(instance)
 	instance.Pool, instance.MovingTo = instance.MovingTo, ""
+	s.addMember(instance)
 	s.dirtyPools[instance.Pool] = true
 }
 
--- a/internal/fold/jobs.go
+++ b/internal/fold/jobs.go
@@ -56,10 +56,9 @@
 // JobsOf returns the unfinished jobs of holder, ordered by ID.
 func (s *State) JobsOf(holder string) []Job {
 	var jobs []Job
-	for _, id := range sortedKeys(s.d.Jobs) {
-		if j := s.d.Jobs[id]; j.Holder == holder && !j.Finished() {
-			jobs = append(jobs, *j)
-		}
+	open := s.open[holder]
+	for _, id := range sortedKeys(open) {
+		jobs = append(jobs, *open[id])
 	}
 	return jobs
 }
@@ -104,6 +103,7 @@
 		Fingerprint: op.Fingerprint, NonIdempotent: op.NonIdempotent, Urgent: op.Urgent, ContentType: op.ContentType,
 		Body: op.Body, State: JobWaiting, Holder: session.Holder,
 	}
+	s.addJob(s.d.Jobs[op.Job])
 	return Outcome{Accepted: true, Job: op.Job}
 }
 
@@ -149,17 +149,19 @@
 	case op.Attempt != job.Attempt+1:
 		return rejected(ReasonStaleAttempt, "job %s had %d attempts", op.Job, job.Attempt)
 	}
-	byTeam, byInstance := s.startedJobs(session.Holder)
-	if s.TeamUnits(session.Holder, job.Team) <= byTeam[job.Team] {
+	started := s.startedOf(session.Holder)
+	if s.TeamUnits(session.Holder, job.Team) <= started.teams[job.Team] {
 		return rejected(ReasonNoTeamUnit, "team %s", job.Team)
 	}
-	if s.InstanceSlots(session.Holder, op.Instance) <= byInstance[op.Instance] {
+	if s.InstanceSlots(session.Holder, op.Instance) <= started.instances[op.Instance] {
 		return rejected(ReasonNoSlot, "instance %s", op.Instance)
 	}
+	s.removeJob(job)
 	job.State = JobStarted
 	job.Attempt = op.Attempt
 	job.Instance = op.Instance
 	job.Adopted = false
+	s.addJob(job)
 	return accepted()
 }
 
@@ -175,10 +177,12 @@
 	case op.Attempt != job.Attempt:
 		return rejected(ReasonStaleAttempt, "job %s is at attempt %d", op.Job, job.Attempt)
 	}
-	return s.endAttempt(job, op)
+	s.removeJob(job)
+	defer s.addJob(job)
+	return endAttempt(job, op)
 }
 
-func (s *State) endAttempt(job *Job, op record.JobFinish) Outcome {
+func endAttempt(job *Job, op record.JobFinish) Outcome {
 	switch op.Outcome {
 	case record.OutcomeSucceeded:
 		job.State = JobSucceeded
@@ -208,6 +212,7 @@
 		if !ok || job.Finished() {
 			continue
 		}
+		s.removeJob(job)
 		job.State, job.Body, job.Reason = JobCancelled, nil, "cancelled by "+op.Actor
 		cancelled++
 	}
--- a/internal/fold/session.go
+++ b/internal/fold/session.go
@@ -100,31 +100,33 @@
 	for _, id := range sortedKeys(s.d.Instances) {
 		s.dropSlots(s.d.Instances[id], session.Holder)
 	}
-	for _, id := range sortedKeys(s.d.Jobs) {
-		job := s.d.Jobs[id]
-		if job.Holder != session.Holder || job.Finished() {
-			continue
-		}
-		s.reassignJob(job, graceful)
-	}
+	s.reassignJobs(session.Holder, graceful)
+	delete(s.startedChanged, session.Holder)
 	s.markAllDirty()
 }
 
 // assignOrphans gives jobs without a holder to the sessions that are open now.
 func (s *State) assignOrphans() {
-	for _, id := range sortedKeys(s.d.Jobs) {
-		if job := s.d.Jobs[id]; job.Holder == "" && !job.Finished() {
-			s.reassignJob(job, false)
-		}
+	s.reassignJobs("", false)
+}
+
+// reassignJobs gives the open jobs of a holder to the open sessions.
+func (s *State) reassignJobs(holder string, keepAllotment bool) {
+	holders := s.holders()
+	jobs := s.open[holder]
+	for _, id := range sortedKeys(jobs) {
+		s.reassignJob(jobs[id], holders, keepAllotment)
 	}
 }
 
-func (s *State) reassignJob(job *Job, keepAllotment bool) {
-	job.Holder = allot.Preferred(job.ID, s.holders())
+func (s *State) reassignJob(job *Job, holders []string, keepAllotment bool) {
+	s.removeJob(job)
+	job.Holder = allot.Preferred(job.ID, holders)
+	job.Adopted = job.State == JobStarted
+	s.addJob(job)
 	if job.State != JobStarted {
 		return
 	}
-	job.Adopted = true
 	if !keepAllotment || job.Holder == "" {
 		return
 	}
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -24,6 +24,10 @@
 type State struct {
 	d   data
 	doc *config.Document
+	index
+
+	// allotmentsChanged is the offset after the last record that may have changed a grant, a target or a demand.
+	allotmentsChanged uint64
 
 	// dirtyTeams and dirtyPools name the resources whose grants must be computed again after the current record.
 	dirtyTeams map[string]bool
@@ -86,6 +90,7 @@
 			Claims:    map[string]*Claim{},
 		},
 		doc:        &config.Document{},
+		index:      newIndex(),
 		dirtyTeams: map[string]bool{},
 		dirtyPools: map[string]bool{},
 	}
@@ -132,6 +137,8 @@
 		}
 		s.doc = doc
 	}
+	s.index = buildIndex(&s.d)
+	s.allotmentsChanged = s.d.Next
 	return s, nil
 }
 
