Add the local ledger of allotments

Cause: an entry instance has to spend its team units and slots without a message per request, and return what others need.

Change: package allotment spends units and slots under the session lease, reports demand (used and queued, held at its peak for 1 to 2 s), releases surplus, and keeps worker leases that end no later than the session lease. Units proposed for release are not spent until the outcome is known; after an unresolved append the ledger waits for a later record of its own in the folded state. The unit of a task that an earlier holder started counts as used before its permit is taken.

--- /dev/null
+++ b/internal/allotment/fake_test.go
@@ -0,0 +1,167 @@
+package allotment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/fold"
+	"pollenlead/internal/platform"
+	"pollenlead/internal/record"
+)
+
+var errNotSent = errors.New("not sent")
+
+const document = `
+schema: 1
+pools: [{name: p, members: [w-]}, {name: spare, spare: true}]
+services: [{name: s, pool: p}]
+teams: [{name: a, upper_limit: 6, keys: [{id: k}]}, {name: b, upper_limit: 2}]
+`
+
+// fake is a log with a folded state, a session lease, and workers. A test runs in a synctest bubble, whose clock is fake.
+type fake struct {
+	mu      sync.Mutex
+	state   *fold.State
+	changed chan struct{}
+	seq     map[string]uint64
+	submits []time.Time
+	// submitErr is returned by Submit; the ops are kept in held back instead of applied.
+	submitErr error
+	heldBack  []record.Op
+
+	until   atomic.Pointer[time.Time]
+	workers map[string]*fakeWorker
+	ledger  *Ledger
+}
+
+func newFake(is *is.I) *fake {
+	f := &fake{state: fold.New(), changed: make(chan struct{}), seq: map[string]uint64{}, workers: map[string]*fakeWorker{}}
+	f.setEnd(10 * time.Second)
+	f.apply("me", record.Op{SessionOpen: &record.SessionOpen{}}, record.Op{ConfigPublish: &record.ConfigPublish{Document: document}},
+		record.Op{InstancesReport: &record.InstancesReport{Instances: []record.Instance{
+			{ID: "w-1", Address: "1", AvailabilityZone: "z1", Phase: record.PhaseLive, Slots: 4, Connections: 64},
+			{ID: "w-2", Address: "2", AvailabilityZone: "z2", Phase: record.PhaseLive, Slots: 4, Connections: 32},
+		}}})
+	f.ledger = New(Config{Replica: f, Committer: f, Session: f, Workers: f, Clock: SystemClock{}, NotSent: errNotSent})
+	f.ledger.refresh(false)
+	is.True(f.ledger.HasTeamUnit("a"))
+	return f
+}
+
+// apply folds a record of a holder.
+func (f *fake) apply(holder string, ops ...record.Op) []fold.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seq[holder]++
+	data, err := record.Encode(record.Record{Writer: holder, Incarnation: holder, Seq: f.seq[holder], Ops: ops})
+	if err != nil {
+		panic(err)
+	}
+	result, err := f.state.Apply(f.state.Next(), data)
+	if err != nil {
+		panic(err)
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return result.Outcomes
+}
+
+func (f *fake) View(read func(*fold.State)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	read(f.state)
+}
+
+func (f *fake) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fake) Submit(_ context.Context, ops ...record.Op) ([]fold.Outcome, error) {
+	f.mu.Lock()
+	err := f.submitErr
+	f.submits = append(f.submits, time.Now())
+	if err != nil {
+		f.heldBack = ops
+	}
+	f.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	return f.apply("me", ops...), nil
+}
+
+func (f *fake) End() time.Time { return *f.until.Load() }
+func (f *fake) Valid() bool    { return time.Now().Before(f.End()) }
+func (f *fake) Holder() string { return "me" }
+
+func (f *fake) Worker(instance, _ string, _ int) platform.Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, ok := f.workers[instance]
+	if !ok {
+		w = &fakeWorker{started: time.Now().Add(-time.Hour), expiry: map[string]time.Duration{}}
+		f.workers[instance] = w
+	}
+	return w
+}
+
+// fakeWorker keeps leases by its own clock, which started an hour before the first call.
+type fakeWorker struct {
+	platform.Worker
+	mu      sync.Mutex
+	started time.Time
+	expiry  map[string]time.Duration
+	renewed atomic.Int64
+}
+
+func (w *fakeWorker) now() time.Duration { return time.Since(w.started) }
+
+func (w *fakeWorker) OpenLease(context.Context, string) (platform.Lease, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := fmt.Sprintf("lease-%d", len(w.expiry)+1)
+	w.expiry[id] = w.now()
+	opened := platform.Lease{ID: id, Now: w.now()}
+	time.Sleep(100 * time.Millisecond)
+	return opened, nil
+}
+
+func (w *fakeWorker) RenewLease(_ context.Context, id string, until time.Duration) (time.Duration, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.renewed.Add(1)
+	w.expiry[id] = max(w.expiry[id], until)
+	return w.now(), nil
+}
+
+// setEnd lets the session lease end after d.
+func (f *fake) setEnd(d time.Duration) {
+	end := time.Now().Add(d)
+	f.until.Store(&end)
+}
+
+// leaseEnd is when a lease of an instance ends.
+func (f *fake) leaseEnd(instance, id string) time.Time {
+	w := f.workers[instance]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.started.Add(w.expiry[id])
+}
+
+// inBubble runs a test with the fake clock of synctest.
+func inBubble(t *testing.T, test func(t *testing.T, is *is.I, f *fake)) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		test(t, is, newFake(is))
+	})
+}
--- /dev/null
+++ b/internal/allotment/plan_test.go
@@ -0,0 +1,74 @@
+package allotment
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/record"
+)
+
+// Guards against releasing units in use, units below the target, or units for which a rise in demand is on its way.
+func TestSurplus(t *testing.T) {
+	for name, c := range map[string]struct {
+		r    resource
+		want int
+	}{
+		"at target":         {resource{held: 3, target: 3}, 0},
+		"below target":      {resource{held: 2, target: 3}, 0},
+		"unused":            {resource{held: 5, target: 3, inUse: 1, wanted: 1, reported: 1}, 2},
+		"partly used":       {resource{held: 5, target: 3, inUse: 4, wanted: 4, reported: 4}, 1},
+		"all used":          {resource{held: 5, target: 3, inUse: 6, wanted: 6, reported: 6}, 0},
+		"unreported demand": {resource{held: 5, target: 3, wanted: 1}, 0},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(c.r.surplus(), c.want) })
+	}
+}
+
+// Guards against keeping slots of withdrawn instances, emptying one availability zone, and releasing slots in use.
+func TestPlanSlots(t *testing.T) {
+	pools := map[string]resource{"p": {held: 9, target: 5}}
+	for name, c := range map[string]struct {
+		held []slots
+		want []record.InstanceSlots
+	}{
+		"withdrawn": {[]slots{{instance: "w", pool: "q", held: 4, inUse: 1, withdrawn: true}}, []record.InstanceSlots{{Instance: "w", Slots: 3}}},
+		"zones": {
+			[]slots{{instance: "a", pool: "p", zone: "1", held: 6}, {instance: "b", pool: "p", zone: "2", held: 3}},
+			[]record.InstanceSlots{{Instance: "a", Slots: 4}},
+		},
+		"in use": {
+			[]slots{{instance: "a", pool: "p", zone: "1", held: 6, inUse: 5}, {instance: "b", pool: "p", zone: "2", held: 3, inUse: 2}},
+			[]record.InstanceSlots{{Instance: "a", Slots: 1}, {Instance: "b", Slots: 1}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(planSlots(pools, c.held), c.want) })
+	}
+}
+
+// Guards against a demand that falls within a lull, or that never falls.
+func TestPeak(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	p := peak{}.observe(at(0), 7)
+	p = p.observe(at(900), 1)
+	is.Equal(p.observe(at(1000), 1).level(), 7)
+	is.Equal(p.observe(at(1899), 1).level(), 7)
+	p = p.observe(at(1000), 1).observe(at(2000), 1)
+	is.Equal(p.level(), 1)
+	is.True(!p.falling())
+	p = peak{}.observe(at(0), 7).observe(at(60_000), 2) // high until now
+	is.Equal(p.observe(at(61_000), 2).level(), 7)
+	is.Equal(p.observe(at(62_000), 2).level(), 2)
+}
+
+// Guards against counting a job twice or not at all while its permit and the folded state disagree.
+func TestInUse(t *testing.T) {
+	is := is.New(t)
+	is.Equal(inUse(2, 0, 0, 0), 2)
+	is.Equal(inUse(1, 0, 1, 1), 2) // an adopted job without a permit beside a request
+	is.Equal(inUse(2, 1, 1, 1), 2) // its permit was taken
+	is.Equal(inUse(0, 0, 1, 0), 1) // the permit was released before the end of the job was folded
+}
