--- a/cmd/pollenctl/main.go
+++ b/cmd/pollenctl/main.go
@@ -1,4 +1,17 @@
 // Command pollenctl is the tool of operators and callers.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"pollenlead/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(ctl.Run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/devmode/demo.go
@@ -0,0 +1,254 @@
+package devmode
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"pollenlead/internal/config"
+)
+
+// The moments of the demo, as parts of its length.
+const (
+	withdrawAt = 0.3
+	rolloutAt  = 0.6
+)
+
+// rolloutTimeout bounds the wait for a document to be in force. It is longer than the promise, so that a broken promise is
+// measured and not just cut off.
+const rolloutTimeout = 20 * time.Second
+
+// demo drives the load and the operator's changes and returns what callers and workers saw.
+func (s *system) demo(ctx context.Context) (Report, error) {
+	report := Report{StandIns: standInsNote}
+	started := time.Now()
+	background, stopBackground := context.WithCancel(ctx)
+	defer stopBackground()
+	go s.cluster.balance(background)
+
+	loadCtx, stopLoad := context.WithTimeout(ctx, s.options.For)
+	defer stopLoad()
+	t := &tally{}
+	jobs := newJobLoad(s)
+	var parts sync.WaitGroup
+	parts.Go(func() { s.newLoad(t).run(loadCtx) })
+	parts.Go(func() { jobs.run(loadCtx) })
+	watch := newVersionWatch(s)
+	parts.Go(func() { watch.run(loadCtx) })
+	if s.options.Faults {
+		parts.Go(func() { report.Recoveries = s.runFaults(loadCtx) })
+	}
+	changesErr := s.runChanges(loadCtx, started, &report)
+	parts.Wait()
+	if changesErr != nil {
+		return report, changesErr
+	}
+	jobs.awaitResults(ctx)
+
+	report.Seconds = time.Since(started).Seconds()
+	t.summarize(&report, s.standIns.observer.Executions)
+	jobs.summarize(&report, s.standIns.observer.Executions)
+	report.Reverted = watch.reverted()
+	report.OverLimit = s.overLimit()
+	return report, nil
+}
+
+func (s *system) newLoad(t *tally) *load {
+	l := &load{
+		services: demoServices, meanPerSecond: s.options.MeanPerSecond, entries: s.cluster.callers,
+		client: newCallerClient(), tally: t, seed: s.options.Seed,
+	}
+	for _, team := range demoTeams {
+		l.teams = append(l.teams, loadTeam{name: team.name, key: s.keys.teams[team.name], weight: team.weight, mayUrgent: team.mayUrgent})
+	}
+	return l
+}
+
+// overLimit counts the teams that workers saw above their upper limit at any moment.
+func (s *system) overLimit() int {
+	over := 0
+	highest := s.standIns.observer.Highest()
+	for _, team := range s.document.Teams {
+		if highest[team.Name] > team.UpperLimit {
+			over++
+		}
+	}
+	return over
+}
+
+// runChanges withdraws a key and rolls a document out while the load runs.
+func (s *system) runChanges(ctx context.Context, started time.Time, report *Report) error {
+	if !sleepUntil(ctx, started.Add(s.moment(withdrawAt))) {
+		return nil
+	}
+	if err := s.withdrawKey(ctx, report); err != nil {
+		return fmt.Errorf("withdraw a key: %w", err)
+	}
+	if !sleepUntil(ctx, started.Add(s.moment(rolloutAt))) {
+		return nil
+	}
+	if err := s.rollOut(ctx, report); err != nil {
+		return fmt.Errorf("roll a document out: %w", err)
+	}
+	return nil
+}
+
+func (s *system) moment(part float64) time.Duration {
+	return time.Duration(float64(s.options.For) * part)
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(at)):
+		return true
+	}
+}
+
+// withdrawKey takes the second key of the first team out of the document and measures how long any entry instance still
+// answers with it.
+func (s *system) withdrawKey(ctx context.Context, report *Report) error {
+	team := &s.document.Teams[0]
+	team.Keys = slices.DeleteFunc(slices.Clone(team.Keys), func(k config.Key) bool {
+		return config.MatchesHash(s.keys.rotated, k.SHA256)
+	})
+	published, err := s.publish(ctx, report)
+	if err != nil {
+		return err
+	}
+	last := s.lastUse(ctx, published)
+	report.KeyWithdrawalSecondsMax = max(report.KeyWithdrawalSecondsMax, last.Seconds())
+	return nil
+}
+
+// lastUse sends requests with the withdrawn key until every entry instance has refused it for a while, and returns the time
+// from the publication to the start of the last request that was let in.
+func (s *system) lastUse(ctx context.Context, published time.Time) time.Duration {
+	const quiet = 2 * time.Second
+	client := newCallerClient()
+	last := time.Duration(0)
+	for time.Since(published) < last+quiet {
+		for _, entry := range s.cluster.callers() {
+			sent := time.Now()
+			if s.keyWorks(ctx, client, entry) {
+				last = sent.Sub(published)
+			}
+		}
+		if !sleepUntil(ctx, time.Now().Add(pollInterval)) {
+			break
+		}
+	}
+	return last
+}
+
+func (s *system) keyWorks(ctx context.Context, client *http.Client, entry string) bool {
+	req, err := newCall(ctx, callRequest{
+		id: "withdrawn-key", entryURL: entry, service: demoServices[0], team: demoTeams[0].name, key: s.keys.rotated, workMS: 1,
+	}, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode != http.StatusUnauthorized
+}
+
+// rollOut raises a share and adds a team, and waits until the document is in force everywhere.
+func (s *system) rollOut(ctx context.Context, report *Report) error {
+	s.document.Teams[4].Share++
+	_, key, err := config.NewKey("newcomers-1")
+	if err != nil {
+		return err
+	}
+	s.document.Teams = append(s.document.Teams, config.Team{Name: "newcomers", Share: 1, UpperLimit: 8, Keys: []config.Key{key}})
+	_, err = s.publish(ctx, report)
+	return err
+}
+
+// publish publishes the document and waits until it is in force at every entry instance. It returns when the publication
+// was answered.
+func (s *system) publish(ctx context.Context, report *Report) (time.Time, error) {
+	text, err := render(s.document)
+	if err != nil {
+		return time.Time{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), rolloutTimeout)
+	defer cancel()
+	version, err := s.publishRetry(ctx, text)
+	if err != nil {
+		return time.Time{}, err
+	}
+	published := time.Now()
+	if err := s.operator.awaitVersion(ctx, s.cluster.operators(), version); err != nil {
+		return published, err
+	}
+	report.ConfigSecondsMax = max(report.ConfigSecondsMax, time.Since(published).Seconds())
+	return published, nil
+}
+
+// publishRetry publishes against the newest version until an entry instance accepts it: during an outage of the log the
+// operator tries again.
+func (s *system) publishRetry(ctx context.Context, text []byte) (uint64, error) {
+	for {
+		entry := s.cluster.operators()[0]
+		current, err := s.operator.config(ctx, entry)
+		if err == nil {
+			var version uint64
+			if version, err = s.operator.publish(ctx, entry, current.Version, text); err == nil {
+				return version, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return 0, err
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// versionWatch looks at the version in force of every entry instance and counts steps back.
+type versionWatch struct {
+	system *system
+
+	mu    sync.Mutex
+	last  map[string]uint64
+	steps int
+}
+
+func newVersionWatch(s *system) *versionWatch {
+	return &versionWatch{system: s, last: map[string]uint64{}}
+}
+
+func (w *versionWatch) run(ctx context.Context) {
+	for sleepUntil(ctx, time.Now().Add(5*pollInterval)) {
+		for _, entry := range w.system.cluster.operators() {
+			c, err := w.system.operator.config(ctx, entry)
+			if err != nil {
+				continue
+			}
+			w.observe(entry, c.Version)
+		}
+	}
+}
+
+func (w *versionWatch) observe(entry string, version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version < w.last[entry] {
+		w.steps++
+	}
+	w.last[entry] = version
+}
+
+func (w *versionWatch) reverted() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.steps
+}
--- /dev/null
+++ b/internal/devmode/run.go
@@ -0,0 +1,152 @@
+// Package devmode runs the whole system in one process over loopback: stand-ins for the platform, entry instances and, in
+// the demo, callers that check every promise from the outside.
+package devmode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pollenlead/internal/config"
+)
+
+// ErrPromiseBroken says that the demo saw a promise broken.
+var ErrPromiseBroken = errors.New("a promise was broken")
+
+// standInsNote is part of every report, so that nobody takes its figures for those of a real platform.
+const standInsNote = "the log, the instance list and the workers are stand-ins in this process"
+
+// startTimeout bounds the start of the entry instances.
+const startTimeout = 30 * time.Second
+
+// Options are the choices of the development mode.
+type Options struct {
+	Demo          bool
+	Faults        bool
+	For           time.Duration
+	JSON          bool
+	Seed          uint64
+	MeanPerSecond float64
+	Entries       int
+	Stdout        io.Writer
+	Stderr        io.Writer
+}
+
+// system is everything that runs in the development mode.
+type system struct {
+	options  Options
+	standIns *standIns
+	cluster  *cluster
+	document *config.Document
+	keys     demoKeys
+	operator operatorClient
+}
+
+// Run starts the development mode. Without the demo it serves until ctx ends.
+func Run(ctx context.Context, o Options) error {
+	s, err := start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.standIns.close() }()
+	if !o.Demo {
+		s.describe()
+		<-ctx.Done()
+		return s.cluster.stopAll()
+	}
+	report, err := s.demo(ctx)
+	if err != nil {
+		return errors.Join(err, s.cluster.stopAll())
+	}
+	if err := s.cluster.stopAll(); err != nil {
+		return fmt.Errorf("stop the entry instances: %w", err)
+	}
+	report.check()
+	if err := writeReport(o, report); err != nil {
+		return err
+	}
+	if len(report.Broken) > 0 {
+		return fmt.Errorf("%w: %v", ErrPromiseBroken, report.Broken)
+	}
+	return nil
+}
+
+func start(ctx context.Context, o Options) (*system, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	document, keys, err := buildDocument()
+	if err != nil {
+		return nil, err
+	}
+	fakes, err := startStandIns(demoServices)
+	if err != nil {
+		return nil, err
+	}
+	logger := zerolog.New(o.Stderr).Level(zerolog.WarnLevel).With().Timestamp().Logger()
+	s := &system{
+		options: o, standIns: fakes, document: document, keys: keys,
+		cluster:  newCluster(fakes, keys.operator, logger),
+		operator: operatorClient{client: newCallerClient(), key: keys.operator},
+	}
+	for n := range o.Entries {
+		if err := s.cluster.start(fmt.Sprintf("entry-%d", n+1), zones[n%len(zones)]); err != nil {
+			return nil, errors.Join(err, fakes.close())
+		}
+	}
+	if err := s.publishFirst(ctx); err != nil {
+		return nil, errors.Join(err, s.cluster.stopAll(), fakes.close())
+	}
+	if err := s.cluster.awaitReady(ctx); err != nil {
+		return nil, errors.Join(err, s.cluster.stopAll(), fakes.close())
+	}
+	return s, nil
+}
+
+// publishFirst publishes the document once an entry instance has a session.
+func (s *system) publishFirst(ctx context.Context) error {
+	text, err := render(s.document)
+	if err != nil {
+		return err
+	}
+	for {
+		_, err := s.operator.publish(ctx, s.cluster.operators()[0], 0, text)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("publish the first document: %w", err)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func (s *system) describe() {
+	w := s.options.Stdout
+	fmt.Fprintln(w, standInsNote)
+	for _, p := range s.cluster.list() {
+		fmt.Fprintf(w, "%s: callers %s, operators %s\n", p.name, p.instance.CallersURL(), p.instance.OperatorsURL())
+	}
+	fmt.Fprintf(w, "operator key: %s\n", s.keys.operator)
+	for _, t := range demoTeams {
+		fmt.Fprintf(w, "key of team %s: %s\n", t.name, s.keys.teams[t.name])
+	}
+	fmt.Fprintf(w, "services: %v\n", demoServices)
+}
+
+func writeReport(o Options, r Report) error {
+	if o.JSON {
+		return json.NewEncoder(o.Stdout).Encode(r)
+	}
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(o.Stdout, "%s\n", text)
+	return err
+}
