Move only held units with the jobs of a closed session

Cause: session_close gave the new holder of each started job a new unit and slot instead of moving those of the old holder. A job that was adopted after a revocation has no unit, and an instance that left the list and came back has no held slots, so the close created units and slots beyond the limit. A move could also end while the slot of a running task was still in use, because slots were dropped first.

Change: the fold moves a held unit and slot before it frees the rest. A job whose allotment ended with its session is marked as lapsed and moves none.

--- a/internal/fold/grant.go
+++ b/internal/fold/grant.go
@@ -276,7 +276,8 @@
 	Wanted int
 	// Declared means that the document in force names the resource; demand for another one is ignored.
 	Declared bool
-	// Started is the number of started jobs of the holder, and Adopted how many of them an earlier holder started.
+	// Started is the number of started jobs of the holder. Adopted is how many of them an earlier holder started and may
+	// still run.
 	Started int
 	Adopted int
 }
@@ -287,7 +288,8 @@
 	Held int
 	// Withdrawn means that the instance is leaving or being moved: start nothing there and release the slots.
 	Withdrawn bool
-	// Started is the number of started jobs of the holder, and Adopted how many of them an earlier holder started.
+	// Started is the number of started jobs of the holder. Adopted is how many of them an earlier holder started and may
+	// still run.
 	Started int
 	Adopted int
 	Facts   record.Instance
--- a/internal/fold/index.go
+++ b/internal/fold/index.go
@@ -23,7 +23,7 @@
 // startedCounts counts the started jobs of one holder; entries of zero are removed.
 type startedCounts struct {
 	teams, instances map[string]int
-	// adoptedTeams and adoptedInstances count only the jobs that an earlier holder started.
+	// adoptedTeams and adoptedInstances count only those that an earlier holder started and that may still run.
 	adoptedTeams, adoptedInstances map[string]int
 }
 
@@ -95,7 +95,7 @@
 	}
 	addCount(counts.teams, job.Team, n)
 	addCount(counts.instances, job.Instance, n)
-	if job.Adopted {
+	if job.Adopted && !job.Lapsed {
 		addCount(counts.adoptedTeams, job.Team, n)
 		addCount(counts.adoptedInstances, job.Instance, n)
 	}
--- a/internal/fold/jobs.go
+++ b/internal/fold/jobs.go
@@ -34,7 +34,10 @@
 	Attempt        int      `json:"attempt"`
 	Instance       string   `json:"instance,omitempty"`
 	// Adopted means that an earlier holder started the current attempt.
-	Adopted           bool   `json:"adopted,omitempty"`
+	Adopted bool `json:"adopted,omitempty"`
+	// Lapsed means that the unit and the slot of the current attempt ended with a session. Its worker lease has expired,
+	// so the task no longer runs.
+	Lapsed            bool   `json:"lapsed,omitempty"`
 	Status            int    `json:"status,omitempty"`
 	ResultContentType string `json:"result_content_type,omitempty"`
 	Result            []byte `json:"result,omitempty"`
@@ -160,7 +163,7 @@
 	job.State = JobStarted
 	job.Attempt = op.Attempt
 	job.Instance = op.Instance
-	job.Adopted = false
+	job.Adopted, job.Lapsed = false, false
 	s.addJob(job)
 	return accepted()
 }
@@ -194,7 +197,7 @@
 		if job.State != JobStarted {
 			return rejected(ReasonInvalid, "job %s has not started", job.ID)
 		}
-		job.State, job.Instance, job.Adopted, job.Reason = JobWaiting, "", false, op.Reason
+		job.State, job.Instance, job.Adopted, job.Lapsed, job.Reason = JobWaiting, "", false, false, op.Reason
 		return accepted()
 	default:
 		return rejected(ReasonInvalid, "outcome %q", op.Outcome)
--- a/internal/fold/session.go
+++ b/internal/fold/session.go
@@ -90,6 +90,8 @@
 	if extra := len(s.d.ClosedSessions) - maxClosedSessions; extra > 0 {
 		s.d.ClosedSessions = s.d.ClosedSessions[extra:]
 	}
+	s.reassignJobs(session.Holder, graceful)
+	delete(s.startedChanged, session.Holder)
 	for _, team := range s.d.Teams {
 		delete(team.Held, session.Holder)
 		delete(team.Wanted, session.Holder)
@@ -100,8 +102,6 @@
 	for _, id := range sortedKeys(s.d.Instances) {
 		s.dropSlots(s.d.Instances[id], session.Holder)
 	}
-	s.reassignJobs(session.Holder, graceful)
-	delete(s.startedChanged, session.Holder)
 	s.markAllDirty()
 }
 
@@ -111,29 +111,41 @@
 }
 
 // reassignJobs gives the open jobs of a holder to the open sessions.
-func (s *State) reassignJobs(holder string, keepAllotment bool) {
+func (s *State) reassignJobs(holder string, graceful bool) {
 	holders := s.holders()
 	jobs := s.open[holder]
 	for _, id := range sortedKeys(jobs) {
-		s.reassignJob(jobs[id], holders, keepAllotment)
+		s.reassignJob(jobs[id], holders, graceful)
 	}
 }
 
-func (s *State) reassignJob(job *Job, holders []string, keepAllotment bool) {
+// reassignJob gives a job to another holder. The unit and the slot of a running task move with it, before the rest of what
+// the holder had becomes free.
+func (s *State) reassignJob(job *Job, holders []string, graceful bool) {
+	from := job.Holder
 	s.removeJob(job)
 	job.Holder = allot.Preferred(job.ID, holders)
-	job.Adopted = job.State == JobStarted
-	s.addJob(job)
-	if job.State != JobStarted {
-		return
+	if job.State == JobStarted {
+		job.Adopted = true
+		job.Lapsed = job.Lapsed || !graceful || job.Holder == ""
 	}
-	if !keepAllotment || job.Holder == "" {
+	s.addJob(job)
+	if job.State != JobStarted || job.Lapsed {
 		return
 	}
 	if team, ok := s.d.Teams[job.Team]; ok {
-		team.Held[job.Holder]++
+		transfer(team.Held, from, job.Holder)
 	}
 	if instance, ok := s.d.Instances[job.Instance]; ok {
-		instance.Held[job.Holder]++
+		transfer(instance.Held, from, job.Holder)
+	}
+}
+
+// transfer moves one unit, if there is one: the slots of an instance that left the list and came back were forgotten.
+func transfer(held map[string]int, from, to string) {
+	if held[from] == 0 {
+		return
 	}
+	subtract(held, from, 1)
+	held[to]++
 }
