Refuse retries of adopted non-idempotent jobs

Cause: the fold accepted the outcome "retry" from a holder that had adopted the job. That holder cannot know whether the attempt ran, and the job could start a second time (invariant P7).

Measured: the random test (rapid) failed with "non-idempotent job j2 has attempt 2 after one that may have run" and passes.

--- a/internal/fold/jobs.go
+++ b/internal/fold/jobs.go
@@ -197,6 +197,10 @@
 		if job.State != JobStarted {
 			return rejected(ReasonInvalid, "job %s has not started", job.ID)
 		}
+		if job.NonIdempotent && job.Adopted {
+			// Only the holder that started the attempt can know that nothing reached the worker.
+			return rejected(ReasonMayHaveRun, "non-idempotent job %s was started by an earlier holder", job.ID)
+		}
 		job.State, job.Instance, job.Adopted, job.Lapsed, job.Reason = JobWaiting, "", false, false, op.Reason
 		return accepted()
 	default:
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -189,6 +189,7 @@
 	ReasonJobNotFinished         Reason = "job_not_finished"
 	ReasonNoTeamUnit             Reason = "no_team_unit"
 	ReasonNoSlot                 Reason = "no_slot"
+	ReasonMayHaveRun             Reason = "may_have_run"
 	ReasonUnknownClaim           Reason = "unknown_claim"
 	ReasonClaimOpen              Reason = "claim_open"
 	ReasonStaleTerm              Reason = "stale_term"
