Refuse reports with an unknown phase

Cause: an instance with any other phase text entered the state, where it was neither live nor leaving and never gone.

Change: such a report is rejected as invalid.

--- a/internal/fold/instances.go
+++ b/internal/fold/instances.go
@@ -66,6 +66,11 @@
 		if facts.ID == "" || facts.Slots < 0 || facts.Connections < 0 {
 			return rejected(ReasonInvalid, "instance %q", facts.ID)
 		}
+		switch facts.Phase {
+		case record.PhaseLive, record.PhaseLeaving, record.PhaseGone:
+		default:
+			return rejected(ReasonInvalid, "instance %q: phase %q", facts.ID, facts.Phase)
+		}
 	}
 	s.d.ListVersion = op.ListVersion
 	for _, facts := range op.Instances {
