Accept only failure as the end of a waiting job

Cause: job_finish with succeeded or unknown was accepted for a job that was waiting, so a late or wrong record could give a job a result that no attempt produced.

Change: a waiting job may only end as failed, for jobs that can never run.

--- a/internal/fold/jobs.go
+++ b/internal/fold/jobs.go
@@ -186,6 +186,10 @@
 }
 
 func endAttempt(job *Job, op record.JobFinish) Outcome {
+	// A waiting job that can never run may end as failed; every other outcome says something about a started attempt.
+	if job.State != JobStarted && op.Outcome != record.OutcomeFailed {
+		return rejected(ReasonInvalid, "job %s has not started", job.ID)
+	}
 	switch op.Outcome {
 	case record.OutcomeSucceeded:
 		job.State = JobSucceeded
@@ -194,9 +198,6 @@
 	case record.OutcomeUnknown:
 		job.State = JobUnknown
 	case record.OutcomeRetry:
-		if job.State != JobStarted {
-			return rejected(ReasonInvalid, "job %s has not started", job.ID)
-		}
 		if job.NonIdempotent && job.Adopted {
 			// Only the holder that started the attempt can know that nothing reached the worker.
 			return rejected(ReasonMayHaveRun, "non-idempotent job %s was started by an earlier holder", job.ID)
