Keep moves and placement in step with the newest document

Cause: when a document removed the pool that an instance was being moved out of, the operator's move was replaced by the declared pool. An instance on its way out of a removed pool also left that pool after a later document declared it again.

Change: an operator's move stays under way while its destination is declared. A destination that a document chose is chosen anew by each document.

--- a/internal/fold/instances.go
+++ b/internal/fold/instances.go
@@ -172,14 +172,18 @@
 }
 
 // placeInstances applies a new document to the pools of instances. An instance whose pool is no longer declared goes to the
-// pool that the document gives it; one that waits in the spare pool goes to a pool that now claims it.
+// pool that the document gives it; one that waits in the spare pool goes to a pool that now claims it. An operator's move
+// stays under way while its destination is declared; where the document alone decides, the newest document does.
 func (s *State) placeInstances() {
 	spare := sparePool(s.doc)
 	for _, id := range sortedKeys(s.d.Instances) {
 		instance := s.d.Instances[id]
-		if _, ok := s.doc.Pool(instance.MovingTo); !ok {
+		if _, ok := s.doc.Pool(instance.MovingTo); !ok || !instance.Moved {
 			instance.MovingTo = ""
 		}
+		if instance.MovingTo != "" {
+			continue
+		}
 		_, declared := s.doc.Pool(instance.Pool)
 		if declared && (instance.Pool != spare || instance.Moved) {
 			continue
