--- a/internal/fold/bench_test.go
+++ b/internal/fold/bench_test.go
@@ -50,11 +50,11 @@
 	var doc strings.Builder
 	doc.WriteString("schema: 1\npools:\n  - {name: spare, spare: true}\n")
 	for n := range benchPools {
-		fmt.Fprintf(&doc, "  - {name: p%02d, members: [w%02d-]}\n", n, n)
+		fmt.Fprintf(&doc, "  - {name: p%02d, members: [w%02d-], availability_budget: {min_available_percent: 80}}\n", n, n)
 	}
-	doc.WriteString("services: [{name: s, pool: p00}]\nteams:\n")
+	doc.WriteString("services: [{name: s, pool: p00, timeout_seconds: 1}]\nteams:\n")
 	for n := range benchTeams {
-		fmt.Fprintf(&doc, "  - {name: t%02d, upper_limit: 400, keys: [{id: k}]}\n", n)
+		fmt.Fprintf(&doc, "  - {name: t%02d, share: 1, upper_limit: 400, keys: [{id: k%02d, sha256: %q}]}\n", n, n, strings.Repeat("0", 64))
 	}
 	return doc.String()
 }
@@ -78,7 +78,7 @@
 		var ops []record.Op
 		for j := n; j < n+1000; j++ {
 			ops = append(ops, record.Op{JobAccept: &record.JobAccept{
-				Job: fmt.Sprintf("j%06d", j), Team: fmt.Sprintf("t%02d", j%benchTeams), KeyID: "k", Service: "s",
+				Job: fmt.Sprintf("j%06d", j), Team: fmt.Sprintf("t%02d", j%benchTeams), KeyID: fmt.Sprintf("k%02d", j%benchTeams), Service: "s",
 			}})
 		}
 		writers[n/1000%benchHolders].apply(tb, s, ops...)
