--- a/internal/allotment/fake_test.go
+++ b/internal/allotment/fake_test.go
@@ -19,12 +19,13 @@
 
 var errNotSent = errors.New("not sent")
 
-const document = `
+// document is valid by the rules of package config.
+var document = fmt.Sprintf(`
 schema: 1
-pools: [{name: p, members: [w-]}, {name: spare, spare: true}]
-services: [{name: s, pool: p}]
-teams: [{name: a, upper_limit: 6, keys: [{id: k}]}, {name: b, upper_limit: 2}]
-`
+pools: [{name: p, members: [w-], availability_budget: {min_available_percent: 0}}, {name: spare, spare: true}]
+services: [{name: s, pool: p, timeout_seconds: 1}]
+teams: [{name: a, share: 1, upper_limit: 6, keys: [{id: k, sha256: "%064d"}]}, {name: b, share: 1, upper_limit: 2}]
+`, 0)
 
 // fake is a log with a folded state, a session lease, and workers. A test runs in a synctest bubble, whose clock is fake.
 type fake struct {
