--- a/internal/fold/jobs.go
+++ b/internal/fold/jobs.go
@@ -34,7 +34,10 @@
 	Attempt        int      `json:"attempt"`
 	Instance       string   `json:"instance,omitempty"`
 	// Adopted means that an earlier holder started the current attempt.
-	Adopted           bool   `json:"adopted,omitempty"`
+	Adopted bool `json:"adopted,omitempty"`
+	// Lapsed means that the unit and the slot of the current attempt ended with a session. Its worker lease has expired,
+	// so the task no longer runs.
+	Lapsed            bool   `json:"lapsed,omitempty"`
 	Status            int    `json:"status,omitempty"`
 	ResultContentType string `json:"result_content_type,omitempty"`
 	Result            []byte `json:"result,omitempty"`
@@ -160,7 +163,7 @@
 	job.State = JobStarted
 	job.Attempt = op.Attempt
 	job.Instance = op.Instance
-	job.Adopted = false
+	job.Adopted, job.Lapsed = false, false
 	s.addJob(job)
 	return accepted()
 }
@@ -183,6 +186,10 @@
 }
 
 func endAttempt(job *Job, op record.JobFinish) Outcome {
+	// A waiting job that can never run may end as failed; every other outcome says something about a started attempt.
+	if job.State != JobStarted && op.Outcome != record.OutcomeFailed {
+		return rejected(ReasonInvalid, "job %s has not started", job.ID)
+	}
 	switch op.Outcome {
 	case record.OutcomeSucceeded:
 		job.State = JobSucceeded
@@ -191,10 +198,11 @@
 	case record.OutcomeUnknown:
 		job.State = JobUnknown
 	case record.OutcomeRetry:
-		if job.State != JobStarted {
-			return rejected(ReasonInvalid, "job %s has not started", job.ID)
+		if job.NonIdempotent && job.Adopted {
+			// Only the holder that started the attempt can know that nothing reached the worker.
+			return rejected(ReasonMayHaveRun, "non-idempotent job %s was started by an earlier holder", job.ID)
 		}
-		job.State, job.Instance, job.Adopted, job.Reason = JobWaiting, "", false, op.Reason
+		job.State, job.Instance, job.Adopted, job.Lapsed, job.Reason = JobWaiting, "", false, false, op.Reason
 		return accepted()
 	default:
 		return rejected(ReasonInvalid, "outcome %q", op.Outcome)
