--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"pollenlead/internal/replica"
+)
+
+// closeTimeout bounds the last record of a graceful shutdown. If the log is down for longer, peers revoke the session.
+const closeTimeout = 5 * time.Second
+
+// Run serves until ctx ends, and then shuts down gracefully: it turns unready, lets every request in flight end, hands its
+// jobs on and closes its session.
+func (i *Instance) Run(ctx context.Context) error {
+	// The parts run under a context of their own, because they must work until the last request has ended.
+	parts, stopParts := context.WithCancel(context.Background())
+	defer stopParts()
+	var running sync.WaitGroup
+	failed := make(chan error, 16)
+	i.startParts(parts, &running, failed)
+
+	var err error
+	select {
+	case <-ctx.Done():
+		i.logger.Info().Msg("shutting down")
+		err = i.shutdown()
+	case <-i.killed:
+	case err = <-failed:
+		i.logger.Error().Err(err).Msg("a part of the entry instance failed")
+	}
+	stopParts()
+	err = errors.Join(err, i.callers.server.Close(), i.operators.server.Close())
+	running.Wait()
+	return err
+}
+
+// Kill ends the instance at once, without a shutdown, as a crash does. Tests and the demo use it.
+func (i *Instance) Kill() {
+	i.killOnce.Do(func() { close(i.killed) })
+}
+
+func (i *Instance) startParts(ctx context.Context, running *sync.WaitGroup, failed chan<- error) {
+	start := func(name string, run func(context.Context) error) {
+		running.Go(func() {
+			err := run(ctx)
+			if err != nil && ctx.Err() == nil {
+				failed <- fmt.Errorf("%s: %w", name, err)
+			}
+		})
+	}
+	start("follower", i.follower.Run)
+	start("committer", i.committer.Run)
+	start("membership", i.member.Run)
+	start("ledger", i.ledger.Run)
+	start("admission", func(ctx context.Context) error { i.queue.Run(ctx); return nil })
+	start("jobs", i.jobs.Run)
+	start("snapshots", func(ctx context.Context) error {
+		return i.snapshots.Run(ctx, func(err error) {
+			if !errors.Is(err, replica.ErrStaleTerm) {
+				i.logger.Warn().Err(err).Msg("snapshot not written")
+			}
+		})
+	})
+	start("callers' listener", func(context.Context) error { return i.callers.serve() })
+	start("operators' listener", func(context.Context) error { return i.operators.serve() })
+	start("state changes", i.logChanges)
+}
+
+func (l listener) serve() error {
+	var err error
+	if l.server.TLSConfig != nil {
+		err = l.server.ServeTLS(l.socket, "", "")
+	} else {
+		err = l.server.Serve(l.socket)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (i *Instance) shutdown() error {
+	i.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Timeouts.Shutdown())
+	defer cancel()
+	select {
+	case <-time.After(balancerDelay):
+	case <-i.killed:
+		return nil
+	}
+	i.jobs.Drain()
+	if err := i.callers.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("wait for the requests in flight: %w", err)
+	}
+	if err := i.jobs.Shutdown(ctx); err != nil {
+		i.logger.Warn().Err(err).Msg("running jobs are handed on")
+	}
+	i.gateway.WaitSettled()
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClose()
+	if err := i.member.Close(closeCtx); err != nil {
+		return fmt.Errorf("close the session: %w", err)
+	}
+	return nil
+}
+
+// logChanges writes a line when the instance turns ready or unready, or a new document comes into force.
+func (i *Instance) logChanges(ctx context.Context) error {
+	wasReady, version := false, uint64(0)
+	for {
+		ready, reason := i.ready()
+		if ready != wasReady {
+			i.logger.Info().Bool("ready", ready).Str("reason", reason).Msg("readiness changed")
+			wasReady = ready
+		}
+		if v := i.configVersion(); v != version {
+			i.logger.Info().Uint64("document_version", v).Msg("document in force")
+			version = v
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(time.Second):
+		}
+	}
+}
