--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -220,8 +220,11 @@
 }
 
 // digest returns the own entry and those of the others with their ages and without their loads.
-func (m *Member) digest() []Entry {
+func (m *Member) digest(withLoad bool) []Entry {
 	own := m.ownEntry()
+	if !withLoad {
+		own.Load = nil
+	}
 	now := m.opts.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/membership/member_test.go
+++ b/internal/membership/member_test.go
@@ -3,8 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
+	"math/big"
 	"net"
 	"strings"
 	"sync"
@@ -105,7 +110,7 @@
 	stop      func()
 }
 
-func startInstance(t *testing.T, log platform.Log, name string, load Load) *instance {
+func startInstance(t *testing.T, log platform.Log, name string, load Load, config ...*tls.Config) *instance {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -113,7 +118,7 @@
 	i.follower = replica.NewFollower(i.access, replica.FollowerOptions{})
 	i.committer = replica.NewCommitter(i.access, i.follower, replica.Identity{Writer: name, Incarnation: name + "-1"}, replica.CommitterOptions{})
 	i.Member, err = New(Options{
-		Name: name, Session: record.SessionOpen{PeerAddress: i.address}, Log: i.access,
+		Name: name, TLS: append(config, nil)[0], Session: record.SessionOpen{PeerAddress: i.address}, Log: i.access,
 		List:     fakeList{platform.Listing{Version: 1, Workers: []record.Instance{{ID: "w", Phase: record.PhaseLeaving}}}},
 		Follower: i.follower, Committer: i.committer, Listener: listener, Load: func() Load { return load },
 	})
@@ -242,6 +247,49 @@
 	}
 }
 
+// Guards against load reports that are lost or sent for every small change.
+func TestLoadReport(t *testing.T) {
+	is := is.New(t)
+	a := startInstance(t, newFakeLog(), "a", Load{})
+	conn, err := net.Dial("tcp", a.address)
+	is.NoErr(err)
+	_, err = fmt.Fprintln(conn, `{"jsonrpc":"2.0","id":1,"method":"load_report","params":{"entry":{"name":"x","incarnation":"x","counter":1,"holders":["x"],"load":{"running":{"p":{"t":2}}}}}}`)
+	is.NoErr(err)
+	eventually(func() bool { return a.PeerUsage()["x"].Team["t"] == 2 })
+	is.True(!differsMuch(1, 8) && !differsMuch(100, 80))
+	is.True(differsMuch(0, 8) && differsMuch(100, 75))
+	is.NoErr(conn.Close())
+}
+
+// Guards against peers that talk without mutual TLS when it is set, and against TLS that keeps peers apart.
+func TestMutualTLS(t *testing.T) {
+	is := is.New(t)
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	is.NoErr(err)
+	certificate, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	pool := x509.NewCertPool()
+	pool.AddCert(certificate)
+	config := &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: private}},
+		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+	log := newFakeLog()
+	a, b := startInstance(t, log, "a", Load{}, config), startInstance(t, log, "b", Load{}, config)
+	eventually(func() bool { return a.Stats().HeartbeatsReceived > 0 && b.Stats().HeartbeatsReceived > 0 })
+	conn, err := tls.Dial("tcp", a.address, &tls.Config{RootCAs: pool})
+	if err == nil {
+		_, err = conn.Read(make([]byte, 1)) // with TLS 1.3 the client learns of the refusal at its first read
+	}
+	is.True(err != nil)
+}
+
 // Guards against an error of a peer that is taken for proof that an append had no effect.
 func TestPlatformErrors(t *testing.T) {
 	is := is.New(t)
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -56,17 +56,18 @@
 	round := 0
 	var lastBeat time.Time
 	var lastLoad Load
+	reported := false // at most one load report between two heartbeats
 	for ctx.Err() == nil {
 		load := m.opts.Load()
 		switch now := time.Now(); {
 		case now.Sub(lastBeat) >= heartbeatInterval:
 			m.updatePeers(ctx, running)
 			m.beat(round, methodHeartbeat)
-			lastBeat, lastLoad = now, load
+			lastBeat, lastLoad, reported = now, load, false
 			round++
-		case changedMuch(lastLoad, load):
+		case !reported && changedMuch(lastLoad, load):
 			m.beat(round, methodLoadReport)
-			lastLoad = load
+			lastLoad, reported = load, true
 		}
 		select {
 		case <-ticker.C:
@@ -178,7 +179,7 @@
 func (m *Member) sendHeartbeat(ctx context.Context, p *peer) error {
 	sent := m.opts.Clock()
 	var answer heartbeat
-	if err := m.call(ctx, p, &p.heartbeats, heartbeatTimeout, methodHeartbeat, heartbeat{Digest: m.digest()}, &answer); err != nil {
+	if err := m.call(ctx, p, &p.heartbeats, heartbeatTimeout, methodHeartbeat, heartbeat{Digest: m.digest(true)}, &answer); err != nil {
 		return err
 	}
 	if err := checkDigest(answer.Digest); err != nil {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -250,6 +250,36 @@
 	is.True(errors.Is(<-result, ErrUnresolved))
 }
 
+// Guards against contact that is claimed before the end of the log was read: a withdrawn key may lie in between.
+func TestContactNeedsEndOfLog(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	for range readLimit + 1 {
+		_, err := log.Append(t.Context(), []byte("malformed"))
+		is.NoErr(err)
+	}
+	f := NewFollower(log, FollowerOptions{})
+	is.NoErr(f.advance(t.Context()))
+	is.True(f.LastContact().IsZero())
+	is.NoErr(f.advance(t.Context()))
+	is.True(!f.LastContact().IsZero())
+}
+
+// Guards against a snapshot that mixes the chunks of two writers.
+func TestStaleSnapshotTermAborts(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	a, b := startNode(t, log, "a"), startNode(t, log, "b")
+	a.open(t)
+	b.open(t)
+	id := a.c.Identity()
+	is.NoErr(a.w.submit(t.Context(), id, record.Op{SnapshotBegin: &record.SnapshotBegin{Term: 1, Chunks: 1}}))
+	is.NoErr(b.f.WaitFor(t.Context(), a.f.Applied()))
+	is.NoErr(b.w.WriteSnapshot(t.Context()))
+	err := a.w.submit(t.Context(), id, record.Op{SnapshotChunk: &record.SnapshotChunk{Term: 1}})
+	is.True(errors.Is(err, ErrStaleTerm))
+}
+
 // Guards against a delayed answer or a gap that counts as contact, on which revocations and keyed work depend.
 func TestContact(t *testing.T) {
 	is := is.New(t)
