Close three gaps in the rule that extends leases during an outage

A late answer could make contact look unbroken although the instance had told others meanwhile that it had none; a pause between reading the last contact and the clock made contact look older than it was; an instance that joined after the log was lost was not asked. Change: contact breaks by the time of receipt; the clock is read before the contact; any fresh digest entry with log contact rules out that the log is down for all.

--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -208,8 +208,10 @@
 	e.Load = &load
 	e.Applied = m.opts.Follower.Applied()
 	m.opts.Follower.View(func(s *fold.State) { e.ConfigVersion = s.Config().Version })
+	// The clock is read first: a pause in between must not make contact look older than it is.
+	now := m.opts.Clock()
 	if last := m.opts.Follower.LastContact(); !last.IsZero() {
-		e.LogAgeMillis = max(0, m.opts.Clock().Sub(last).Milliseconds())
+		e.LogAgeMillis = max(0, now.Sub(last).Milliseconds())
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/membership/rules.go
+++ b/internal/membership/rules.go
@@ -78,6 +78,12 @@
 			return false
 		}
 	}
+	// An instance that joined after this one lost the log is no known member yet, but its contact counts as well.
+	for _, h := range v.heard {
+		if v.now.Sub(h.made) <= contactWindow && !h.logDown() {
+			return false
+		}
+	}
 	return true
 }
 
--- a/internal/membership/rules_test.go
+++ b/internal/membership/rules_test.go
@@ -42,6 +42,7 @@
 		"log read longer ago":             {logContact: at(95.9), members: []member{a}, listKnown: true, reason: ReasonNoContact},
 		"all heard without the log":       {listKnown: true, members: []member{a, b}, heard: []heard{said("a", 97, cut, 1), said("b", 96, cut, 1)}, ok: true, reason: ReasonLogDownForAll},
 		"one reached the log":             {listKnown: true, members: []member{a, b}, heard: []heard{said("a", 97, cut, 1), said("b", 99, near, 1)}, reason: ReasonNoContact},
+		"a newcomer reached the log":      {listKnown: true, members: []member{a}, heard: []heard{said("a", 97, cut, 1), said("b", 99, near, 1)}, reason: ReasonNoContact},
 		"log contact age of just 2 s":     {listKnown: true, members: []member{a}, heard: []heard{said("a", 99, logDownAfter, 1)}, reason: ReasonNoContact},
 		"never had contact":               {listKnown: true, members: []member{a}, heard: []heard{said("a", 99, -time.Millisecond, 1)}, ok: true, reason: ReasonLogDownForAll},
 		"one heard too long ago":          {listKnown: true, members: []member{a, b}, heard: []heard{said("a", 97, cut, 1), said("b", 95.9, cut, 1)}, reason: ReasonNoContact},
--- a/internal/replica/contact.go
+++ b/internal/replica/contact.go
@@ -9,14 +9,16 @@
 type Contact struct {
 	// Last is the newest read of the end of the log, or zero.
 	Last time.Time
-	// UnbrokenSince is when the current run of reads began, none of which was more than 2 s after the one before.
+	// UnbrokenSince is when the current run of reads began, during which the age of Last never exceeded 2 s.
 	UnbrokenSince time.Time
 }
 
-// mark returns the contact after a read at the time given.
-func (c Contact) mark(at time.Time) Contact {
-	if c.Last.IsZero() || at.Sub(c.Last) > unbrokenGap {
-		c.UnbrokenSince = at
+// mark returns the contact after a read that counts for the time at and was received later. Whether contact was broken is
+// decided at the time of receipt: until then this instance told others that it had no contact, and they may have extended
+// their leases because of it.
+func (c Contact) mark(at, received time.Time) Contact {
+	if c.Last.IsZero() || received.Sub(c.Last) > unbrokenGap {
+		c.UnbrokenSince = received
 	}
 	if at.After(c.Last) {
 		c.Last = at
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -221,7 +221,7 @@
 	}
 	if f.applied.Load() >= batch.Next {
 		f.mu.Lock()
-		f.contact = f.contact.mark(answered)
+		f.contact = f.contact.mark(answered, f.clock())
 		f.mu.Unlock()
 	}
 	return nil
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -289,12 +289,15 @@
 	c := Contact{}
 	is.Equal(c.Unbroken(start), time.Duration(0))
 	for i := range 10 {
-		c = c.mark(start.Add(time.Duration(i) * unbrokenGap))
+		now := start.Add(time.Duration(i) * unbrokenGap)
+		c = c.mark(now, now)
 	}
 	is.Equal(c.Unbroken(c.Last), 9*unbrokenGap)
 	is.Equal(c.Unbroken(c.Last.Add(unbrokenGap+1)), time.Duration(0))
-	c = c.mark(c.Last.Add(unbrokenGap + 1))
-	is.Equal(c.Unbroken(c.Last), time.Duration(0))
+	// A late answer that counts for a time within the gap arrives after the contact was reported as broken.
+	late := c.Last.Add(unbrokenGap + 1)
+	c = c.mark(c.Last.Add(unbrokenGap), late)
+	is.Equal(c.UnbrokenSince, late)
 }
 
 // Guards against a log without snapshots, one full of them, and a writer's role that no session takes.
