--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -208,8 +208,10 @@
 	e.Load = &load
 	e.Applied = m.opts.Follower.Applied()
 	m.opts.Follower.View(func(s *fold.State) { e.ConfigVersion = s.Config().Version })
+	// The clock is read first: a pause in between must not make contact look older than it is.
+	now := m.opts.Clock()
 	if last := m.opts.Follower.LastContact(); !last.IsZero() {
-		e.LogAgeMillis = max(0, m.opts.Clock().Sub(last).Milliseconds())
+		e.LogAgeMillis = max(0, now.Sub(last).Milliseconds())
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -220,8 +222,11 @@
 }
 
 // digest returns the own entry and those of the others with their ages and without their loads.
-func (m *Member) digest() []Entry {
+func (m *Member) digest(withLoad bool) []Entry {
 	own := m.ownEntry()
+	if !withLoad {
+		own.Load = nil
+	}
 	now := m.opts.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
