--- a/internal/ctl/jobs.go
+++ b/internal/ctl/jobs.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/url"
+
+	"pollenlead/internal/gateway"
 )
 
 // SubmitCmd submits a job.
@@ -79,11 +81,11 @@
 func (c *JobCmd) Run(s *session) error {
 	path := "/v1/jobs/" + url.PathEscape(c.ID)
 	if c.Result {
-		_, data, err := s.callRaw(http.MethodGet, s.cli.Callers, path+"/result", nil, nil)
-		if err != nil {
+		var result gateway.JobResult
+		if _, err := s.call(http.MethodGet, s.cli.Callers, path+"/result", nil, nil, &result); err != nil {
 			return err
 		}
-		_, err = s.stdout.Write(data)
+		_, err := s.stdout.Write(result.ResultBase64)
 		return err
 	}
 	_, data, err := s.callRaw(http.MethodGet, s.cli.Callers, path, nil, nil)
--- a/internal/devmode/tally.go
+++ b/internal/devmode/tally.go
@@ -28,6 +28,8 @@
 	Jobs          int `json:"jobs"`
 	JobsSucceeded int `json:"jobs_succeeded"`
 	JobsUnknown   int `json:"jobs_unknown"`
+	JobsFailed    int `json:"jobs_failed"`
+	JobsRefused   int `json:"jobs_refused"`
 
 	ConfigSecondsMax        float64 `json:"config_seconds_max"`
 	KeyWithdrawalSecondsMax float64 `json:"key_withdrawal_seconds_max"`
--- a/internal/replica/committer.go
+++ b/internal/replica/committer.go
@@ -370,7 +370,8 @@
 	c.queuedOps -= len(ops)
 	c.seq++
 	data, err := record.Encode(record.Record{
-		Writer: c.identity.Writer, Incarnation: c.identity.Incarnation, Seq: c.seq, Ops: ops,
+		Writer: c.identity.Writer, Incarnation: c.identity.Incarnation, AtUnixMS: time.Now().UnixMilli(),
+		Seq: c.seq, Ops: ops,
 	})
 	if err != nil {
 		for _, s := range members {
