Return the slots that a shrunk instance no longer has

Cause: when an instance shrank, its holders released the surplus of the pool from any instance, so the shrunk one could stay above its slots for ever and its worker refused starts.

Change: the allotment says how many slots of an instance each holder must return; together they are exactly those beyond the instance's slots. The ledger spends none of them and returns them first. The random test checks the sum.

--- a/internal/allotment/ledger.go
+++ b/internal/allotment/ledger.go
@@ -118,7 +118,7 @@
 	if a.grant.Withdrawn {
 		return 0
 	}
-	return a.grant.Held - a.pending - a.inUse()
+	return a.grant.Held - max(a.pending, a.grant.Excess) - a.inUse()
 }
 
 func (a *instanceAccount) inUse() int {
--- a/internal/allotment/loop.go
+++ b/internal/allotment/loop.go
@@ -304,7 +304,7 @@
 	for id, i := range l.instances {
 		held = append(held, slots{
 			instance: id, pool: i.grant.Pool, zone: i.grant.Facts.AvailabilityZone,
-			held: i.grant.Held, inUse: i.inUse(), withdrawn: i.grant.Withdrawn,
+			held: i.grant.Held, inUse: i.inUse(), excess: i.grant.Excess, withdrawn: i.grant.Withdrawn,
 		})
 	}
 	return held
--- a/internal/allotment/plan.go
+++ b/internal/allotment/plan.go
@@ -79,7 +79,7 @@
 // slots is what the plan knows of the slots of one instance.
 type slots struct {
 	instance, pool, zone string
-	held, inUse          int
+	held, inUse, excess  int
 	withdrawn            bool
 }
 
@@ -105,15 +105,21 @@
 	return release
 }
 
-// planSlots returns the slots to release: all unused ones of withdrawn instances, and the surplus of each pool.
+// planSlots returns the slots to release: all unused ones of withdrawn instances, those that a shrunk instance no longer
+// has, and the surplus of each pool.
 func planSlots(pools map[string]resource, held []slots) []record.InstanceSlots {
-	counts := map[string]int{}
+	counts, returned := map[string]int{}, map[string]int{}
 	byPool := map[string][]slots{}
 	for _, s := range held {
 		if s.withdrawn {
 			counts[s.instance] = max(0, s.held-s.inUse)
 			continue
 		}
+		if n := min(s.excess, s.held-s.inUse); n > 0 {
+			counts[s.instance] = n
+			returned[s.pool] += n
+			s.held -= n
+		}
 		byPool[s.pool] = append(byPool[s.pool], s)
 	}
 	for name, members := range byPool {
@@ -123,7 +129,7 @@
 		}
 		// pickRelease spares the slots in use; the pool's count of them includes withdrawn instances.
 		pool.inUse = 0
-		for range pool.surplus() {
+		for range max(0, pool.surplus()-returned[name]) {
 			at := pickRelease(members)
 			if at < 0 {
 				break
--- a/internal/allotment/plan_test.go
+++ b/internal/allotment/plan_test.go
@@ -38,6 +38,10 @@
 			[]slots{{instance: "a", pool: "p", zone: "1", held: 6}, {instance: "b", pool: "p", zone: "2", held: 3}},
 			[]record.InstanceSlots{{Instance: "a", Slots: 4}},
 		},
+		"shrunk": {
+			[]slots{{instance: "a", pool: "p", zone: "1", held: 8, inUse: 1}, {instance: "b", pool: "p", zone: "2", held: 4, inUse: 1, excess: 2}},
+			[]record.InstanceSlots{{Instance: "a", Slots: 2}, {Instance: "b", Slots: 2}},
+		},
 		"in use": {
 			[]slots{{instance: "a", pool: "p", zone: "1", held: 6, inUse: 5}, {instance: "b", pool: "p", zone: "2", held: 3, inUse: 2}},
 			[]record.InstanceSlots{{Instance: "a", Slots: 1}, {Instance: "b", Slots: 1}},
--- a/internal/fold/grant.go
+++ b/internal/fold/grant.go
@@ -325,6 +325,8 @@
 	Held int
 	// Withdrawn means that the instance is leaving or being moved: start nothing there and release the slots.
 	Withdrawn bool
+	// Excess is the holder's part of the slots held beyond those that the instance has since it shrank.
+	Excess int
 	// Started is the number of started jobs of the holder. Adopted is how many of them an earlier holder started and may
 	// still run.
 	Started int
@@ -369,6 +371,7 @@
 			Pool:      instance.Pool,
 			Held:      n,
 			Withdrawn: !instance.grantable(),
+			Excess:    instance.excess(holder),
 			Started:   started.instances[id],
 			Adopted:   started.adoptedInstances[id],
 			Facts:     instance.Facts,
--- a/internal/fold/instances.go
+++ b/internal/fold/instances.go
@@ -1,8 +1,10 @@
 package fold
 
 import (
+	"slices"
 	"strings"
 
+	"pollenlead/internal/allot"
 	"pollenlead/internal/config"
 	"pollenlead/internal/record"
 )
@@ -30,6 +32,21 @@
 	return i.Facts.Phase == record.PhaseLive && i.MovingTo == ""
 }
 
+// excess is the number of slots that holder must return of an instance that shrank. What the instance still has is divided
+// by what each holder has, so that together they return exactly the difference.
+func (i *Instance) excess(holder string) int {
+	if sum(i.Held) <= i.Facts.Slots {
+		return 0
+	}
+	holders := sortedKeys(i.Held)
+	claims := make([]allot.Claim, len(holders))
+	for n, h := range holders {
+		claims[n] = allot.Claim{Holder: h, Wanted: i.Held[h]}
+	}
+	at := slices.Index(holders, holder)
+	return i.Held[holder] - allot.Divide("instance/"+i.Facts.ID, i.Facts.Slots, claims)[at]
+}
+
 // Instances returns the instances ordered by ID. The caller must not change them.
 func (s *State) Instances() []*Instance {
 	instances := make([]*Instance, 0, len(s.d.Instances))
--- a/internal/fold/prop_test.go
+++ b/internal/fold/prop_test.go
@@ -200,10 +200,19 @@
 func (w *world) checkTargets() {
 	w.before.index = buildIndex(&w.before.d)
 	w.before.computeTargets()
+	excess := map[string]int{}
 	for _, h := range w.state.holders() {
 		if kept, full := w.state.Allotment(h), w.before.Allotment(h); !reflect.DeepEqual(kept, full) {
 			w.t.Fatalf("the allotment of %s is %+v, a full computation gives %+v", h, kept, full)
 		}
+		for id, grant := range w.state.Allotment(h).Slots {
+			excess[id] += grant.Excess
+		}
+	}
+	for id, i := range w.state.d.Instances {
+		if over := max(0, sum(i.Held)-i.Facts.Slots); excess[id] != over {
+			w.t.Fatalf("instance %s: %d slots to return, %d held beyond its slots", id, excess[id], over)
+		}
 	}
 }
 
