Add admission: one queue per pool with fair choice

Requests above the capacity must wait for a bounded time, fairly, and a team at its upper limit must not block the others.

Each pool has lists per team, so a choice costs the number of teams. Next is pure: urgent first, then the lowest running/share ratio over the fleet, then arrival. Keys are checked again when a request leaves the queue.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,271 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/config"
+	"pollenlead/internal/routing"
+)
+
+// fakeLedger holds units per team and slots per instance of the only pool, "p".
+type fakeLedger struct {
+	mu       sync.Mutex
+	units    map[string]int
+	slots    []routing.Candidate
+	queued   map[string]int
+	changed  chan struct{}
+	acquire  error
+	lease    error
+	released int
+}
+
+func newLedger(units map[string]int, slots ...routing.Candidate) *fakeLedger {
+	return &fakeLedger{units: units, slots: slots, queued: map[string]int{}, changed: make(chan struct{})}
+}
+
+type fakePermit struct {
+	l        *fakeLedger
+	team     string
+	instance int
+}
+
+func (p *fakePermit) Lease(context.Context) (string, error) { return "lease", p.l.lease }
+
+func (p *fakePermit) Release() {
+	p.l.mu.Lock()
+	defer p.l.mu.Unlock()
+	p.l.units[p.team]++
+	p.l.slots[p.instance].Used--
+	p.l.released++
+}
+
+func (l *fakeLedger) Candidates(string) []routing.Candidate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]routing.Candidate(nil), l.slots...)
+}
+
+func (l *fakeLedger) Acquire(team, instance string) (Permit, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.acquire != nil {
+		return nil, l.acquire
+	}
+	if l.units[team] == 0 {
+		return nil, ErrNoTeamUnit
+	}
+	for i := range l.slots {
+		if s := &l.slots[i]; s.Instance == instance && s.Used < s.Held {
+			s.Used++
+			l.units[team]--
+			return &fakePermit{l: l, team: team, instance: i}, nil
+		}
+	}
+	return nil, ErrNoSlot
+}
+
+func (l *fakeLedger) HasTeamUnit(team string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.units[team] > 0
+}
+
+func (l *fakeLedger) SetQueued(team, _ string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queued[team] = n
+}
+
+func (l *fakeLedger) queuedNow() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.queued)
+}
+
+func (l *fakeLedger) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func (l *fakeLedger) change(edit func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	edit()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+type fakeFleet map[string]int
+
+func (f fakeFleet) PeerRunning(team, _ string) int { return f[team] }
+func (f fakeFleet) Leaving(instance string) bool   { return instance == "leaving" }
+
+func newQueue(l *fakeLedger, f fakeFleet) *Queue {
+	doc := &config.Document{
+		Limits:   config.Limits{QueueLength: 3, QueueSeconds: 10},
+		Services: []config.Service{{Name: "s", Pool: "p"}},
+	}
+	for i := range 26 {
+		doc.Teams = append(doc.Teams, config.Team{Name: fmt.Sprintf("t%d", i), Share: 1 + i%3})
+	}
+	return New(Config{
+		Document: func() *config.Document { return doc }, Ledger: l, Fleet: f, Health: routing.NewHealth(time.Now),
+	})
+}
+
+// run runs test in a bubble of virtual time with q.Run.
+func run(t *testing.T, l *fakeLedger, f fakeFleet, test func(t *testing.T, q *Queue)) {
+	synctest.Test(t, func(t *testing.T) {
+		l.changed = make(chan struct{}) // a channel from outside the bubble would stop virtual time
+		q := newQueue(l, f)
+		ctx, cancel := context.WithCancel(t.Context())
+		go q.Run(ctx)
+		test(t, q)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+type result struct {
+	name   string
+	ticket *Ticket
+	err    error
+}
+
+// admit starts Admit and waits until it has queued the request or finished.
+func admit(ctx context.Context, q *Queue, results chan<- result, name string, req Request) {
+	req.Service = "s"
+	go func() {
+		ticket, err := q.Admit(ctx, req)
+		results <- result{name, ticket, err}
+	}()
+	synctest.Wait()
+}
+
+// Guards against unfair choice: urgency, then running/share, then arrival, and a team without units blocks nobody.
+func TestNext(t *testing.T) {
+	is := is.New(t)
+	heads := []Head{
+		{Team: "a", Urgent: true, Blocked: true},
+		{Team: "b", Running: 2, Share: 4, Arrival: 3},
+		{Team: "c", Running: 1, Share: 2, Arrival: 2},
+		{Team: "d", Running: 1, Share: 1, Arrival: 1},
+	}
+	is.Equal(Next(heads), 2)
+	heads[3].Urgent = true
+	is.Equal(Next(heads), 3)
+	is.Equal(Next(heads[:1]), -1)
+	is.Equal(Next(nil), -1)
+}
+
+// Guards against a team at its upper limit that blocks others, and against ignoring what the peers run.
+func TestAdmitOrder(t *testing.T) {
+	l := newLedger(map[string]int{"t0": 0, "t1": 9, "t2": 9}, routing.Candidate{Instance: "i", Held: 1}, routing.Candidate{Instance: "leaving", Held: 9})
+	run(t, l, fakeFleet{"t1": 40}, func(t *testing.T, q *Queue) {
+		is := is.New(t)
+		results := make(chan result, 9)
+		admit(t.Context(), q, results, "first", Request{Team: "t1"})
+		admit(t.Context(), q, results, "limited", Request{Team: "t0", Urgent: true, Background: true})
+		admit(t.Context(), q, results, "busy fleet", Request{Team: "t1"})
+		admit(t.Context(), q, results, "idle fleet", Request{Team: "t2"})
+		admit(t.Context(), q, results, "urgent", Request{Team: "t1", Urgent: true})
+		is.Equal(l.queuedNow(), map[string]int{"t0": 1, "t1": 2, "t2": 1})
+		for _, want := range []string{"first", "urgent", "idle fleet", "busy fleet"} {
+			r := <-results
+			is.NoErr(r.err)
+			is.Equal(r.name, want)
+			is.Equal(r.ticket.LeaseID, "lease")
+			r.ticket.Done(routing.ObservedSuccess)
+			r.ticket.Done(routing.ObservedSuccess) // must not release twice
+			synctest.Wait()
+		}
+		l.change(func() { l.units["t0"] = 1 })
+		r := <-results
+		is.Equal(r.name, "limited")
+		r.ticket.Done(routing.ObservedSuccess)
+		is.Equal(l.queuedNow(), map[string]int{"t0": 0, "t1": 0, "t2": 0})
+		is.Equal(l.slots[0].Used, 0)
+	})
+}
+
+// Guards against queues without bounds, against waiters that stay after their time or their caller, and against a wrong
+// reason.
+func TestAdmitEndsWaiting(t *testing.T) {
+	l := newLedger(map[string]int{"t0": 9}, routing.Candidate{Instance: "i"})
+	run(t, l, nil, func(t *testing.T, q *Queue) {
+		is := is.New(t)
+		results := make(chan result, 9)
+		ctx, cancel := context.WithCancel(t.Context())
+		admit(ctx, q, results, "cancelled", Request{Team: "t0"})
+		admit(t.Context(), q, results, "a", Request{Team: "t0"})
+		admit(t.Context(), q, results, "b", Request{Team: "t0"})
+		admit(t.Context(), q, results, "full", Request{Team: "t0"})
+		is.True(errors.Is((<-results).err, ErrQueueFull))
+		cancel()
+		is.True(errors.Is((<-results).err, context.Canceled))
+		is.Equal(l.queuedNow()["t0"], 2)
+		time.Sleep(10 * time.Second) // virtual
+		is.True(errors.Is((<-results).err, ErrQueueTimeout))
+		is.True(errors.Is((<-results).err, ErrQueueTimeout))
+		is.Equal(l.queuedNow()["t0"], 0)
+		l.change(func() { l.slots[0].Held, l.acquire = 1, ErrLeaseExpired })
+		admit(t.Context(), q, results, "expired", Request{Team: "t0"})
+		time.Sleep(10 * time.Second)
+		is.True(errors.Is((<-results).err, ErrLeaseExpired))
+		_, err := q.Admit(t.Context(), Request{Team: "t0", Service: "none"})
+		is.True(errors.Is(err, ErrUnknownService))
+	})
+}
+
+// Guards against capacity that is lost when a request is refused after it got a slot.
+func TestAdmitGivesCapacityBack(t *testing.T) {
+	l := newLedger(map[string]int{"t0": 9}, routing.Candidate{Instance: "i", Held: 1})
+	run(t, l, nil, func(t *testing.T, q *Queue) {
+		is := is.New(t)
+		_, err := q.Admit(t.Context(), Request{Team: "t0", Service: "s", Recheck: func() error { return ErrKeyWithdrawn }})
+		is.True(errors.Is(err, ErrKeyWithdrawn))
+		l.lease = errors.New("connection refused")
+		_, err = q.Admit(t.Context(), Request{Team: "t0", Service: "s"})
+		is.True(errors.Is(err, ErrLease))
+		is.Equal(l.released, 1+maxLeaseAttempts)
+		is.Equal(l.units["t0"], 9)
+		is.Equal(q.Running("t0", "p"), 0)
+	})
+}
+
+// BenchmarkAdmitWithWaiters measures one admission and its end while 5,000 requests of 26 teams wait.
+func BenchmarkAdmitWithWaiters(b *testing.B) {
+	units := map[string]int{}
+	slots := make([]routing.Candidate, 12)
+	for i := range slots {
+		slots[i] = routing.Candidate{Instance: fmt.Sprintf("i%d", i), AvailabilityZone: fmt.Sprintf("z%d", i%3), Held: 4}
+	}
+	for i := range 26 {
+		units[fmt.Sprintf("t%d", i)] = 1000
+	}
+	l := newLedger(units, slots...)
+	q := newQueue(l, nil)
+	p := q.pool("p")
+	for i := range 5000 + b.N {
+		if _, err := p.enqueue(Request{Team: fmt.Sprintf("t%d", i%26), Background: true}, 0, 1); err != nil {
+			b.Fatal(err)
+		}
+	}
+	p.dispatch()
+	b.ResetTimer()
+	for i := range b.N {
+		team := fmt.Sprintf("t%d", i%26)
+		(&fakePermit{l: l, team: team, instance: i % 12}).Release()
+		p.finished(team)
+	}
+}
