--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pollenlead/internal/admission"
+	"pollenlead/internal/config"
+	"pollenlead/internal/fold"
+	"pollenlead/internal/platform"
+	"pollenlead/internal/record"
+	"pollenlead/internal/routing"
+)
+
+// fixture is a gateway on loopback with one backend server behind the instances "i1" to "i3".
+type fixture struct {
+	doc     *config.Document
+	gateway *httptest.Server
+	g       *Gateway
+	backend http.HandlerFunc
+
+	mu        sync.Mutex
+	contact   bool
+	doErrors  []error // the errors of the first attempts
+	instances []string
+	ops       []record.Op
+	outcome   fold.Outcome
+	logError  error
+	jobs      map[string]fold.Job
+}
+
+var errNotSent = errors.New("not sent")
+
+func newFixture(t *testing.T, backend http.HandlerFunc) *fixture {
+	f := &fixture{
+		backend: backend, contact: true, outcome: fold.Outcome{Accepted: true}, jobs: map[string]fold.Job{},
+		doc: &config.Document{
+			Limits:   config.Limits{HeaderBytes: 2000, BodyBytes: 1 << 20, JobBodyBytes: 100, QueueLength: 9, QueueSeconds: 9},
+			Services: []config.Service{{Name: "s", Pool: "p", TimeoutSeconds: 60}},
+			Teams: []config.Team{
+				{Name: "t", Share: 1, Keys: []config.Key{{ID: "k"}}}, {Name: "other", Keys: []config.Key{{ID: "o"}}},
+			},
+			Queues: []config.Queue{{Name: "q", Service: "s", Open: true, Team: "t"}, {Name: "closed", Service: "s", Team: "t"}},
+		},
+	}
+	document := func() *config.Document { return f.doc }
+	q := admission.New(admission.Config{Document: document, Ledger: ledger{}, Fleet: ledger{}, Health: routing.NewHealth(time.Now)})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		f.backend(w, r)
+	}))
+	t.Cleanup(server.Close)
+	f.g = New(Config{
+		Document: document, Admission: q, Budgets: routing.NewBudgets(time.Now), Log: f, NotSent: errNotSent, Metrics: NewMetrics(),
+		Authenticate: func(_ *config.Document, bearer string) (Identity, bool) {
+			team, key, ok := strings.Cut(bearer, "/")
+			return Identity{Team: team, KeyID: key}, ok
+		},
+		TakesKeyedWork: func() (bool, string) { f.mu.Lock(); defer f.mu.Unlock(); return f.contact, "test" },
+		Worker:         func(instance, _ string) platform.Worker { return worker{f: f, instance: instance, url: server.URL} },
+		Job:            func(id string) (fold.Job, bool) { f.mu.Lock(); defer f.mu.Unlock(); j, ok := f.jobs[id]; return j, ok },
+	})
+	f.gateway = httptest.NewServer(f.g)
+	t.Cleanup(f.gateway.Close)
+	return f
+}
+
+// Submit accepts everything unless the test says otherwise.
+func (f *fixture) Submit(_ context.Context, ops ...record.Op) ([]fold.Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ops = append(f.ops, ops...)
+	if a := ops[0].JobAccept; a != nil && f.outcome.Accepted {
+		f.jobs[a.Job] = fold.Job{ID: a.Job, Team: a.Team, Service: a.Service, State: fold.JobWaiting}
+		return []fold.Outcome{{Accepted: true, Job: a.Job}}, f.logError
+	}
+	return []fold.Outcome{f.outcome}, f.logError
+}
+
+type ledger struct{}
+
+func (ledger) Candidates(string) []routing.Candidate {
+	return []routing.Candidate{{Instance: "i1", Held: 9}, {Instance: "i2", Held: 9}, {Instance: "i3", Held: 9}}
+}
+func (ledger) Acquire(string, string) (admission.Permit, error) { return ledger{}, nil }
+func (ledger) HasTeamUnit(string) bool                          { return true }
+func (ledger) SetQueued(string, string, int)                    {}
+func (ledger) Changed() <-chan struct{}                         { return nil }
+func (ledger) PeerRunning(string, string) int                   { return 0 }
+func (ledger) Leaving(string) bool                              { return false }
+func (ledger) Lease(context.Context) (string, error)            { return "lease", nil }
+func (ledger) Release()                                         {}
+
+type worker struct {
+	platform.Worker
+	f        *fixture
+	instance string
+	url      string
+}
+
+func (w worker) Do(ctx context.Context, req platform.ServiceRequest) (*http.Response, error) {
+	w.f.mu.Lock()
+	w.f.instances = append(w.f.instances, w.instance)
+	if len(w.f.doErrors) > 0 {
+		err := w.f.doErrors[0]
+		w.f.doErrors = w.f.doErrors[1:]
+		w.f.mu.Unlock()
+		if req.Body != nil && errors.Is(err, platform.ErrNoAnswer) {
+			_, _ = io.ReadAll(req.Body)
+		}
+		return nil, err
+	}
+	w.f.mu.Unlock()
+	r, err := http.NewRequestWithContext(ctx, req.Method, w.url+"/services/"+req.Service+req.Path+"?"+req.Query, req.Body)
+	if err != nil {
+		return nil, err
+	}
+	r.Header, r.ContentLength = req.Header, req.ContentLength
+	r.Header.Set("Request-Id", req.RequestID)
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// call sends a request with the key of team t; headers are pairs of name and value.
+func (f *fixture) call(t *testing.T, method, path, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, f.gateway.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer t/k")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response, "read: " + err.Error()
+	}
+	return response, string(answer)
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/fold"
+	"pollenlead/internal/platform"
+	"pollenlead/internal/record"
+)
+
+const requests = "/v1/services/s/requests"
+
+// Guards against a changed body, path or header, a caller that poses as another team, and keys that reach backend servers.
+func TestRequestPassesThrough(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Trailer", "Sum")
+		h := r.Header
+		fmt.Fprintf(w, "%s %s %s %s %q %q %q", r.Method, r.RequestURI, body, h.Get(HeaderTeam), h["Pollenlead_team"], h.Get("Authorization"), h.Get("X-Own"))
+		w.Header().Set("Sum", "1")
+	})
+	response, answer := f.call(t, "PUT", requests+"/a%2Fb/c?d=e", "body", HeaderTeam, "other", "Pollenlead_team", "other", "X-Own", "x")
+	is.Equal(answer, `PUT /services/s/a%2Fb/c?d=e body t [] "" "x"`)
+	is.True(len(response.Header.Get(HeaderRequestID)) == 26)
+	is.Equal(response.Trailer.Get("Sum"), "1")
+}
+
+// Guards against responses that are held back until they are complete, and against bodies that must be complete first.
+func TestRequestStreamsBothWays(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		b := make([]byte, 1)
+		for {
+			if _, err := r.Body.Read(b); err != nil {
+				return
+			}
+			_, _ = w.Write(b)
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+	read, write := io.Pipe()
+	r, _ := http.NewRequest("POST", f.gateway.URL+requests+"/", read)
+	r.Header.Set("Authorization", "Bearer t/k")
+	go func() { _, _ = write.Write([]byte("a")) }()
+	response, err := http.DefaultTransport.RoundTrip(r)
+	is.NoErr(err)
+	defer response.Body.Close()
+	got := make([]byte, 1)
+	_, err = io.ReadFull(response.Body, got)
+	is.NoErr(err) // the first byte came back while the request was still open
+	go func() { _, _ = write.Write([]byte("b")); _ = write.Close() }()
+	rest, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(got)+string(rest), "ab")
+}
+
+// Guards against a truncated response that looks complete to the caller, chunked or with a length.
+func TestTruncatedResponseIsAborted(t *testing.T) {
+	for _, length := range []string{"", "100"} {
+		is := is.New(t)
+		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			}
+			_, _ = w.Write([]byte("part"))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		_, answer := f.call(t, "GET", requests+"/", "", HeaderIdempotencyKey, "key")
+		is.True(strings.HasPrefix(answer, "read: "))
+		f.g.WaitSettled()
+		is.Equal(f.ops[1].RequestSettle.Run, record.RunMayHaveRun)
+	}
+}
+
+// Guards against another request's response, or one without a recognizable end, that reaches the caller.
+func TestWrongResponseIsWithheld(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Request-Id", "other") })
+	_, answer := f.call(t, "GET", requests+"/", "", HeaderNonIdempotent, "true")
+	expectProblem(is, answer, ReasonWrongResponse, record.RunMayHaveRun)
+	is.Equal(len(f.instances), 1)
+	f.backend = func(w http.ResponseWriter, r *http.Request) {
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nConnection: close\r\n\r\npart", r.Header.Get("Request-Id"))
+		conn.Close()
+	}
+	_, answer = f.call(t, "GET", requests+"/", "", HeaderNonIdempotent, "true")
+	expectProblem(is, answer, ReasonWrongResponse, record.RunMayHaveRun)
+}
+
+func expectProblem(is *is.I, answer string, reason Reason, run record.Run) {
+	is.Helper()
+	var p Problem
+	is.NoErr(json.Unmarshal([]byte(answer), &p))
+	is.Equal(p.Reason, reason)
+	is.Equal(p.Run, run)
+	is.Equal(p.Type, "urn:pollenlead:problem:"+string(reason))
+}
+
+var refused = &platform.RefusedError{Instance: "i", Refusal: platform.RefusedSlotsFull}
+
+// Guards against a second run of non-idempotent work, retries on the same instance, lost bodies on retry, and a "not run"
+// that is false because an earlier attempt may have run.
+func TestRetries(t *testing.T) {
+	long := strings.Repeat("x", replayBytes+1)
+	for _, c := range []struct {
+		name     string
+		errors   []error
+		body     string
+		headers  []string
+		attempts int
+		reason   Reason
+		run      record.Run
+	}{
+		{"refused", []error{refused}, "body", []string{HeaderNonIdempotent, "true"}, 2, "", ""},
+		{"not sent", []error{platform.ErrNotSent}, "body", nil, 2, "", ""},
+		{"idempotent", []error{platform.ErrNoAnswer}, "body", nil, 2, "", ""},
+		{"non-idempotent", []error{platform.ErrNoAnswer}, "body", []string{HeaderNonIdempotent, "true"}, 1, ReasonNoResponse, record.RunMayHaveRun},
+		{"long body", []error{platform.ErrNoAnswer}, long, nil, 1, ReasonNoResponse, record.RunMayHaveRun},
+		{"budget", []error{refused, refused}, "", nil, 2, ReasonInstanceRefused, record.RunNotRun},
+		{"refused later", []error{platform.ErrNoAnswer, refused}, "", nil, 2, ReasonInstanceRefused, record.RunMayHaveRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+			f.doErrors = c.errors
+			_, answer := f.call(t, "POST", requests+"/", c.body, c.headers...)
+			is.Equal(len(f.instances), c.attempts)
+			is.True(c.attempts == 1 || f.instances[0] != f.instances[1])
+			if c.reason == "" {
+				is.Equal(answer, c.body)
+				return
+			}
+			expectProblem(is, answer, c.reason, c.run)
+		})
+	}
+}
+
+// Guards against limits, keys or the contact rule that are not applied before anything runs.
+func TestRefusalsBeforeTheQueue(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil)
+	big := strings.Repeat("x", 1<<20+1)
+	for _, c := range []struct {
+		status  int
+		path    string
+		body    string
+		headers []string
+		reason  Reason
+	}{
+		{401, requests + "/", "", []string{"Authorization", "Bearer x"}, ReasonUnauthorized},
+		{401, requests + "/", "", []string{"Authorization", "t/k"}, ReasonUnauthorized},
+		{401, requests + "/", "", []string{"Authorization", "Bearer t/withdrawn"}, ReasonKeyWithdrawn},
+		{404, "/v1/services/none/requests/", "", nil, ReasonUnknownService},
+		{400, requests + "/%2e%2e/%2e%2e/tasks", "", nil, ReasonInvalidRequest},
+		{400, requests + "/..%2f..%2ftasks", "", nil, ReasonInvalidRequest},
+		{403, requests + "/", "", []string{HeaderUrgent, "true"}, ReasonUrgentNotAllowed},
+		{413, requests + "/", big, nil, ReasonBodyTooLarge},
+		{431, requests + "/", "", []string{"X-Big", big[:3000]}, ReasonHeaderTooLarge},
+	} {
+		response, answer := f.call(t, "POST", c.path, c.body, c.headers...)
+		is.Equal(response.StatusCode, c.status)
+		is.Equal(response.Header.Get("Content-Type"), "application/problem+json")
+		expectProblem(is, answer, c.reason, record.RunNotRun)
+	}
+	f.contact = false
+	response, answer := f.call(t, "GET", requests+"/", "")
+	expectProblem(is, answer, ReasonNoContact, record.RunNotRun)
+	is.Equal(response.Header.Get("Retry-After"), "1")
+	is.Equal(len(f.instances), 0)
+}
+
+// Guards against work that starts without its claim, and against keys that stay claimed for work that did not run.
+func TestIdempotencyKey(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(http.ResponseWriter, *http.Request) {})
+	key := []string{HeaderIdempotencyKey, "key"}
+	for _, c := range []struct {
+		outcome fold.Outcome
+		err     error
+		reason  Reason
+		run     record.Run
+	}{
+		{fold.Outcome{Reason: fold.ReasonDuplicate}, nil, ReasonDuplicateRequest, record.RunMayHaveRun},
+		{fold.Outcome{Reason: fold.ReasonIdempotencyKeyConflict}, nil, ReasonIdempotencyKeyConflict, record.RunNotRun},
+		{fold.Outcome{}, errNotSent, ReasonLogUnavailable, record.RunNotRun},
+	} {
+		f.outcome, f.logError = c.outcome, c.err
+		_, answer := f.call(t, "POST", requests+"/", "", key...)
+		expectProblem(is, answer, c.reason, c.run)
+	}
+	is.Equal(len(f.instances), 0)
+	f.outcome, f.logError, f.ops = fold.Outcome{Accepted: true}, nil, nil
+	f.doErrors = []error{refused, refused}
+	f.call(t, "POST", requests+"/", "", key...)
+	f.call(t, "POST", requests+"/", "", key...)
+	f.g.WaitSettled()
+	is.Equal(f.ops[1].RequestSettle.Run, record.RunNotRun)
+	is.Equal(f.ops[3].RequestSettle.Run, record.RunCompleted)
+}
+
+// Guards against an answer before acceptance is durable, jobs charged to a foreign team, and a team that sees others' jobs.
+func TestJobs(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil)
+	response, _ := f.call(t, "POST", "/v1/services/s/jobs", "body", HeaderIdempotencyKey, "key")
+	is.Equal(response.StatusCode, 202)
+	location := response.Header.Get("Location")
+	id := strings.TrimPrefix(location, "/v1/jobs/")
+	is.Equal(f.ops[0].JobAccept.Team, "t")
+	response, _ = f.call(t, "GET", location, "")
+	is.Equal(response.StatusCode, 200)
+	for _, method := range []string{"GET", "DELETE"} {
+		response, _ = f.call(t, method, location, "", "Authorization", "Bearer other/o")
+		is.Equal(response.StatusCode, 404)
+	}
+	_, answer := f.call(t, "GET", location+"/result", "")
+	expectProblem(is, answer, ReasonJobNotFinished, record.RunNotRun)
+	f.jobs[id] = fold.Job{ID: id, Team: "t", State: fold.JobSucceeded, Status: 200, Result: []byte("ok")}
+	_, answer = f.call(t, "GET", location+"/result", "")
+	is.Equal(strings.TrimSpace(answer), `{"id":"`+id+`","state":"succeeded","status_code":200,"result_base64":"b2s=","result_bytes":2}`)
+	f.outcome = fold.Outcome{Reason: fold.ReasonDuplicate, Job: id}
+	response, _ = f.call(t, "POST", "/v1/services/s/jobs", "body", HeaderIdempotencyKey, "key")
+	is.Equal(response.StatusCode, 200)
+	is.Equal(response.Header.Get("Location"), location)
+	f.logError = fmt.Errorf("append: %w", errNotSent)
+	_, answer = f.call(t, "POST", "/v1/services/s/jobs", "")
+	expectProblem(is, answer, ReasonLogUnavailable, record.RunNotRun)
+	f.logError = io.ErrUnexpectedEOF
+	_, answer = f.call(t, "POST", "/v1/services/s/jobs", "")
+	expectProblem(is, answer, ReasonLogUnavailable, record.RunMayHaveRun)
+}
+
+// Guards against unkeyed work on queues that are not open, and against open queues that charge or reveal the wrong team's.
+func TestOpenQueue(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil)
+	response, answer := f.call(t, "POST", "/v1/queues/q/jobs", "", "Authorization", "", HeaderIdempotencyKey, "key")
+	is.Equal(response.StatusCode, 202)
+	is.True(!strings.Contains(answer, "team"))
+	is.Equal(f.ops[0].JobAccept.Team, "t")
+	is.Equal(f.ops[0].JobAccept.IdempotencyKey, "queue/q/key")
+	response, _ = f.call(t, "POST", "/v1/queues/closed/jobs", "", "Authorization", "")
+	is.Equal(response.StatusCode, 401)
+	response, _ = f.call(t, "POST", "/v1/queues/closed/jobs", "", "Authorization", "Bearer other/o")
+	is.Equal(response.StatusCode, 202)
+	is.Equal(f.ops[1].JobAccept.Team, "other")
+}
