--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,354 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/admission"
+	"pollenlead/internal/config"
+	"pollenlead/internal/fold"
+	"pollenlead/internal/platform"
+	"pollenlead/internal/record"
+	"pollenlead/internal/routing"
+)
+
+var document = `
+schema: 1
+limits: {header_bytes: 16384, body_bytes: 65536, job_body_bytes: 4096, queue_length: 9, queue_seconds: 10, job_result_seconds: 60}
+pools:
+  - {name: p, members: ["w-"], availability_budget: {min_available_percent: 50}}
+  - {name: spare, spare: true}
+services:
+  - {name: s, pool: p, timeout_seconds: 5}
+teams:
+  - {name: t, share: 1, upper_limit: 8, keys: [{id: k, sha256: "` + strings.Repeat("ab", 32) + `"}]}
+operators: []
+`
+
+var errNotSent = errors.New("not sent")
+
+// world is a folded state with the sessions "e1" (of the runner) and "e2", and the workers that the jobs run on.
+type world struct {
+	t  *testing.T
+	is *is.I
+
+	mu      sync.Mutex
+	state   *fold.State
+	seq     map[string]uint64
+	changed chan struct{}
+	down    bool
+	start   func(instance string, task platform.Task) (platform.TaskStatus, error)
+	task    func(id string) (platform.TaskStatus, error)
+	starts  []string
+	stops   []string
+	adopts  []string
+	used    int
+}
+
+func done(platform.Task) platform.TaskStatus {
+	return platform.TaskStatus{State: platform.TaskDone, Status: 200, Result: []byte("ok")}
+}
+
+// run runs test in a bubble of virtual time, with a runner for "e1".
+func run(t *testing.T, test func(w *world, r *Runner, shutdown func(time.Duration) int)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, is: is.New(t), state: fold.New(), seq: map[string]uint64{}, changed: make(chan struct{})}
+		w.start = func(_ string, task platform.Task) (platform.TaskStatus, error) { return done(task), nil }
+		w.apply("e1", record.Op{SessionOpen: &record.SessionOpen{}})
+		w.apply("e1", record.Op{ConfigPublish: &record.ConfigPublish{Document: document}})
+		report := &record.InstancesReport{ListVersion: 1}
+		for i := 1; i <= 3; i++ {
+			report.Instances = append(report.Instances, record.Instance{ID: fmt.Sprintf("w-%d", i), Address: "a", Phase: record.PhaseLive, Slots: 8})
+		}
+		w.apply("e1", record.Op{InstancesReport: report})
+		doc := func() (d *config.Document) { w.view(func(s *fold.State) { d = s.Config().Document }); return }
+		q := admission.New(admission.Config{Document: doc, Ledger: w, Fleet: w, Health: routing.NewHealth(time.Now)})
+		r := NewRunner(Config{
+			Holder: "e1", Source: w, Log: w, Admission: q, Document: doc, Now: time.Now, NotSent: errNotSent,
+			Worker:         func(instance, _ string) platform.Worker { return worker{w: w, instance: instance} },
+			AcquireStarted: func(team, instance string) admission.Permit { p, _ := w.Acquire(team, instance); return p },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ran := make(chan struct{})
+		go func() { r.Run(ctx); close(ran) }()
+		shutdown := func(wait time.Duration) int {
+			cancel()
+			<-ran
+			limit, stop := context.WithTimeout(context.Background(), wait)
+			defer stop()
+			return r.Shutdown(limit)
+		}
+		test(w, r, shutdown)
+		shutdown(time.Minute)
+	})
+}
+
+func (w *world) view(read func(*fold.State)) { w.mu.Lock(); defer w.mu.Unlock(); read(w.state) }
+
+func (w *world) apply(holder string, op record.Op) fold.Outcome {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq[holder]++
+	encoded, err := record.Encode(record.Record{Writer: holder, Incarnation: holder, Seq: w.seq[holder], Ops: []record.Op{op}})
+	w.is.NoErr(err)
+	result, err := w.state.Apply(w.state.Next(), encoded)
+	w.is.NoErr(err)
+	close(w.changed)
+	w.changed = make(chan struct{})
+	return result.Outcomes[0]
+}
+
+func (w *world) Submit(_ context.Context, ops ...record.Op) ([]fold.Outcome, error) {
+	w.mu.Lock()
+	down := w.down
+	w.mu.Unlock()
+	if down {
+		return nil, errNotSent
+	}
+	return []fold.Outcome{w.apply("e1", ops[0])}, nil
+}
+
+func (w *world) accept(holder, id string, nonIdempotent bool) {
+	outcome := w.apply(holder, record.Op{JobAccept: &record.JobAccept{Job: id, Team: "t", KeyID: "k", Service: "s", NonIdempotent: nonIdempotent}})
+	w.is.True(outcome.Accepted)
+}
+
+func (w *world) Jobs(h string) (jobs []fold.Job) {
+	w.view(func(s *fold.State) { jobs = s.JobsOf(h) })
+	return
+}
+func (w *world) Job(id string) (job fold.Job, ok bool) {
+	w.view(func(s *fold.State) { job, ok = s.Job(id) })
+	return
+}
+func (w *world) Finished() (ids []string) {
+	for _, id := range []string{"j", "k"} {
+		if job, ok := w.Job(id); ok && job.Finished() {
+			ids = append(ids, id)
+		}
+	}
+	return
+}
+func (w *world) Holders() []string              { return []string{"e1"} }
+func (w *world) Address(string) (string, bool)  { return "a", true }
+func (w *world) PeerRunning(string, string) int { return 0 }
+func (w *world) Leaving(string) bool            { return false }
+func (w *world) HasTeamUnit(string) bool        { return true }
+func (w *world) SetQueued(string, string, int)  {}
+func (w *world) Changed() <-chan struct{}       { w.mu.Lock(); defer w.mu.Unlock(); return w.changed }
+func (w *world) Candidates(string) []routing.Candidate {
+	return []routing.Candidate{{Instance: "w-1", Held: 8}, {Instance: "w-2", Held: 8}, {Instance: "w-3", Held: 8}}
+}
+func (w *world) Acquire(string, string) (admission.Permit, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.used++
+	return permit{w}, nil
+}
+
+type permit struct{ w *world }
+
+func (p permit) Lease(context.Context) (string, error) { return "lease", nil }
+func (p permit) Release()                              { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.used-- }
+
+type worker struct {
+	platform.Worker
+	w        *world
+	instance string
+}
+
+func (k worker) StartTask(_ context.Context, task platform.Task) (platform.TaskStatus, error) {
+	job, _ := k.w.Job(strings.Split(task.ID, "-")[0])
+	k.w.mu.Lock()
+	defer k.w.mu.Unlock()
+	k.w.is.Equal(job.State, fold.JobStarted) // the intent is in the log before the start
+	k.w.starts = append(k.w.starts, k.instance+" "+task.ID)
+	return k.w.start(k.instance, task)
+}
+func (k worker) Task(_ context.Context, id string) (platform.TaskStatus, error) {
+	k.w.mu.Lock()
+	defer k.w.mu.Unlock()
+	return k.w.task(id)
+}
+func (k worker) StopTask(_ context.Context, id string) error {
+	k.w.mu.Lock()
+	defer k.w.mu.Unlock()
+	k.w.stops = append(k.w.stops, id)
+	return nil
+}
+func (k worker) AdoptTask(_ context.Context, id, lease string) error {
+	k.w.mu.Lock()
+	defer k.w.mu.Unlock()
+	k.w.adopts = append(k.w.adopts, id+" "+lease)
+	return nil
+}
+
+// expect waits d of virtual time and checks the state of job "j" and that no capacity is lost.
+func (w *world) expect(d time.Duration, state fold.JobState, reason string) fold.Job {
+	w.is.Helper()
+	time.Sleep(d)
+	job, _ := w.Job("j")
+	w.is.Equal(job.State, state)
+	w.is.True(strings.Contains(job.Reason, reason))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.is.True(!job.Finished() || w.used == 0)
+	return job
+}
+
+// Guards against lost or repeated runs in each way in which the start or the run of a task can end.
+func TestAttemptEnds(t *testing.T) {
+	type status = platform.TaskStatus
+	refused := &platform.RefusedError{Refusal: platform.RefusedSlotsFull}
+	for _, c := range []struct {
+		name          string
+		nonIdempotent bool
+		errors        []error // of the first starts
+		status        status
+		state         fold.JobState
+		reason        string
+		starts        int
+		instances     int
+	}{
+		{"done", true, nil, done(platform.Task{}), fold.JobSucceeded, "", 1, 1},
+		{"refused", true, []error{refused}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2},
+		{"not sent", true, []error{platform.ErrNotSent}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2},
+		{"lost answer", true, []error{platform.ErrNoAnswer}, done(platform.Task{}), fold.JobSucceeded, "", 2, 1},
+		{"lost answer, then refused", true, []error{platform.ErrNoAnswer, refused}, status{}, fold.JobUnknown, "refused", 2, 1},
+		{"lost answer, then refused, idempotent", false, []error{platform.ErrNoAnswer, refused}, done(platform.Task{}), fold.JobSucceeded, "", 3, 2},
+		{"fails everywhere", false, nil, status{State: platform.TaskFailed}, fold.JobFailed, "given up", 3, 3},
+		{"fails, non-idempotent", true, nil, status{State: platform.TaskFailed, Status: 500}, fold.JobFailed, "failed", 1, 1},
+		{"lapsed", true, nil, status{State: platform.TaskLapsed}, fold.JobUnknown, "lapsed", 1, 1},
+		{"large result", true, nil, status{State: platform.TaskDone, Result: make([]byte, maxResultBytes+1)}, fold.JobFailed, "at most", 1, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
+				w.start = func(string, platform.Task) (status, error) {
+					if n := len(w.starts); n <= len(c.errors) {
+						return status{}, c.errors[n-1]
+					}
+					return c.status, nil
+				}
+				w.accept("e1", "j", c.nonIdempotent)
+				w.expect(30*time.Second, c.state, c.reason)
+				w.is.Equal(len(w.starts), c.starts)
+				instances := map[string]bool{}
+				for _, start := range w.starts {
+					instances[strings.Fields(start)[0]] = true
+				}
+				w.is.Equal(len(instances), c.instances)
+			})
+		})
+	}
+}
+
+func running(string, platform.Task) (platform.TaskStatus, error) {
+	return platform.TaskStatus{State: platform.TaskRunning}, nil
+}
+
+// Guards against a cancelled job that goes on, and against jobs that are kept for ever or forgotten too early.
+func TestCancelAndForget(t *testing.T) {
+	run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
+		w.start = running
+		w.task = func(string) (platform.TaskStatus, error) { return running("", platform.Task{}) }
+		w.accept("e1", "j", true)
+		w.expect(5*time.Second, fold.JobStarted, "")
+		w.apply("e1", record.Op{JobCancel: &record.JobCancel{Jobs: []string{"j"}}})
+		w.expect(5*time.Second, fold.JobCancelled, "")
+		w.is.Equal(w.stops, []string{"j-1"})
+		w.expect(50*time.Second, fold.JobCancelled, "")
+		time.Sleep(20 * time.Second)
+		_, known := w.Job("j")
+		w.is.True(!known)
+	})
+}
+
+// Guards against jobs that hold capacity or are lost while the log is down.
+func TestLogDown(t *testing.T) {
+	run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
+		w.accept("e1", "j", true)
+		w.view(func(*fold.State) { w.down = true })
+		w.expect(20*time.Second+time.Millisecond, fold.JobWaiting, "")
+		w.view(func(*fold.State) { w.is.Equal(w.used, 0); w.down = false })
+		w.expect(5*time.Second, fold.JobSucceeded, "")
+	})
+}
+
+// Guards against a second run, or a lost result, of a task whose holder has ended.
+func TestAdoption(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		nonIdempotent bool
+		first         platform.TaskStatus
+		err           error
+		state         fold.JobState
+		starts        int
+		adopts        int
+	}{
+		{"done", true, done(platform.Task{}), nil, fold.JobSucceeded, 0, 0},
+		{"running", true, platform.TaskStatus{State: platform.TaskRunning}, nil, fold.JobSucceeded, 0, 1},
+		{"unknown", true, platform.TaskStatus{}, platform.ErrUnknownTask, fold.JobUnknown, 0, 0},
+		{"unknown, idempotent", false, platform.TaskStatus{}, platform.ErrUnknownTask, fold.JobSucceeded, 1, 0},
+		{"silent", true, platform.TaskStatus{}, platform.ErrNoAnswer, fold.JobUnknown, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
+				asked := 0
+				w.task = func(string) (platform.TaskStatus, error) {
+					if asked++; asked > 1 && c.err == nil {
+						return done(platform.Task{}), nil
+					}
+					return c.first, c.err
+				}
+				w.apply("e1", record.Op{Release: &record.Release{
+					Teams: []record.TeamUnits{{Name: "t", Units: 4}}, Slots: []record.InstanceSlots{{Instance: "w-1", Slots: 4}},
+				}})
+				w.apply("e2", record.Op{SessionOpen: &record.SessionOpen{}})
+				w.apply("e2", record.Op{Demand: &record.Demand{Teams: []record.Want{{Name: "t", Wanted: 4}}, Pools: []record.Want{{Name: "p", Wanted: 4}}}})
+				w.accept("e2", "j", c.nonIdempotent)
+				w.apply("e1", record.Op{Release: &record.Release{
+					Teams: []record.TeamUnits{{Name: "t", Units: 4}}, Slots: []record.InstanceSlots{{Instance: "w-1", Slots: 4}},
+				}})
+				started := w.apply("e2", record.Op{JobStart: &record.JobStart{Job: "j", Attempt: 1, Instance: "w-1"}})
+				w.is.Equal(started.Reason, fold.ReasonNone)
+				w.apply("e2", record.Op{SessionClose: &record.SessionClose{}})
+				w.expect(40*time.Second, c.state, "")
+				w.is.Equal(len(w.starts), c.starts)
+				w.is.Equal(len(w.adopts), c.adopts)
+			})
+		})
+	}
+}
+
+// Guards against a shutdown that cuts off running tasks, starts new ones, or never ends.
+func TestShutdown(t *testing.T) {
+	run(t, func(w *world, _ *Runner, shutdown func(time.Duration) int) {
+		w.start = running
+		w.task = func(id string) (platform.TaskStatus, error) { return running("", platform.Task{}) }
+		w.accept("e1", "j", true)
+		w.expect(time.Second, fold.JobStarted, "")
+		w.is.Equal(shutdown(time.Minute), 1)
+		w.accept("e1", "k", true)
+		w.expect(time.Second, fold.JobStarted, "") // left to adoption
+		w.is.Equal(len(w.starts), 1)
+		w.is.Equal(len(w.stops), 0)
+		w.is.Equal(w.used, 1) // the task still runs
+	})
+}
+
+// Guards against jobs that take all places in admission.
+func TestWaitingIsBounded(t *testing.T) {
+	is := is.New(t)
+	r := NewRunner(Config{Now: time.Now})
+	r.waiting = maxWaiting
+	is.True(!r.mayBegin(fold.Job{State: fold.JobWaiting}))
+	is.True(r.mayBegin(fold.Job{State: fold.JobStarted}))
+}
