--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -40,6 +40,8 @@
 
 func (p *fakePermit) Lease(context.Context) (string, error) { return "lease", p.l.lease }
 
+func (p *fakePermit) LeaseRefused(context.Context, string) {}
+
 func (p *fakePermit) Release() {
 	p.l.mu.Lock()
 	defer p.l.mu.Unlock()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -40,6 +40,8 @@
 // Permit is a team unit and a slot in use.
 type Permit interface {
 	Lease(ctx context.Context) (leaseID string, err error)
+	// LeaseRefused says that the instance refused the lease as expired, so that the next start gets a new one.
+	LeaseRefused(ctx context.Context, leaseID string)
 	Release()
 }
 
@@ -162,6 +164,13 @@
 	done   sync.Once
 }
 
+// LeaseRefused says that the instance refused the ticket's lease as expired.
+func (t *Ticket) LeaseRefused(ctx context.Context) {
+	if t.permit != nil {
+		t.permit.LeaseRefused(ctx, t.LeaseID)
+	}
+}
+
 // Done gives the capacity back and records what the attempt showed about the instance. Only the first call counts.
 func (t *Ticket) Done(o routing.Observation) {
 	t.done.Do(func() {
--- a/internal/allotment/ledger.go
+++ b/internal/allotment/ledger.go
@@ -139,25 +139,26 @@
 	}
 }
 
-// Candidate is an instance with a free slot of this holder.
+// Candidate is an instance with slots of this holder. Used counts the slots that may not be spent now.
 type Candidate struct {
 	Instance, Address, AvailabilityZone string
 	Used, Held                          int
 }
 
-// Candidates returns the instances of the pool with at least one free slot that are not withdrawn, ordered by ID.
+// Candidates returns the instances of the pool with slots of this holder that are not withdrawn, ordered by ID. The full
+// ones are among them with Used equal to Held, because outlier ejection has to know how many instances there are.
 func (l *Ledger) Candidates(pool string) []Candidate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var candidates []Candidate
 	for _, id := range l.members[pool] {
 		i := l.instances[id]
-		if i.free() <= 0 {
+		if i.grant.Withdrawn {
 			continue
 		}
 		candidates = append(candidates, Candidate{
 			Instance: id, Address: i.grant.Facts.Address, AvailabilityZone: i.grant.Facts.AvailabilityZone,
-			Used: i.inUse(), Held: i.grant.Held,
+			Used: i.grant.Held - max(i.free(), 0), Held: i.grant.Held,
 		})
 	}
 	return candidates
--- a/internal/allotment/ledger_test.go
+++ b/internal/allotment/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,8 +19,9 @@
 	var permits []*Permit
 	for range n {
 		candidates := l.Candidates("p")
-		is.True(len(candidates) > 0)
-		p, err := l.Acquire(team, candidates[0].Instance)
+		free := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Used < c.Held })
+		is.True(free >= 0)
+		p, err := l.Acquire(team, candidates[free].Instance)
 		is.NoErr(err)
 		permits = append(permits, p)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,7 +2,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -21,7 +20,6 @@
 	"pollenlead/internal/config"
 	"pollenlead/internal/fold"
 	"pollenlead/internal/gateway"
-	"pollenlead/internal/job"
 	"pollenlead/internal/membership"
 	"pollenlead/internal/operator"
 	"pollenlead/internal/platform/fleetlist"
@@ -53,7 +51,6 @@
 	health    *routing.Health
 	gateway   *gateway.Gateway
 	metrics   *gateway.Metrics
-	jobs      *job.Runner
 	workers   *worker.Pool
 	trail     *audit.Trail
 
@@ -153,8 +150,8 @@
 
 func (i *Instance) build(peerTLS *tls.Config) error {
 	s := i.settings
-	log := logclient.New(s.Platform.LogURL.Host, s.Timeouts.LogAppend())
-	list := fleetlist.New(s.Platform.ListURL.Host, s.Timeouts.ListRequest())
+	log := logclient.New(string(s.Platform.LogURL), s.Timeouts.LogAppend())
+	list := fleetlist.New(string(s.Platform.ListURL), s.Timeouts.ListRequest())
 	identity := replica.Identity{Writer: s.Name, Incarnation: ulid.Make().String()}
 
 	i.follower = replica.NewFollower(log, replica.FollowerOptions{})
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -58,7 +58,6 @@
 	start("membership", i.member.Run)
 	start("ledger", i.ledger.Run)
 	start("admission", func(ctx context.Context) error { i.queue.Run(ctx); return nil })
-	start("jobs", i.jobs.Run)
 	start("snapshots", func(ctx context.Context) error {
 		return i.snapshots.Run(ctx, func(err error) {
 			if !errors.Is(err, replica.ErrStaleTerm) {
@@ -93,13 +92,9 @@
 	case <-i.killed:
 		return nil
 	}
-	i.jobs.Drain()
 	if err := i.callers.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("wait for the requests in flight: %w", err)
 	}
-	if err := i.jobs.Shutdown(ctx); err != nil {
-		i.logger.Warn().Err(err).Msg("running jobs are handed on")
-	}
 	i.gateway.WaitSettled()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
--- /dev/null
+++ b/internal/entry/serving.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"pollenlead/internal/admission"
+	"pollenlead/internal/allotment"
+	"pollenlead/internal/config"
+	"pollenlead/internal/fold"
+	"pollenlead/internal/gateway"
+	"pollenlead/internal/membership"
+	"pollenlead/internal/platform"
+	"pollenlead/internal/replica"
+	"pollenlead/internal/routing"
+)
+
+// buildServing builds the parts on a request's way from the callers' listener to the worker.
+func (i *Instance) buildServing() {
+	i.health = routing.NewHealth(time.Now)
+	i.queue = admission.New(admission.Config{
+		Document: i.document, Ledger: ledgerAdapter{i.ledger}, Fleet: &fleetAdapter{member: i.member}, Health: i.health,
+	})
+	i.metrics = gateway.NewMetrics()
+	i.gateway = gateway.New(gateway.Config{
+		Document:       i.document,
+		Authenticate:   authenticate,
+		TakesKeyedWork: i.member.TakesKeyedWork,
+		Admission:      i.queue,
+		Budgets:        routing.NewBudgets(time.Now),
+		Worker:         i.worker,
+		Log:            i.committer,
+		NotSent:        replica.ErrNotSent,
+		Job:            i.job,
+		Metrics:        i.metrics,
+	})
+	i.callers.server.Handler = i.closeWhileDraining(i.gateway)
+}
+
+// closeWhileDraining asks callers to close their connections during a shutdown, so that they send nothing on a connection
+// that is about to be closed.
+func (i *Instance) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func authenticate(doc *config.Document, bearer string) (gateway.Identity, bool) {
+	identity, ok := doc.Authenticate(bearer)
+	if !ok || identity.Team == "" {
+		return gateway.Identity{}, false
+	}
+	return gateway.Identity{Team: identity.Team, KeyID: identity.KeyID}, true
+}
+
+// worker returns the client of a worker instance, with the connections that the held slots allow.
+func (i *Instance) worker(instance, address string) platform.Worker {
+	return i.workers.Worker(instance, address, max(i.ledger.MaxConnections(instance), 1))
+}
+
+func (i *Instance) job(id string) (fold.Job, bool) {
+	var job fold.Job
+	var ok bool
+	i.follower.View(func(s *fold.State) { job, ok = s.Job(id) })
+	return job, ok
+}
+
+// ledgerAdapter gives admission the ledger in its own terms.
+type ledgerAdapter struct {
+	*allotment.Ledger
+}
+
+func (a ledgerAdapter) Candidates(pool string) []routing.Candidate {
+	held := a.Ledger.Candidates(pool)
+	candidates := make([]routing.Candidate, len(held))
+	for n, c := range held {
+		candidates[n] = routing.Candidate(c)
+	}
+	return candidates
+}
+
+func (a ledgerAdapter) Acquire(team, instance string) (admission.Permit, error) {
+	permit, err := a.Ledger.Acquire(team, instance)
+	switch {
+	case err == nil:
+		return permit, nil
+	case errors.Is(err, allotment.ErrNoTeamUnit):
+		return nil, admission.ErrNoTeamUnit
+	case errors.Is(err, allotment.ErrNoSlot):
+		return nil, admission.ErrNoSlot
+	case errors.Is(err, allotment.ErrLeaseExpired):
+		return nil, admission.ErrLeaseExpired
+	default:
+		return nil, err
+	}
+}
+
+// peerUsageInterval is how long a view of the peers' usage serves. Peers report once a second, so a newer one would say
+// little more, and each dispatch asks for every team.
+const peerUsageInterval = 200 * time.Millisecond
+
+// fleetAdapter gives admission the other entry instances in its own terms.
+type fleetAdapter struct {
+	member *membership.Member
+
+	mu      sync.Mutex
+	read    time.Time
+	running map[string]map[string]int // by pool and team
+}
+
+// PeerRunning implements admission.Fleet.
+func (a *fleetAdapter) PeerRunning(team, pool string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now := time.Now(); now.Sub(a.read) >= peerUsageInterval {
+		a.read = now
+		a.running = sumUsage(a.member.PeerUsage())
+	}
+	return a.running[pool][team]
+}
+
+func sumUsage(peers map[string]membership.Usage) map[string]map[string]int {
+	running := map[string]map[string]int{}
+	for _, usage := range peers {
+		for pool, teams := range usage.PoolTeam {
+			if running[pool] == nil {
+				running[pool] = map[string]int{}
+			}
+			for team, n := range teams {
+				running[pool][team] += n
+			}
+		}
+	}
+	return running
+}
+
+// Leaving implements admission.Fleet.
+func (a *fleetAdapter) Leaving(instance string) bool { return a.member.Leaving(instance) }
+
+var _ admission.Permit = (*allotment.Permit)(nil)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,6 +44,9 @@
 		LeaseID: ticket.LeaseID, RequestID: requestID,
 	})
 	if err != nil {
+		if isLeaseRefusal(err) {
+			ticket.LeaseRefused(ctx)
+		}
 		problem, again, observed = x.explain(ctx, err)
 		return problem, again
 	}
@@ -70,6 +73,11 @@
 	return nil, false
 }
 
+func isLeaseRefusal(err error) bool {
+	refused := (*platform.RefusedError)(nil)
+	return errors.As(err, &refused) && refused.Refusal == platform.RefusedLeaseLapsed
+}
+
 // explain classifies an error without a response and notes whether the request may have run.
 func (x *exchange) explain(ctx context.Context, err error) (*Problem, bool, routing.Observation) {
 	refused := (*platform.RefusedError)(nil)
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -97,6 +97,7 @@
 func (ledger) PeerRunning(string, string) int                   { return 0 }
 func (ledger) Leaving(string) bool                              { return false }
 func (ledger) Lease(context.Context) (string, error)            { return "lease", nil }
+func (ledger) LeaseRefused(context.Context, string)             {}
 func (ledger) Release()                                         {}
 
 type worker struct {
--- a/internal/platform/fleetlist/client.go
+++ b/internal/platform/fleetlist/client.go
@@ -32,15 +32,15 @@
 	timeout time.Duration
 }
 
-// New returns the client of the list at an address (host:port). A timeout of 0 means 2 s.
-func New(address string, timeout time.Duration) *Client {
+// New returns the client of the list at a base URL. A timeout of 0 means 2 s.
+func New(baseURL string, timeout time.Duration) *Client {
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	return &Client{
 		peer: httpcall.Peer{
-			Name:      "list " + address,
-			URL:       "http://" + address,
+			Name:      "list " + baseURL,
+			URL:       baseURL,
 			Transport: httpcall.NewTransport(maxConnections),
 		},
 		timeout: timeout,
--- a/internal/platform/fleetlist/client_test.go
+++ b/internal/platform/fleetlist/client_test.go
@@ -25,7 +25,7 @@
 		ID: "w-1", Kind: standin.KindWorker, Address: "127.0.0.1:2", Region: "r", AvailabilityZone: "z2", Rack: "k",
 		Phase: standin.PhaseLive, Slots: 8, Connections: 64, Cores: 32, MemoryBytes: 64 << 30, Accelerators: 2,
 	})
-	c := New(server.Address, 0)
+	c := New(server.URL, 0)
 	listing, err := c.List(t.Context())
 	is.NoErr(err)
 	is.Equal(listing, platform.Listing{
--- a/internal/platform/logclient/client.go
+++ b/internal/platform/logclient/client.go
@@ -30,15 +30,15 @@
 	timeout time.Duration
 }
 
-// New returns the client of the log at an address (host:port). A timeout of 0 means 5 s; reads add their waiting time.
-func New(address string, timeout time.Duration) *Client {
+// New returns the client of the log at a base URL. A timeout of 0 means 5 s; reads add their waiting time.
+func New(baseURL string, timeout time.Duration) *Client {
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	return &Client{
 		peer: httpcall.Peer{
-			Name:      "log " + address,
-			URL:       "http://" + address,
+			Name:      "log " + baseURL,
+			URL:       baseURL,
 			Transport: httpcall.NewTransport(maxConnections),
 		},
 		timeout: timeout,
--- a/internal/platform/logclient/client_test.go
+++ b/internal/platform/logclient/client_test.go
@@ -17,7 +17,7 @@
 	server, err := log.Start()
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = server.Close() })
-	return log, New(server.Address, time.Minute)
+	return log, New(server.URL, time.Minute)
 }
 
 // Guards against records that arrive changed or at another offset, and a waiting read that does not see an append.
