Bound waiting jobs per team and settle keys within a bounded time

A common bound of 64 waiting jobs let one team at its upper limit keep the jobs of all others from admission; the bound is now 8 per team, service and urgency. Running jobs no longer wait 200 ms behind the scan interval when the runner is idle, and scans, which read all jobs, are at most 5 a second.

While the log is down, a refused request waited up to 30 s for the settlement of its idempotency key; it now waits 5 s at most, and the settlement goes on in the background and is repeated if it was not sent. An expired session lease no longer counts as a failure of the instance.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,7 +23,7 @@
 	ErrStopped        = errors.New("admission has stopped")
 )
 
-// The errors that Ledger.Acquire returns, matched with errors.Is.
+// The errors that Ledger.Acquire and Permit.Lease return, matched with errors.Is.
 var (
 	ErrLeaseExpired = errors.New("the session lease has expired")
 	ErrNoTeamUnit   = errors.New("no free team unit")
@@ -244,8 +244,8 @@
 	leaseID, err := g.permit.Lease(ctx)
 	if err != nil {
 		observed := routing.ObservedFailure
-		if ctx.Err() != nil {
-			observed = routing.ObservedNothing
+		if ctx.Err() != nil || errors.Is(err, ErrLeaseExpired) {
+			observed = routing.ObservedNothing // the instance is not the cause
 		}
 		t.Done(observed)
 		return nil, fmt.Errorf("%w at instance %s: %w", ErrLease, g.candidate.Instance, err)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -220,19 +220,43 @@
 	}
 }
 
+// settle waits for the settlement, but not for long: while the log is down, the answer is worth more than a free key.
 func (x *exchange) settle(run record.Run) {
-	if x.claimed {
+	if !x.claimed {
+		return
+	}
+	settled := make(chan struct{})
+	x.g.settling.Go(func() {
 		x.submitSettle(run)
+		close(settled)
+	})
+	timer := time.NewTimer(claimWait)
+	defer timer.Stop()
+	select {
+	case <-settled:
+	case <-timer.C:
 	}
 }
 
-// submitSettle ignores errors: an unsettled key stays claimed, which is the safe side.
+// submitSettle gives up after settleWait: an unsettled key stays claimed, which is the safe side.
 func (x *exchange) submitSettle(run record.Run) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), settleWait)
 	defer cancel()
-	_, _ = x.g.submit(ctx, record.Op{RequestSettle: &record.RequestSettle{
+	op := record.Op{RequestSettle: &record.RequestSettle{
 		Team: x.id.Team, IdempotencyKey: x.r.Header.Get(HeaderIdempotencyKey), Run: run,
-	}})
+	}}
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		if _, err := x.g.submit(ctx, op); !errors.Is(err, x.g.c.NotSent) {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // attempts runs the request on one instance after the other until one answers or no retry is allowed.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// maxWaiting bounds the jobs that wait in admission at a time, so that they do not crowd out synchronous requests.
-	maxWaiting = 64
+	// maxWaiting bounds the jobs of one team, service and urgency that wait in admission at a time, so that they do not crowd
+	// out synchronous requests. It is not a common bound, because then one team at its upper limit would block the others.
+	maxWaiting = 8
 	// maxFailedInstances is the number of different instances on which a job fails before it is given up.
 	maxFailedInstances = 3
 	// maxFailures bounds the failures of a job in a pool that has fewer instances than maxFailedInstances.
@@ -35,8 +36,8 @@
 	// lostAfter is how long a worker may be silent before its task counts as lost. It is longer than a worker lease (10 s)
 	// and its guard, so the task has ended by then unless another process renews the lease.
 	lostAfter = 30 * time.Second
-	// scanInterval bounds the scans of the folded state while records arrive all the time.
-	scanInterval = 50 * time.Millisecond
+	// scanInterval bounds the scans of the folded state while records arrive all the time: a scan reads all jobs.
+	scanInterval = 200 * time.Millisecond
 )
 
 // Source is what the runner reads of the folded state.
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -29,8 +29,10 @@
 services:
   - {name: s, pool: p, timeout_seconds: 5}
 teams:
-  - {name: t, share: 1, upper_limit: 8, keys: [{id: k, sha256: "` + strings.Repeat("ab", 32) + `"}]}
-operators: []
+  - {name: t, share: 1, upper_limit: 8, keys: [{id: k-t, sha256: "` + strings.Repeat("ab", 32) + `"}]}
+  - {name: u, share: 1, upper_limit: 8, keys: [{id: k-u, sha256: "` + strings.Repeat("cd", 32) + `"}]}
+operators:
+  - {name: alice, role: publish, key: {id: o, sha256: "` + strings.Repeat("ef", 32) + `"}}
 `
 
 var errNotSent = errors.New("not sent")
@@ -51,6 +53,8 @@
 	stops   []string
 	adopts  []string
 	used    int
+	blocked string // the team without units
+	queued  map[string]int
 }
 
 func done(platform.Task) platform.TaskStatus {
@@ -60,7 +64,7 @@
 // run runs test in a bubble of virtual time, with a runner for "e1".
 func run(t *testing.T, test func(w *world, r *Runner, shutdown func(time.Duration) int)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, is: is.New(t), state: fold.New(), seq: map[string]uint64{}, changed: make(chan struct{})}
+		w := &world{t: t, is: is.New(t), state: fold.New(), seq: map[string]uint64{}, queued: map[string]int{}, changed: make(chan struct{})}
 		w.start = func(_ string, task platform.Task) (platform.TaskStatus, error) { return done(task), nil }
 		w.apply("e1", record.Op{SessionOpen: &record.SessionOpen{}})
 		w.apply("e1", record.Op{ConfigPublish: &record.ConfigPublish{Document: document}})
@@ -76,6 +80,7 @@
 			Worker:         func(instance, _ string) platform.Worker { return worker{w: w, instance: instance} },
 			AcquireStarted: func(team, instance string) admission.Permit { p, _ := w.Acquire(team, instance); return p },
 		})
+		go q.Run(t.Context())
 		ctx, cancel := context.WithCancel(t.Context())
 		ran := make(chan struct{})
 		go func() { r.Run(ctx); close(ran) }()
@@ -117,7 +122,11 @@
 }
 
 func (w *world) accept(holder, id string, nonIdempotent bool) {
-	outcome := w.apply(holder, record.Op{JobAccept: &record.JobAccept{Job: id, Team: "t", KeyID: "k", Service: "s", NonIdempotent: nonIdempotent}})
+	w.acceptFor("t", holder, id, nonIdempotent)
+}
+
+func (w *world) acceptFor(team, holder, id string, nonIdempotent bool) {
+	outcome := w.apply(holder, record.Op{JobAccept: &record.JobAccept{Job: id, Team: team, KeyID: "k-" + team, Service: "s", NonIdempotent: nonIdempotent}})
 	w.is.True(outcome.Accepted)
 }
 
@@ -141,9 +150,17 @@
 func (w *world) Address(string) (string, bool)  { return "a", true }
 func (w *world) PeerRunning(string, string) int { return 0 }
 func (w *world) Leaving(string) bool            { return false }
-func (w *world) HasTeamUnit(string) bool        { return true }
-func (w *world) SetQueued(string, string, int)  {}
-func (w *world) Changed() <-chan struct{}       { w.mu.Lock(); defer w.mu.Unlock(); return w.changed }
+func (w *world) HasTeamUnit(team string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return team != w.blocked
+}
+func (w *world) SetQueued(team, _ string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queued[team] = n
+}
+func (w *world) Changed() <-chan struct{} { w.mu.Lock(); defer w.mu.Unlock(); return w.changed }
 func (w *world) Candidates(string) []routing.Candidate {
 	return []routing.Candidate{{Instance: "w-1", Held: 8}, {Instance: "w-2", Held: 8}, {Instance: "w-3", Held: 8}}
 }
@@ -344,11 +361,34 @@
 	})
 }
 
-// Guards against jobs that take all places in admission.
+// Guards against jobs that crowd out synchronous requests, and against a team at its upper limit that keeps the jobs of
+// other teams from admission.
 func TestWaitingIsBounded(t *testing.T) {
-	is := is.New(t)
-	r := NewRunner(Config{Now: time.Now})
-	r.waiting = maxWaiting
-	is.True(!r.mayBegin(fold.Job{State: fold.JobWaiting}))
-	is.True(r.mayBegin(fold.Job{State: fold.JobStarted}))
+	run(t, func(w *world, r *Runner, _ func(time.Duration) int) {
+		w.view(func(*fold.State) { w.blocked = "t" })
+		for i := range 5 * maxWaiting {
+			w.acceptFor("t", "e1", fmt.Sprintf("a%d", i), false)
+		}
+		w.acceptFor("u", "e1", "j", true)
+		w.expect(time.Second, fold.JobSucceeded, "")
+		w.view(func(*fold.State) { w.is.Equal(w.queued["t"], maxWaiting); w.blocked = "" })
+		time.Sleep(time.Minute)
+		w.is.Equal(len(w.Jobs("e1")), 0)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		w.is.Equal(r.waiting[waitKey{team: "t", service: "s"}], 0)
+	})
+}
+
+// Guards against running jobs that count as waiting and so keep others from admission.
+func TestRunningJobsDoNotWait(t *testing.T) {
+	run(t, func(w *world, r *Runner, _ func(time.Duration) int) {
+		w.start = running
+		w.task = func(string) (platform.TaskStatus, error) { return running("", platform.Task{}) }
+		w.accept("e1", "j", true)
+		w.expect(time.Second, fold.JobStarted, "")
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		w.is.Equal(r.waiting[waitKey{team: "t", service: "s"}], 0)
+	})
 }
--- a/internal/job/runner.go
+++ b/internal/job/runner.go
@@ -27,15 +27,27 @@
 
 	mu      sync.Mutex
 	active  map[string]*attempt
-	waiting int
+	waiting map[waitKey]int
 	history map[string]*history
 }
 
+// waitKey is what jobs must have in common to share one bound of waiting jobs.
+type waitKey struct {
+	team    string
+	service string
+	urgent  bool
+}
+
+func keyOf(job fold.Job) waitKey {
+	return waitKey{team: job.Team, service: job.Service, urgent: job.Urgent}
+}
+
 // NewRunner returns a Runner.
 func NewRunner(c Config) *Runner {
 	hard, kill := context.WithCancel(context.Background())
 	return &Runner{
 		c: c, hard: hard, kill: kill, wake: make(chan struct{}, 1), active: map[string]*attempt{}, history: map[string]*history{},
+		waiting: map[waitKey]int{},
 	}
 }
 
@@ -45,6 +57,9 @@
 	for {
 		changed := r.c.Source.Changed()
 		r.scan(ctx)
+		if !sleep(ctx, scanInterval) {
+			return
+		}
 		timer := time.NewTimer(retryInterval)
 		select {
 		case <-changed:
@@ -53,9 +68,6 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		if !sleep(ctx, scanInterval) {
-			return
-		}
 	}
 }
 
@@ -116,7 +128,7 @@
 	if h, ok := r.history[job.ID]; ok && r.c.Now().Before(h.notBefore) {
 		return false
 	}
-	return r.waiting < maxWaiting
+	return r.waiting[keyOf(job)] < maxWaiting
 }
 
 // begin is called with the lock held.
@@ -131,7 +143,7 @@
 	r.active[job.ID] = a
 	a.waits = job.State == fold.JobWaiting
 	if a.waits {
-		r.waiting++
+		r.waiting[keyOf(job)]++
 	}
 	r.runs.Go(func() {
 		a.run()
@@ -147,7 +159,7 @@
 	defer r.mu.Unlock()
 	if a.waits {
 		a.waits = false
-		r.waiting--
+		r.waiting[keyOf(a.job)]--
 	}
 }
 
