--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"pollenlead/internal/config"
 	"pollenlead/internal/fold"
 	"pollenlead/internal/gateway"
+	"pollenlead/internal/job"
 	"pollenlead/internal/membership"
 	"pollenlead/internal/operator"
 	"pollenlead/internal/platform/fleetlist"
@@ -51,6 +52,7 @@
 	health    *routing.Health
 	gateway   *gateway.Gateway
 	metrics   *gateway.Metrics
+	jobs      *job.Runner
 	workers   *worker.Pool
 	trail     *audit.Trail
 
@@ -61,6 +63,9 @@
 	draining atomic.Bool
 	killed   chan struct{}
 	killOnce sync.Once
+
+	// stopJobs ends the start of jobs; the tasks that run go on.
+	stopJobs func()
 }
 
 // listener is an HTTP server with its bound socket.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -58,6 +58,9 @@
 	start("membership", i.member.Run)
 	start("ledger", i.ledger.Run)
 	start("admission", func(ctx context.Context) error { i.queue.Run(ctx); return nil })
+	jobsCtx, stopJobs := context.WithCancel(ctx)
+	i.stopJobs = stopJobs
+	start("jobs", func(context.Context) error { i.jobs.Run(jobsCtx); return nil })
 	start("snapshots", func(ctx context.Context) error {
 		return i.snapshots.Run(ctx, func(err error) {
 			if !errors.Is(err, replica.ErrStaleTerm) {
@@ -95,6 +98,10 @@
 	if err := i.callers.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("wait for the requests in flight: %w", err)
 	}
+	i.stopJobs()
+	if left := i.jobs.Shutdown(ctx); left > 0 {
+		i.logger.Info().Int("jobs", left).Msg("running jobs are handed on")
+	}
 	i.gateway.WaitSettled()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
--- a/internal/entry/serving.go
+++ b/internal/entry/serving.go
@@ -11,6 +11,7 @@
 	"pollenlead/internal/config"
 	"pollenlead/internal/fold"
 	"pollenlead/internal/gateway"
+	"pollenlead/internal/job"
 	"pollenlead/internal/membership"
 	"pollenlead/internal/platform"
 	"pollenlead/internal/replica"
@@ -33,9 +34,13 @@
 		Worker:         i.worker,
 		Log:            i.committer,
 		NotSent:        replica.ErrNotSent,
-		Job:            i.job,
+		Job:            i.findJob,
 		Metrics:        i.metrics,
 	})
+	i.jobs = job.NewRunner(job.Config{
+		Holder: i.member.Lease().Holder, Source: jobSource{i.follower}, Log: i.committer, Admission: i.queue,
+		Document: i.document, Worker: i.worker, AcquireStarted: i.acquireStarted, Now: time.Now, NotSent: replica.ErrNotSent,
+	})
 	i.callers.server.Handler = i.closeWhileDraining(i.gateway)
 }
 
@@ -63,13 +68,61 @@
 	return i.workers.Worker(instance, address, max(i.ledger.MaxConnections(instance), 1))
 }
 
-func (i *Instance) job(id string) (fold.Job, bool) {
+func (i *Instance) findJob(id string) (fold.Job, bool) {
 	var job fold.Job
 	var ok bool
 	i.follower.View(func(s *fold.State) { job, ok = s.Job(id) })
 	return job, ok
 }
 
+func (i *Instance) acquireStarted(team, instance string) admission.Permit {
+	return i.ledger.AcquireStarted(team, instance)
+}
+
+// jobSource gives the job runner the folded state in its own terms.
+type jobSource struct {
+	*replica.Follower
+}
+
+// Jobs implements job.Source.
+func (s jobSource) Jobs(holder string) (jobs []fold.Job) {
+	s.View(func(state *fold.State) { jobs = state.JobsOf(holder) })
+	return jobs
+}
+
+// Job implements job.Source.
+func (s jobSource) Job(id string) (found fold.Job, ok bool) {
+	s.View(func(state *fold.State) { found, ok = state.Job(id) })
+	return found, ok
+}
+
+// Finished implements job.Source.
+func (s jobSource) Finished() (ids []string) {
+	s.View(func(state *fold.State) { ids = state.FinishedJobs() })
+	return ids
+}
+
+// Holders implements job.Source.
+func (s jobSource) Holders() (holders []string) {
+	s.View(func(state *fold.State) {
+		for _, session := range state.Sessions() {
+			holders = append(holders, session.Holder)
+		}
+	})
+	return holders
+}
+
+// Address implements job.Source.
+func (s jobSource) Address(instance string) (address string, ok bool) {
+	s.View(func(state *fold.State) {
+		var i *fold.Instance
+		if i, ok = state.Instance(instance); ok {
+			address = i.Facts.Address
+		}
+	})
+	return address, ok
+}
+
 // ledgerAdapter gives admission the ledger in its own terms.
 type ledgerAdapter struct {
 	*allotment.Ledger
--- a/internal/fold/jobs.go
+++ b/internal/fold/jobs.go
@@ -66,6 +66,17 @@
 	return jobs
 }
 
+// FinishedJobs returns the IDs of the finished jobs that are not forgotten yet, in order.
+func (s *State) FinishedJobs() []string {
+	var ids []string
+	for _, id := range sortedKeys(s.d.Jobs) {
+		if s.d.Jobs[id].Finished() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // JobCounts returns the number of jobs by state.
 func (s *State) JobCounts() map[JobState]int {
 	counts := map[JobState]int{}
--- a/internal/job/forget.go
+++ b/internal/job/forget.go
@@ -20,7 +20,7 @@
 	seen := map[string]time.Time{}
 	for sleep(ctx, forgetInterval) {
 		due := dueJobs(seen, r.c.Source.Finished(), r.c.Now(), r.c.Document().Limits.JobResultRetention())
-		due = mine(due, r.c.Holder, r.c.Source.Holders())
+		due = mine(due, r.c.Holder(), r.c.Source.Holders())
 		if len(due) == 0 {
 			continue
 		}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -66,8 +66,8 @@
 
 // Config holds what a Runner works with. All fields are required.
 type Config struct {
-	// Holder is the incarnation of this process.
-	Holder    string
+	// Holder returns the holder of the session that this process has now.
+	Holder    func() string
 	Source    Source
 	Log       Submitter
 	Admission Admitter
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -76,7 +76,7 @@
 		doc := func() (d *config.Document) { w.view(func(s *fold.State) { d = s.Config().Document }); return }
 		q := admission.New(admission.Config{Document: doc, Ledger: w, Fleet: w, Health: routing.NewHealth(time.Now)})
 		r := NewRunner(Config{
-			Holder: "e1", Source: w, Log: w, Admission: q, Document: doc, Now: time.Now, NotSent: errNotSent,
+			Holder: func() string { return "e1" }, Source: w, Log: w, Admission: q, Document: doc, Now: time.Now, NotSent: errNotSent,
 			Worker:         func(instance, _ string) platform.Worker { return worker{w: w, instance: instance} },
 			AcquireStarted: func(team, instance string) admission.Permit { p, _ := w.Acquire(team, instance); return p },
 		})
@@ -174,6 +174,7 @@
 type permit struct{ w *world }
 
 func (p permit) Lease(context.Context) (string, error) { return "lease", nil }
+func (p permit) LeaseRefused(context.Context, string)  {}
 func (p permit) Release()                              { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.used-- }
 
 type worker struct {
--- a/internal/job/runner.go
+++ b/internal/job/runner.go
@@ -100,7 +100,7 @@
 	defer r.mu.Unlock()
 	// Read under the lock: a job that is not active now has its last outcome in this state. With an older state, an attempt
 	// that has just ended would be adopted, and a refused non-idempotent job would end as unknown.
-	jobs := r.c.Source.Jobs(r.c.Holder)
+	jobs := r.c.Source.Jobs(r.c.Holder())
 	mine := make(map[string]bool, len(jobs))
 	for _, job := range jobs {
 		mine[job.ID] = true
