Count the demo's repeats by work and measure slots and connections

Cause: the demo with faults reported 2 false refusals. Both were repeats of an idempotency key whose own claim the log outage refused, while the first submission ran; the tally counted executions of both under one ID. Ruled out: a refusal after a start, because each ID now counts for one submission only.

--- a/internal/devmode/caller.go
+++ b/internal/devmode/caller.go
@@ -20,7 +20,7 @@
 // reaches it was lost by pollenlead.
 const callerTimeout = 45 * time.Second
 
-// callRequest is one synchronous request of a caller.
+// callRequest is one synchronous request of a caller. Two requests with one idempotency key are the same work.
 type callRequest struct {
 	id             string
 	entryURL       string
@@ -33,6 +33,14 @@
 	workMS         int
 }
 
+// work names what the request asks for: requests for the same work must not run twice if it is not idempotent.
+func (c callRequest) work() string {
+	if c.idempotencyKey != "" {
+		return c.idempotencyKey
+	}
+	return c.id
+}
+
 // newCallerClient returns the HTTP client of all callers.
 func newCallerClient() *http.Client {
 	return &http.Client{
@@ -49,7 +57,7 @@
 // call sends the request and judges the answer by what it asked for.
 func call(ctx context.Context, client *http.Client, c callRequest, rng *rand.Rand) result {
 	body := randomBody(rng)
-	r := result{id: c.id, urgent: c.urgent, nonIdempotent: c.nonIdempotent}
+	r := result{id: c.id, work: c.work(), urgent: c.urgent, nonIdempotent: c.nonIdempotent}
 	req, err := newCall(ctx, c, body)
 	if err != nil {
 		r.outcome = outcomeLost
--- a/internal/devmode/demo.go
+++ b/internal/devmode/demo.go
@@ -53,6 +53,10 @@
 	jobs.summarize(&report, s.standIns.observer.Executions)
 	report.Reverted = watch.reverted()
 	report.OverLimit = s.overLimit()
+	for _, worker := range s.standIns.workers {
+		report.SlotsMax = max(report.SlotsMax, worker.HighestSlots())
+		report.ConnectionsMax = max(report.ConnectionsMax, worker.HighestConnections())
+	}
 	return report, nil
 }
 
@@ -172,8 +176,8 @@
 	return err
 }
 
-// publish publishes the document and waits until it is in force at every entry instance. It returns when the publication
-// was answered.
+// publish publishes the document and waits until it is in force at every entry instance. It returns when the accepted
+// publication was sent.
 func (s *system) publish(ctx context.Context, report *Report) (time.Time, error) {
 	text, err := render(s.document)
 	if err != nil {
@@ -181,33 +185,35 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), rolloutTimeout)
 	defer cancel()
-	version, err := s.publishRetry(ctx, text)
+	version, sent, err := s.publishRetry(ctx, text)
 	if err != nil {
 		return time.Time{}, err
 	}
-	published := time.Now()
 	if err := s.operator.awaitVersion(ctx, s.cluster.operators(), version); err != nil {
-		return published, err
+		return sent, err
 	}
-	report.ConfigSecondsMax = max(report.ConfigSecondsMax, time.Since(published).Seconds())
-	return published, nil
+	report.ConfigSecondsMax = max(report.ConfigSecondsMax, time.Since(sent).Seconds())
+	return sent, nil
 }
 
 // publishRetry publishes against the newest version until an entry instance accepts it: during an outage of the log the
 // operator tries again.
-func (s *system) publishRetry(ctx context.Context, text []byte) (uint64, error) {
+//
+// The time is when the accepted publication was sent.
+func (s *system) publishRetry(ctx context.Context, text []byte) (uint64, time.Time, error) {
 	for {
+		sent := time.Now()
 		entry := s.cluster.operators()[0]
 		current, err := s.operator.config(ctx, entry)
 		if err == nil {
 			var version uint64
 			if version, err = s.operator.publish(ctx, entry, current.Version, text); err == nil {
-				return version, nil
+				return version, sent, nil
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return 0, err
+			return 0, sent, err
 		case <-time.After(pollInterval):
 		}
 	}
--- a/internal/devmode/load.go
+++ b/internal/devmode/load.go
@@ -101,6 +101,7 @@
 		return []callRequest{c}
 	}
 	repeat := c
+	repeat.id = c.id + "-repeat"
 	repeat.entryURL = entries[rng.IntN(len(entries))]
 	return []callRequest{c, repeat}
 }
@@ -124,7 +125,7 @@
 //
 // The body follows from the ID, so that a repeat with the same idempotency key has the same content.
 func (l *load) send(c callRequest) {
-	rng := rand.New(rand.NewPCG(l.seed, xxhash.Sum64String(c.id)))
+	rng := rand.New(rand.NewPCG(l.seed, xxhash.Sum64String(c.work())))
 	l.slots <- struct{}{}
 	l.outstanding.Go(func() {
 		defer func() { <-l.slots }()
--- a/internal/devmode/tally.go
+++ b/internal/devmode/tally.go
@@ -24,6 +24,9 @@
 	FalseRefusals int `json:"false_refusals"`
 	// Reverted counts looks at a document version that was older than one seen before at the same entry instance.
 	Reverted int `json:"reverted"`
+	// SlotsMax and ConnectionsMax are the highest numbers in use at one instance at any moment.
+	SlotsMax       int `json:"slots_max"`
+	ConnectionsMax int `json:"connections_max"`
 
 	Jobs          int `json:"jobs"`
 	JobsSucceeded int `json:"jobs_succeeded"`
@@ -68,6 +71,8 @@
 		{r.OverLimit > 0, "over_limit"},
 		{r.FalseRefusals > 0, "false_refusals"},
 		{r.Reverted > 0, "reverted"},
+		{r.SlotsMax > instanceSlots, "slots_max"},
+		{r.ConnectionsMax > instanceConns, "connections_max"},
 		{r.ConfigSecondsMax > configBound.Seconds(), "config_seconds_max"},
 		{r.KeyWithdrawalSecondsMax > keyWithdrawalBound.Seconds(), "key_withdrawal_seconds_max"},
 		{r.Answered == 0, "answered"},
@@ -81,6 +86,7 @@
 // result is what one caller saw of one synchronous request.
 type result struct {
 	id            string
+	work          string
 	urgent        bool
 	nonIdempotent bool
 	outcome       outcome
@@ -117,11 +123,12 @@
 	defer t.mu.Unlock()
 	all, urgent := newLatencies(), newLatencies()
 	r.RefusalsByReason, r.UnknownByReason = map[string]int{}, map[string]int{}
+	runs := map[string]int{}
 	for _, res := range t.results {
 		r.Requests++
 		ran := executions(res.id)
-		if res.nonIdempotent && ran > 1 {
-			r.Doubled++
+		if res.nonIdempotent {
+			runs[res.work] += ran
 		}
 		switch res.outcome {
 		case outcomeAnswered:
@@ -144,6 +151,11 @@
 			r.WrongAnswer++
 		}
 	}
+	for _, n := range runs {
+		if n > 1 {
+			r.Doubled++
+		}
+	}
 	r.LatencyP50MS, r.LatencyP99MS = all.quantileMS(50), all.quantileMS(99)
 	r.UrgentP99MS = urgent.quantileMS(99)
 }
