Admit a waiting request when its team's unit becomes free in another pool

The end of a request woke only the waiting requests of its own pool, so one in another pool that lacked the same team's unit waited for the next 250 ms tick. The end of a request now wakes the dispatcher if anything waits. Usage lists running and queued counts per team and pool for heartbeats. Problems after an attempt carry its request ID too.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -113,7 +113,7 @@
 func newQueue(l *fakeLedger, f fakeFleet) *Queue {
 	doc := &config.Document{
 		Limits:   config.Limits{QueueLength: 3, QueueSeconds: 10},
-		Services: []config.Service{{Name: "s", Pool: "p"}},
+		Services: []config.Service{{Name: "s", Pool: "p"}, {Name: "s2", Pool: "p2"}},
 	}
 	for i := range 26 {
 		doc.Teams = append(doc.Teams, config.Team{Name: fmt.Sprintf("t%d", i), Share: 1 + i%3})
@@ -198,6 +198,23 @@
 	})
 }
 
+// Guards against a request that waits for the next tick although its team's unit became free in another pool.
+func TestAdmitAfterUnitOfOtherPool(t *testing.T) {
+	l := newLedger(map[string]int{"t0": 1}, routing.Candidate{Instance: "i", Held: 9})
+	run(t, l, nil, func(t *testing.T, q *Queue) {
+		is := is.New(t)
+		other, err := q.Admit(t.Context(), Request{Team: "t0", Service: "s2"})
+		is.NoErr(err)
+		results := make(chan result, 1)
+		admit(t.Context(), q, results, "a", Request{Team: "t0"})
+		is.Equal(len(q.Usage()), 2)
+		before := time.Now()
+		other.Done(routing.ObservedSuccess)
+		is.NoErr((<-results).err)
+		is.Equal(time.Now(), before) // virtual time: no tick has passed
+	})
+}
+
 // Guards against queues without bounds, against waiters that stay after their time or their caller, and against a wrong
 // reason.
 func TestAdmitEndsWaiting(t *testing.T) {
@@ -239,7 +256,7 @@
 		is.True(errors.Is(err, ErrLease))
 		is.Equal(l.released, 1+maxLeaseAttempts)
 		is.Equal(l.units["t0"], 9)
-		is.Equal(q.Running("t0", "p"), 0)
+		is.Equal(len(q.Usage()), 0)
 	})
 }
 
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -35,6 +35,7 @@
 
 // poolQueue is the queue of one pool. Lists per team make each choice cost the number of teams, not of waiting requests.
 type poolQueue struct {
+	q    *Queue
 	c    Config
 	name string
 
@@ -74,6 +75,7 @@
 	t.share = share
 	p.arrivals++
 	p.waiting++
+	p.q.waiting.Add(1)
 	w := &waiter{req: req, arrival: p.arrivals, granted: make(chan grant, 1), list: &t.normal}
 	if req.Urgent {
 		w.list = &t.urgent
@@ -99,6 +101,7 @@
 	w.list.Remove(w.element)
 	w.element = nil
 	p.waiting--
+	p.q.waiting.Add(-1)
 	if !w.req.Background {
 		p.length--
 	}
@@ -114,12 +117,30 @@
 	return ErrQueueTimeout
 }
 
-// finished records the end of a running request and admits the next one.
+// finished records the end of a running request and admits the next one. The team's unit may be of use in other pools too.
 func (p *poolQueue) finished(team string) {
 	p.mu.Lock()
 	p.team(team).running--
 	p.mu.Unlock()
 	p.dispatch()
+	if p.q.waiting.Load() == 0 {
+		return
+	}
+	select {
+	case p.q.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (p *poolQueue) appendUsage(usage []Usage) []Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, t := range p.teams {
+		if t.running > 0 || t.queued() > 0 {
+			usage = append(usage, Usage{Team: name, Pool: p.name, Running: t.running, Queued: t.queued()})
+		}
+	}
+	return usage
 }
 
 // dispatch admits requests until no free capacity suits any of them.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pollenlead/internal/config"
@@ -90,11 +91,14 @@
 	mu      sync.Mutex
 	pools   map[string]*poolQueue
 	stopped chan struct{}
+	// waiting counts the waiting requests of all pools. kick wakes Run.
+	waiting atomic.Int64
+	kick    chan struct{}
 }
 
 // New returns a Queue. Run must be running for waiting requests to be woken.
 func New(c Config) *Queue {
-	return &Queue{c: c, pools: map[string]*poolQueue{}, stopped: make(chan struct{})}
+	return &Queue{c: c, pools: map[string]*poolQueue{}, stopped: make(chan struct{}), kick: make(chan struct{}, 1)}
 }
 
 // Run wakes waiting requests when the ledger changes, until ctx ends. Requests that then still wait get ErrStopped.
@@ -107,6 +111,7 @@
 		q.dispatchAll()
 		select {
 		case <-changed:
+		case <-q.kick:
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
@@ -131,21 +136,29 @@
 	defer q.mu.Unlock()
 	p, ok := q.pools[name]
 	if !ok {
-		p = &poolQueue{c: q.c, name: name, teams: map[string]*teamQueue{}}
+		p = &poolQueue{q: q, c: q.c, name: name, teams: map[string]*teamQueue{}}
 		q.pools[name] = p
 	}
 	return p
 }
 
-// Running returns the number of requests and jobs that run here for the team in the pool, for heartbeats.
-func (q *Queue) Running(team, pool string) int {
-	p := q.pool(pool)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if t, ok := p.teams[team]; ok {
-		return t.running
+// Usage is what a team runs and has queued in a pool at this entry instance.
+type Usage struct {
+	Team    string
+	Pool    string
+	Running int
+	Queued  int
+}
+
+// Usage returns the usage of every team and pool that has any, for heartbeats. The order is not defined.
+func (q *Queue) Usage() []Usage {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var usage []Usage
+	for _, p := range q.pools {
+		usage = p.appendUsage(usage)
 	}
-	return 0
+	return usage
 }
 
 // Ticket is the right to run one request on one instance; Done must be called once.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,6 +33,7 @@
 	defer cancel()
 	x.g.c.Metrics.attempts.Add(1)
 	requestID := ulid.Make().String()
+	x.w.Header().Set(HeaderRequestID, requestID) // also for problems, so that both sides can name the attempt
 	if x.r.ContentLength == 0 {
 		body = nil
 	}
