--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -142,6 +142,17 @@
 	return p
 }
 
+// Running returns the number of requests and jobs that run here for the team in the pool.
+func (q *Queue) Running(team, pool string) int {
+	p := q.pool(pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t, ok := p.teams[team]; ok {
+		return t.running
+	}
+	return 0
+}
+
 // Usage is what a team runs and has queued in a pool at this entry instance.
 type Usage struct {
 	Team    string
