Shut the server down before waiting for settlements in tests

WaitSettled asks for a server that has shut down, and the tests now do that first. The checks are the same.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -128,6 +128,12 @@
 	return http.DefaultTransport.RoundTrip(r)
 }
 
+// settle ends the server and then waits, in the order that WaitSettled asks for.
+func (f *fixture) settle() {
+	f.gateway.Close()
+	f.g.WaitSettled()
+}
+
 // call sends a request with the key of team t; headers are pairs of name and value.
 func (f *fixture) call(t *testing.T, method, path, body string, headers ...string) (*http.Response, string) {
 	t.Helper()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -82,7 +82,7 @@
 		})
 		_, answer := f.call(t, "GET", requests+"/", "", HeaderIdempotencyKey, "key")
 		is.True(strings.HasPrefix(answer, "read: "))
-		f.g.WaitSettled()
+		f.settle()
 		is.Equal(f.ops[1].RequestSettle.Run, record.RunMayHaveRun)
 	}
 }
@@ -263,7 +263,7 @@
 	f.doErrors = []error{refused, refused}
 	f.call(t, "POST", requests+"/", "", key...)
 	f.call(t, "POST", requests+"/", "", key...)
-	f.g.WaitSettled()
+	f.settle()
 	is.Equal(f.ops[1].RequestSettle.Run, record.RunNotRun)
 	is.Equal(f.ops[3].RequestSettle.Run, record.RunCompleted)
 }
