--- a/internal/ctl/document.go
+++ b/internal/ctl/document.go
@@ -190,6 +190,11 @@
 	for {
 		var status operator.StatusResponse
 		_, err := s.call(http.MethodGet, s.cli.Operators, "/v1/status", nil, nil, &status)
+		var problem *apiError
+		if errors.As(err, &problem) && problem.Status < http.StatusInternalServerError {
+			result.StatusFailure = err.Error()
+			return result
+		}
 		if err != nil {
 			result.StatusFailure = err.Error()
 		} else {
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"expvar"
@@ -41,7 +38,7 @@
 	Select(q audit.Query) []audit.Entry
 }
 
-// Bootstrap is the operator of the settings, who may publish the first document only.
+// Bootstrap is the operator of the settings, who may publish the first document only, and look at the status until the second.
 type Bootstrap struct {
 	Name   string
 	SHA256 string
@@ -94,7 +91,7 @@
 			writeError(w, ErrorResponse{Status: http.StatusUnauthorized, Reason: "unknown_key", Detail: "the operator key is missing, unknown or withdrawn"})
 			return
 		}
-		if rank(role) < rank(needed) {
+		if !role.Allows(needed) {
 			writeError(w, ErrorResponse{Status: http.StatusForbidden, Reason: "role", Detail: "operator " + name + " has role " + string(role) + ", but the request needs " + string(needed)})
 			return
 		}
@@ -102,27 +99,20 @@
 	}
 }
 
-func rank(role config.Role) int {
-	switch role {
-	case config.RolePublish:
-		return 3
-	case config.RoleOperate:
-		return 2
-	case config.RoleView:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (h *Handler) authenticate(r *http.Request) (name string, role config.Role, ok bool) {
 	scheme, token, found := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !found || !strings.EqualFold(scheme, "Bearer") {
 		return "", "", false
 	}
 	current := h.config()
-	if current.Version == 0 {
+	switch current.Version {
+	case 0:
 		return h.Bootstrap.Name, config.RolePublish, h.isBootstrap(token)
+	case 1:
+		// The first apply waits with its own key until the document is in force everywhere.
+		if h.isBootstrap(token) {
+			return h.Bootstrap.Name, config.RoleView, true
+		}
 	}
 	identity, ok := current.Document.Authenticate(token)
 	if !ok || identity.Operator == "" {
@@ -132,11 +122,7 @@
 }
 
 func (h *Handler) isBootstrap(token string) bool {
-	if h.Bootstrap.SHA256 == "" {
-		return false
-	}
-	sum := sha256.Sum256([]byte(token))
-	return subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(h.Bootstrap.SHA256)) == 1
+	return h.Bootstrap.SHA256 != "" && config.MatchesHash(token, h.Bootstrap.SHA256)
 }
 
 func (h *Handler) config() fold.ConfigVersion {
