--- a/internal/config/diff_test.go
+++ b/internal/config/diff_test.go
@@ -25,6 +25,8 @@
 	key := `{id: k2, sha256: "` + hash + `"}`
 	cases := []struct{ replace, with, want string }{
 		{"schema: 1", "schema: 1\nlimits: {queue_length: 10, queue_seconds: 20}", "limit_changed queue_length warning|limit_changed queue_seconds info"},
+		{"schema: 1", "schema: 1\nmaintenance: {probe_seconds: 9, window: {days: [sunday]}}", "maintenance_changed window warning|maintenance_changed probe_seconds warning"},
+		{"{name: spare, ", "{name: spare, size: 3, ", "pool_size_changed spare info"},
 		{"percent: 80", "percent: 70", "budget_changed main warning"},
 		{"percent: 80", "percent: 90", "budget_changed main info"},
 		{`["w-main-"]`, `["w-main-", "x-"]`, "pool_members_changed main warning"},
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -48,6 +48,8 @@
 		{"schema: 1", "schema: 1\nschema: 1", "2:1 schema duplicate field"},
 		{"schema: 1", "schema: 1\n? [a]\n: 1", "2:3  a field name must be text, found a list"},
 		{"schema: 1", "schema: [", "not valid YAML"},
+		{"schema: 1", "schema: 1\nmaintenance: {drain_seconds: 0, window: {days: [mon, sunday, sunday], start: \"9:00\"}}", "2:30 maintenance.drain_seconds must be from 1 to 86400|2:41 maintenance.window.end is required because start is given|2:49 maintenance.window.days[0] must be monday|2:62 maintenance.window.days[2] \"sunday\" is listed twice|maintenance.window.start must be a UTC time"},
+		{"name: spare, ", "name: spare, size: -1, ", "4:25 pools[1].size must be from 0 to 10000"},
 		{"name: ann", "name: ann, extra: 1", "12:17 operators[0].extra unknown field"},
 		{"name: main", "name: Main", `3:12 pools[0].name must be 1 to 63|6:25 services[0].pool pool "main" is not defined`},
 		{"name: main", "name: 12", `3:12 pools[0].name expected text, found a whole number; put it in quotes|6:25 services[0].pool pool "main" is not defined`},
--- a/internal/fold/waves.go
+++ b/internal/fold/waves.go
@@ -379,6 +379,7 @@
 	if _, ok := s.doc.Pool(turn.Pool); ok {
 		instance.Pool = turn.Pool
 	}
+	turn.Pool = instance.Pool
 }
 
 // trimWaves drops pools that the document no longer declares from the open waves. Instances that are down stay in the wave
--- a/internal/fold/waves_rapid_test.go
+++ b/internal/fold/waves_rapid_test.go
@@ -309,6 +309,9 @@
 			waveOf[id] = wave.ID
 			key := wave.ID + "/" + id
 			now[key] = turn.Phase
+			if i, ok := m.s.Instance(id); ok && i.Pool != turn.Pool {
+				m.t.Fatalf("%s moved from pool %s to pool %s while it was down", key, turn.Pool, i.Pool)
+			}
 			before, known := m.phases[key]
 			if !known && turn.Phase != record.LeaveCordoned {
 				m.t.Fatalf("%s begins with phase %s", key, turn.Phase)
