Add reboots to the platform's interface, its client and the list stand-in

Waves restart instances through the platform. A reboot carries an operation ID, so a driver that lost the answer, or one that takes over, repeats it without a second restart. The stand-in shows the instance as leaving, then absent, then live; fail_reboots names instances that stay away. Measured: go test -race -count=3 passes in internal/platform/fleetlist and for the list in standin.

--- a/internal/platform/fleetlist/client.go
+++ b/internal/platform/fleetlist/client.go
@@ -1,9 +1,10 @@
-// Package fleetlist is the HTTP client of the platform's list of instances.
+// Package fleetlist is the HTTP client of the platform's list of instances, which also reboots them.
 package fleetlist
 
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"time"
 
 	"pollenlead/internal/platform"
@@ -18,6 +19,8 @@
 	maxConnections = 2
 	// maxAnswerBytes leaves 16 KiB to each of the 860 instances of the target scale, rounded up.
 	maxAnswerBytes = 16 << 20
+	// maxRebootAnswerBytes has room for an error text; a success has no body.
+	maxRebootAnswerBytes = 4 << 10
 )
 
 // The kinds of instances in the list.
@@ -26,7 +29,7 @@
 	kindEntry  = "entry"
 )
 
-// Client is a platform.FleetList. It is safe for concurrent use.
+// Client is a platform.FleetList and a platform.Maintainer. It is safe for concurrent use.
 type Client struct {
 	peer    httpcall.Peer
 	timeout time.Duration
@@ -85,5 +88,21 @@
 	return listing, nil
 }
 
+type rebootRequest struct {
+	OperationID string `json:"operation_id"`
+}
+
+// Reboot implements platform.Maintainer.
+func (c *Client) Reboot(ctx context.Context, instance, operationID string) error {
+	req := httpcall.Request{
+		Step:      "reboot instance " + instance,
+		Method:    http.MethodPost,
+		Path:      "/instances/" + url.PathEscape(instance) + "/reboot",
+		Timeout:   c.timeout,
+		MaxAnswer: maxRebootAnswerBytes,
+	}
+	return c.peer.CallJSON(ctx, req, rebootRequest{OperationID: operationID}, nil)
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { httpcall.CloseIdle(c.peer.Transport) }
--- a/internal/platform/fleetlist/client_test.go
+++ b/internal/platform/fleetlist/client_test.go
@@ -1,7 +1,9 @@
 package fleetlist
 
 import (
+	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -40,3 +42,23 @@
 	_, err = c.List(t.Context())
 	is.True(err != nil)
 }
+
+// Guards against a reboot that the platform does not get, and a refused one that looks as if it may have happened.
+func TestReboot(t *testing.T) {
+	is := is.New(t)
+	list := standin.NewList()
+	server, err := list.Start()
+	is.NoErr(err)
+	defer server.Close()
+	list.SetRebootTime(time.Hour)
+	list.Set(standin.Instance{ID: "w/1", Kind: standin.KindWorker, Phase: standin.PhaseLive})
+	c := New(server.Address, 0)
+	var maintainer platform.Maintainer = c
+	is.NoErr(maintainer.Reboot(t.Context(), "w/1", "op"))
+	is.NoErr(maintainer.Reboot(t.Context(), "w/1", "op"))
+	listing, err := c.List(t.Context())
+	is.NoErr(err)
+	is.Equal(listing.Version, uint64(2))
+	is.Equal(listing.Workers[0].Phase, record.PhaseLeaving)
+	is.True(errors.Is(maintainer.Reboot(t.Context(), "w-2", "op"), platform.ErrNotSent))
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -70,6 +70,13 @@
 	List(ctx context.Context) (Listing, error)
 }
 
+// Maintainer lets the platform maintain instances.
+type Maintainer interface {
+	// Reboot restarts an instance. Repeating it with the same operation ID restarts nothing again, so a caller that does not
+	// know whether its call arrived repeats it. Errors wrap ErrNotSent or ErrNoAnswer.
+	Reboot(ctx context.Context, instance, operationID string) error
+}
+
 // Refusal is why a worker did not run work.
 type Refusal string
 
--- a/standin/list.go
+++ b/standin/list.go
@@ -38,8 +38,13 @@
 	Outage bool `json:"outage"`
 	// LagMS is the time until a change becomes visible.
 	LagMS int64 `json:"lag_ms"`
+	// FailReboots names instances that never come back from a reboot.
+	FailReboots []string `json:"fail_reboots"`
 }
 
+// defaultRebootTime keeps tests and the development mode short; real instances take minutes.
+const defaultRebootTime = 200 * time.Millisecond
+
 // ListAnswer is the answer of the list. Instances are sorted by ID.
 type ListAnswer struct {
 	Version   uint64     `json:"version"`
@@ -58,13 +63,17 @@
 	mu       sync.Mutex
 	faults   ListFaults
 	versions []listVersion // the visible version and the newer ones, oldest first
+
+	rebootTime time.Duration
+	operations map[string]bool // reboots by instance and operation ID
 }
 
 // NewList returns a list with version 0 and no instances.
 func NewList() *List {
-	l := &List{mux: http.NewServeMux()}
+	l := &List{mux: http.NewServeMux(), rebootTime: defaultRebootTime, operations: map[string]bool{}}
 	l.versions = []listVersion{{ListAnswer: ListAnswer{Instances: []Instance{}}}}
 	l.mux.HandleFunc("GET /instances", l.handleInstances)
+	l.mux.HandleFunc("POST /instances/{id}/reboot", l.handleReboot)
 	l.mux.HandleFunc("PUT /faults", faultsHandler(l.SetFaults))
 	return l
 }
@@ -126,3 +135,68 @@
 	}
 	writeJSON(w, http.StatusOK, answer)
 }
+
+// SetRebootTime sets how long an instance is leaving, and then how long it is absent, in a reboot.
+func (l *List) SetRebootTime(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rebootTime = d
+}
+
+func (l *List) handleReboot(w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		OperationID string `json:"operation_id"`
+	}
+	if !readJSON(w, r, &request) {
+		return
+	}
+	id := r.PathValue("id")
+	l.mu.Lock()
+	outage := l.faults.Outage
+	operation := id + " " + request.OperationID
+	repeated := l.operations[operation]
+	instance, known := l.newestLocked(id)
+	if !outage && known && request.OperationID != "" {
+		l.operations[operation] = true
+	}
+	l.mu.Unlock()
+	switch {
+	case outage:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case request.OperationID == "":
+		http.Error(w, "operation_id is required", http.StatusBadRequest)
+	case repeated:
+		w.WriteHeader(http.StatusNoContent)
+	case !known:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		l.reboot(instance)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (l *List) newestLocked(id string) (Instance, bool) {
+	instances := l.versions[len(l.versions)-1].Instances
+	at := slices.IndexFunc(instances, func(i Instance) bool { return i.ID == id })
+	if at < 0 {
+		return Instance{}, false
+	}
+	return instances[at], true
+}
+
+// reboot shows the instance as leaving, then drops it, and adds it again unless its reboots fail.
+func (l *List) reboot(instance Instance) {
+	l.mu.Lock()
+	pause := l.rebootTime
+	fails := slices.Contains(l.faults.FailReboots, instance.ID)
+	l.mu.Unlock()
+	leaving := instance
+	leaving.Phase = PhaseLeaving
+	l.Set(leaving)
+	time.AfterFunc(pause, func() {
+		l.Remove(instance.ID)
+		if !fails {
+			time.AfterFunc(pause, func() { l.Set(instance) })
+		}
+	})
+}
