--- a/internal/config/maintenance.go
+++ b/internal/config/maintenance.go
@@ -45,6 +45,12 @@
 // ProbeTime is the longest time until an instance that is back answers.
 func (m Maintenance) ProbeTime() time.Duration { return time.Duration(m.ProbeSeconds) * time.Second }
 
+// LongestAbsence bounds the time from the cordon of an instance to its return: the drain, as much again for tasks to be
+// checkpointed and moved, the reboot and the probe.
+func (m Maintenance) LongestAbsence() time.Duration {
+	return 2*m.DrainTime() + m.RebootTime() + m.ProbeTime()
+}
+
 // clockLayout is the form of a time of day.
 const clockLayout = "15:04"
 
@@ -56,15 +62,22 @@
 // Always reports whether the window never closes.
 func (w Window) Always() bool { return w.Start == "" && w.End == "" && len(w.Days) == 0 }
 
-// Closes returns when the window that is open at now closes, or false if none is open. Always must be false.
+// daysAhead is how far Closes follows windows that adjoin each other, such as whole days.
+const daysAhead = 7
+
+// Closes returns when the window that is open at now closes, or false if none is open. Windows that adjoin or overlap count
+// as one. Always must be false.
 func (w Window) Closes(now time.Time) (time.Time, bool) {
 	now = now.UTC()
 	today := time.Date(now.Year(), now.Month(), now.Day(), 0, 0, 0, 0, time.UTC)
 	var latest time.Time
 	// A window that began yesterday may still be open.
-	for _, day := range []time.Time{today.AddDate(0, 0, -1), today} {
+	for n := -1; n <= daysAhead; n++ {
+		day := today.AddDate(0, 0, n)
 		begin, end := w.on(day)
-		if w.beginsOn(day.Weekday()) && !now.Before(begin) && now.Before(end) && end.After(latest) {
+		openNow := !now.Before(begin) && now.Before(end)
+		adjoins := !latest.IsZero() && !begin.After(latest)
+		if w.beginsOn(day.Weekday()) && (openNow || adjoins) && end.After(latest) {
 			latest = end
 		}
 	}
--- a/internal/config/maintenance_test.go
+++ b/internal/config/maintenance_test.go
@@ -23,6 +23,7 @@
 		{"closed on another day", "2026-12-05T22:45:00Z", "", night},
 		{"times count in UTC", "2026-12-04T23:45:00+01:00", "2026-12-05T04:00:00Z", night},
 		{"a day without times lasts until midnight", "2026-12-04T12:00:00Z", "2026-12-05T00:00:00Z", config.Window{Days: []string{"friday"}}},
+		{"days that adjoin are one window", "2026-12-05T12:00:00Z", "2026-12-07T00:00:00Z", config.Window{Days: []string{"sunday", "saturday"}}},
 		{"times without days hold every day", "2026-12-05T12:00:00Z", "2026-12-05T13:00:00Z", config.Window{Start: "11:00", End: "13:00"}},
 	} {
 		t.Run(c.sentence, func(t *testing.T) {
--- a/internal/fold/waves.go
+++ b/internal/fold/waves.go
@@ -120,7 +120,7 @@
 	for _, i := range s.members[name] {
 		pool.Instances = append(pool.Instances, disruption.Instance{
 			ID:     i.Facts.ID,
-			Rack:   i.Facts.Rack,
+			Rack:   rackOf(i.Facts.AvailabilityZone, i.Facts.Rack),
 			Live:   i.Facts.Phase == record.PhaseLive && !i.Failed,
 			Moving: i.MovingTo != "",
 			Down:   i.Wave != "",
@@ -130,13 +130,23 @@
 		for _, id := range sortedKeys(wave.Down) {
 			turn := wave.Down[id]
 			if _, listed := s.d.Instances[id]; !listed && turn.Pool == name {
-				pool.Instances = append(pool.Instances, disruption.Instance{ID: id, Rack: turn.Rack, Down: true})
+				pool.Instances = append(pool.Instances, disruption.Instance{
+					ID: id, Rack: rackOf(turn.AvailabilityZone, turn.Rack), Down: true,
+				})
 			}
 		}
 	}
 	return pool
 }
 
+// rackOf names a rack over all availability zones, whose racks may have the same names. It is "" for an unknown rack.
+func rackOf(zone, rack string) string {
+	if rack == "" {
+		return ""
+	}
+	return zone + "/" + rack
+}
+
 // turnOf returns the maintenance of an instance that is down, or nil.
 func (s *State) turnOf(instance string) (*Wave, *Turn) {
 	for _, wave := range s.d.Waves {
@@ -252,7 +262,7 @@
 	}
 	switch op.Phase {
 	case record.LeaveStopping:
-		if s.busy(op.Instance) {
+		if s.Busy(op.Instance) {
 			return rejected(ReasonSlotsHeld, "holders still have slots or started jobs of instance %s", op.Instance)
 		}
 	case record.LeaveProbing, record.LeaveReturned:
@@ -268,9 +278,9 @@
 	return accepted()
 }
 
-// busy reports whether work may run on the instance. A started job of a revoked session has no slot until its new holder has
+// Busy reports whether work may run on the instance. A started job of a revoked session has no slot until its new holder has
 // asked the worker, so jobs count as well as slots.
-func (s *State) busy(id string) bool {
+func (s *State) Busy(id string) bool {
 	if instance, ok := s.d.Instances[id]; ok && len(instance.Held) > 0 {
 		return true
 	}
@@ -312,13 +322,14 @@
 	if wave.InRow >= limit {
 		return "failures in a row"
 	}
-	racks, zones := map[[2]string]int{}, map[string]int{}
+	racks, zones := map[string]int{}, map[string]int{}
 	for _, f := range wave.Failures[wave.CountFrom:] {
-		racks[[2]string{f.AvailabilityZone, f.Rack}]++
+		rack := rackOf(f.AvailabilityZone, f.Rack)
+		racks[rack]++
 		zones[f.AvailabilityZone]++
 		switch {
-		case f.Rack != "" && racks[[2]string{f.AvailabilityZone, f.Rack}] >= limit:
-			return "failures in rack " + f.Rack
+		case rack != "" && racks[rack] >= limit:
+			return "failures in rack " + rack
 		case f.AvailabilityZone != "" && zones[f.AvailabilityZone] >= limit:
 			return "failures in availability zone " + f.AvailabilityZone
 		}
--- a/internal/fold/waves_test.go
+++ b/internal/fold/waves_test.go
@@ -80,7 +80,7 @@
 	leave(t, s, w, 1)
 	fail(t, s, w, 1)
 	is.Equal(s.Waves()[0].State, WavePaused)
-	is.Equal(s.Waves()[0].PauseReason, "failures in rack 0")
+	is.Equal(s.Waves()[0].PauseReason, "failures in rack z0/0")
 	is.Equal(reasonOf(t, s, w, record.Op{LeaveRequest: &record.LeaveRequest{Wave: "w", Instance: "w-3"}}), ReasonWaveNotRunning)
 
 	w.apply(t, s, record.Op{WaveControl: &record.WaveControl{Wave: "w", Action: record.WaveResume}})
--- /dev/null
+++ b/internal/maintenance/machine.go
@@ -0,0 +1,157 @@
+package maintenance
+
+import (
+	"context"
+	"time"
+
+	"github.com/qmuntal/stateless"
+
+	"pollenlead/internal/config"
+	"pollenlead/internal/record"
+)
+
+// trigger is what moves the maintenance of an instance on.
+type trigger string
+
+// The triggers.
+const (
+	triggerBegin    trigger = "begin"
+	triggerDrained  trigger = "drained"
+	triggerOverdue  trigger = "overdue"
+	triggerWithdraw trigger = "withdraw"
+	triggerRebooted trigger = "rebooted"
+	triggerBack     trigger = "back"
+	triggerProbed   trigger = "probed"
+	triggerLost     trigger = "lost"
+)
+
+// newMachine returns the state machine of one instance. Its state is *phase, which the caller copied from the folded state;
+// a transition changes the copy, and the driver turns the change into a record.
+func newMachine(phase *record.LeavePhase) *stateless.StateMachine {
+	m := stateless.NewStateMachineWithExternalStorage(
+		func(context.Context) (stateless.State, error) { return *phase, nil },
+		func(_ context.Context, next stateless.State) error {
+			*phase = next.(record.LeavePhase)
+			return nil
+		},
+		stateless.FiringQueued,
+	)
+	m.Configure(record.LeaveCordoned).
+		Permit(triggerBegin, record.LeaveDraining).
+		Permit(triggerWithdraw, record.LeaveSkipped).
+		Permit(triggerLost, record.LeaveFailed)
+	m.Configure(record.LeaveDraining).
+		Permit(triggerDrained, record.LeaveStopping).
+		Permit(triggerOverdue, record.LeaveCheckpointing).
+		Permit(triggerWithdraw, record.LeaveSkipped).
+		Permit(triggerLost, record.LeaveFailed)
+	m.Configure(record.LeaveCheckpointing).
+		Permit(triggerDrained, record.LeaveStopping).
+		Permit(triggerOverdue, record.LeaveSkipped).
+		Permit(triggerWithdraw, record.LeaveSkipped).
+		Permit(triggerLost, record.LeaveFailed)
+	m.Configure(record.LeaveStopping).
+		Permit(triggerRebooted, record.LeaveRebooting).
+		Permit(triggerLost, record.LeaveFailed)
+	m.Configure(record.LeaveRebooting).
+		Permit(triggerBack, record.LeaveProbing).
+		Permit(triggerLost, record.LeaveFailed)
+	m.Configure(record.LeaveProbing).
+		Permit(triggerProbed, record.LeaveReturned).
+		Permit(triggerLost, record.LeaveFailed)
+	return m
+}
+
+// Turn is the maintenance of one instance that is down, as the folded state has it.
+type Turn struct {
+	Wave     string
+	Instance string
+	Address  string
+	Phase    record.LeavePhase
+	// Aborting means that the wave was aborted.
+	Aborting bool
+	// Live means that the list shows the instance as live, and Away that it was away since the stop.
+	Live bool
+	Away bool
+	// Busy means that holders have slots or started jobs of the instance.
+	Busy bool
+}
+
+// action is a call that the driver makes before the next trigger.
+type action int
+
+const (
+	actionNone action = iota
+	actionReboot
+	actionProbe
+)
+
+// decide returns the trigger that the turn is ready for, or the call whose success is the trigger, with the trigger that
+// follows once the phase is overdue. elapsed is how long this driver has seen the phase.
+func decide(t Turn, m config.Maintenance, elapsed time.Duration) (next trigger, call action) {
+	switch t.Phase {
+	case record.LeaveCordoned, record.LeaveDraining, record.LeaveCheckpointing:
+		return decideDrain(t, elapsed >= m.DrainTime()), actionNone
+	case record.LeaveStopping:
+		if elapsed >= m.RebootTime() {
+			return triggerLost, actionNone
+		}
+		return triggerRebooted, actionReboot
+	case record.LeaveRebooting:
+		switch {
+		case t.Away && t.Live:
+			return triggerBack, actionNone
+		case elapsed >= m.RebootTime():
+			return triggerLost, actionNone
+		}
+	case record.LeaveProbing:
+		switch {
+		case elapsed >= m.ProbeTime():
+			return triggerLost, actionNone
+		case t.Live:
+			return triggerProbed, actionProbe
+		}
+	}
+	return "", actionNone
+}
+
+func decideDrain(t Turn, overdue bool) trigger {
+	switch {
+	case t.Aborting:
+		return triggerWithdraw
+	case !t.Live && overdue:
+		return triggerLost
+	case !t.Live:
+		// The list may show the instance again. Until then it is not restarted: it may just have been.
+		return ""
+	case t.Phase == record.LeaveCordoned:
+		return triggerBegin
+	case !t.Busy:
+		return triggerDrained
+	case overdue:
+		return triggerOverdue
+	}
+	return ""
+}
+
+// failureReasons say in which way an instance of a phase was lost.
+var failureReasons = map[record.LeavePhase]string{
+	record.LeaveCordoned:      "it left the list before its drain began",
+	record.LeaveDraining:      "it left the list while it drained",
+	record.LeaveCheckpointing: "it left the list while its tasks were checkpointed",
+	record.LeaveStopping:      "the platform did not take the reboot in time",
+	record.LeaveRebooting:     "it was not back from the reboot in time",
+	record.LeaveProbing:       "it did not answer the probe in time",
+}
+
+// opFor fires the trigger and returns the op that records the new phase.
+func opFor(t Turn, next trigger) (record.Op, error) {
+	phase := t.Phase
+	if err := newMachine(&phase).Fire(next); err != nil {
+		return record.Op{}, err
+	}
+	if phase == record.LeaveFailed {
+		return record.Op{LeaveFail: &record.LeaveFail{Instance: t.Instance, Reason: failureReasons[t.Phase]}}, nil
+	}
+	return record.Op{LeaveAdvance: &record.LeaveAdvance{Instance: t.Instance, Phase: phase}}, nil
+}
--- /dev/null
+++ b/internal/maintenance/plan_test.go
@@ -0,0 +1,99 @@
+package maintenance
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/config"
+	"pollenlead/internal/disruption"
+)
+
+// fleet returns a wave over pools of equal size, four instances to a rack, with the racks of a pool in different zones. It
+// takes 80% as the budget of each pool.
+func fleet(instances, pools, zones int) Snapshot {
+	s := Snapshot{Wave: "w", Running: true, Maintenance: config.DefaultMaintenance()}
+	for p := range pools {
+		pool := Pool{Name: fmt.Sprintf("p%02d", p), MinAvailablePercent: 80}
+		size := instances / pools
+		if p < instances%pools {
+			size++
+		}
+		for n := range size {
+			zone := fmt.Sprintf("z%d", n/4%zones)
+			pool.Instances = append(pool.Instances, Instance{
+				Instance: disruption.Instance{
+					ID: fmt.Sprintf("%s-%02d", pool.Name, n), Rack: fmt.Sprintf("%s/%s-r%d", zone, pool.Name, n/4), Live: true,
+				},
+				AvailabilityZone: zone,
+			})
+		}
+		pool.Size = size
+		s.Pools = append(s.Pools, pool)
+	}
+	return s
+}
+
+func names(proposals []Proposal) string {
+	var ids []string
+	for _, p := range proposals {
+		ids = append(ids, p.Instance)
+	}
+	return strings.Join(ids, " ")
+}
+
+// Guards against proposals that the fold would reject, that take longer than the budget needs, or that put the whole burden
+// on one zone.
+func TestNextInstances(t *testing.T) {
+	noon := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		sentence string
+		edit     func(*Snapshot)
+		want     string
+	}{
+		{"pools take as many of a rack as the floor allows, in different zones", func(*Snapshot) {}, "p00-00 p00-01 p01-04 p01-05"},
+		{"a rack that has begun comes first", func(s *Snapshot) { s.Pools[0].Instances[4].Down = true }, "p00-05 p01-00 p01-01"},
+		{"a pool without room waits", func(s *Snapshot) {
+			s.Pools[0].Instances[0].Live, s.Pools[0].Instances[5].Moving = false, true
+		}, "p01-00 p01-01"},
+		{"instances with fewer slots held come first", func(s *Snapshot) { s.Pools[0].Instances[0].HeldSlots = 8 }, "p00-01 p00-02 p01-04 p01-05"},
+		{"no instance has two turns", func(s *Snapshot) {
+			for n := range 9 {
+				s.Pools[0].Instances[n].Done = true
+			}
+		}, "p00-09 p01-00 p01-01"},
+		{"a paused wave takes nothing", func(s *Snapshot) { s.Running = false }, ""},
+		{"a closed window lets nothing go down", func(s *Snapshot) {
+			s.Maintenance.Window = config.Window{Start: "13:00", End: "20:00"}
+		}, ""},
+		{"what may not be back in time does not go down", func(s *Snapshot) {
+			s.Maintenance.Window = config.Window{Start: "11:00", End: "12:30"}
+		}, ""},
+		{"an open window that is long enough lets instances go", func(s *Snapshot) {
+			s.Maintenance.Window = config.Window{Start: "11:00", End: "12:31"}
+		}, "p00-00 p00-01 p01-04 p01-05"},
+	} {
+		t.Run(c.sentence, func(t *testing.T) {
+			is := is.New(t)
+			s := fleet(20, 2, 3)
+			c.edit(&s)
+			is.Equal(names(NextInstances(s, noon)), c.want)
+		})
+	}
+}
+
+// Guards against a planner that breaks the budget of the reference fleet or needs more steps than the racks impose: with
+// room for two, a pool of 22 or 23 in racks of four needs 6 racks of up to two steps.
+func TestRolloutOfTheReferenceFleet(t *testing.T) {
+	is := is.New(t)
+	r := CountRollout(fleet(860, 38, 6), NextInstances, time.Time{})
+	is.Equal(r.Taken, 860)
+	is.Equal(r.Left, 0)
+	is.Equal(r.BelowFloor, 0)
+	is.True(r.SmallestMargin >= 0)
+	is.True(r.Steps <= 6)
+	is.True(CountRollout(fleet(860, 38, 6), FixedPercent(20), time.Time{}).BelowFloor > 0)
+}
--- /dev/null
+++ b/internal/maintenance/rollout.go
@@ -0,0 +1,137 @@
+package maintenance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"pollenlead/internal/disruption"
+)
+
+// Planner chooses the instances of the next step.
+type Planner func(s Snapshot, now time.Time) []Proposal
+
+// Rollout is the course of a whole roll-out in which every step takes the proposed instances down and returns them.
+type Rollout struct {
+	Steps int `json:"steps"`
+	// Taken is the number of instances that had their turn, and Left the number of available ones that never could.
+	Taken int `json:"taken"`
+	Left  int `json:"left"`
+	// SmallestAvailable is the smallest number of available instances over all pools, before the roll-out and in its steps.
+	SmallestAvailable int `json:"smallest_available"`
+	// SmallestInPool is the smallest number of available instances of a pool while some of its instances are down, and
+	// SmallestMargin how far that is above the pool's floor.
+	SmallestInPool int `json:"smallest_in_pool"`
+	SmallestMargin int `json:"smallest_margin"`
+	// BelowFloor counts the steps and pools in which a pool with instances down was below its floor.
+	BelowFloor int `json:"below_floor"`
+}
+
+// CountRollout counts the steps of a roll-out and what stays available in them. It is what a plan shows before a wave starts,
+// and how planners are compared.
+func CountRollout(s Snapshot, next Planner, now time.Time) Rollout {
+	s = clone(s)
+	r := Rollout{SmallestAvailable: math.MaxInt, SmallestInPool: math.MaxInt, SmallestMargin: math.MaxInt}
+	r.observe(s)
+	for {
+		proposals := next(s, now)
+		if len(proposals) == 0 {
+			break
+		}
+		r.Steps++
+		r.Taken += len(proposals)
+		mark(s, proposals, func(i *Instance) { i.Down = true })
+		r.observe(s)
+		mark(s, proposals, func(i *Instance) { i.Down, i.Done = false, true })
+	}
+	if r.Steps == 0 {
+		r.SmallestInPool, r.SmallestMargin = 0, 0
+	}
+	for _, pool := range s.Pools {
+		for _, i := range pool.Instances {
+			if i.Available() && !i.Done {
+				r.Left++
+			}
+		}
+	}
+	return r
+}
+
+func (r *Rollout) observe(s Snapshot) {
+	total := 0
+	for _, pool := range s.Pools {
+		budget := pool.Budget()
+		available := budget.Available()
+		total += available
+		if slices.ContainsFunc(budget.Instances, func(i disruption.Instance) bool { return i.Down }) {
+			r.observePool(available, available-budget.Floor())
+		}
+	}
+	r.SmallestAvailable = min(r.SmallestAvailable, total)
+}
+
+func (r *Rollout) observePool(available, margin int) {
+	r.SmallestInPool = min(r.SmallestInPool, available)
+	r.SmallestMargin = min(r.SmallestMargin, margin)
+	if margin < 0 {
+		r.BelowFloor++
+	}
+}
+
+func clone(s Snapshot) Snapshot {
+	pools := make([]Pool, len(s.Pools))
+	for n, pool := range s.Pools {
+		pool.Instances = append([]Instance(nil), pool.Instances...)
+		pools[n] = pool
+	}
+	s.Pools = pools
+	return s
+}
+
+func mark(s Snapshot, proposals []Proposal, edit func(*Instance)) {
+	chosen := map[string]bool{}
+	for _, p := range proposals {
+		chosen[p.Instance] = true
+	}
+	for _, pool := range s.Pools {
+		for n := range pool.Instances {
+			if chosen[pool.Instances[n].ID] {
+				edit(&pool.Instances[n])
+			}
+		}
+	}
+}
+
+// Sequential is a baseline for measurements: one instance of the whole wave at a time, within the budget.
+func Sequential(s Snapshot, now time.Time) []Proposal {
+	for _, pool := range s.Pools {
+		budget := pool.Budget()
+		for _, i := range pool.Instances {
+			if !i.Available() || i.Done {
+				continue
+			}
+			if decision := disruption.Allowed(budget, i.ID); decision.Allowed() {
+				return []Proposal{{Pool: pool.Name, Instance: i.ID, Decision: decision}}
+			}
+		}
+	}
+	return nil
+}
+
+// FixedPercent is a baseline for measurements: the given percentage of each pool at a time, rounded up, without a look at the
+// budget.
+func FixedPercent(percent int) Planner {
+	return func(s Snapshot, _ time.Time) []Proposal {
+		var proposals []Proposal
+		for _, pool := range s.Pools {
+			step := (len(pool.Instances)*percent + 99) / 100
+			for _, i := range pool.Instances {
+				if step > 0 && i.Available() && !i.Done {
+					proposals = append(proposals, Proposal{Pool: pool.Name, Instance: i.ID})
+					step--
+				}
+			}
+		}
+		return proposals
+	}
+}
