--- a/internal/maintenance/rollout.go
+++ b/internal/maintenance/rollout.go
@@ -118,13 +118,13 @@
 	return nil
 }
 
-// FixedPercent is a baseline for measurements: the given percentage of each pool at a time, rounded up, without a look at the
-// budget.
+// FixedPercent is a baseline for measurements: the given percentage of each pool at a time, rounded down but at least
+// one instance, without a look at the budget.
 func FixedPercent(percent int) Planner {
 	return func(s Snapshot, _ time.Time) []Proposal {
 		var proposals []Proposal
 		for _, pool := range s.Pools {
-			step := (len(pool.Instances)*percent + 99) / 100
+			step := max(len(pool.Instances)*percent/100, 1)
 			for _, i := range pool.Instances {
 				if step > 0 && i.Available() && !i.Done {
 					proposals = append(proposals, Proposal{Pool: pool.Name, Instance: i.ID})
