--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -43,6 +43,7 @@
 	Cancel CancelCmd `cmd:"" help:"Cancel a job."`
 	Audit  AuditCmd  `cmd:"" help:"Show the audit trail."`
 	Move   MoveCmd   `cmd:"" help:"Move an instance to another pool."`
+	Wave   WaveCmd   `cmd:"" help:"Plan, start and control maintenance waves."`
 	Key    KeyCmd    `cmd:"" help:"Make API keys."`
 	Replay ReplayCmd `cmd:"" help:"Fold a recorded trace and compare it with its stated outcomes. Exits with 7 at the first difference."`
 }
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -1,5 +1,5 @@
 // Package operator is the operators' HTTP interface of an entry instance: publish and read the document, status, audit
-// trail, moves of instances, and health.
+// trail, moves of instances, maintenance waves, and health.
 package operator
 
 import (
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -77,6 +77,7 @@
 	h.router.Get("/v1/status", h.authorized(config.RoleView, h.status))
 	h.router.Get("/v1/audit", h.authorized(config.RoleView, h.audit))
 	h.router.Post("/v1/instances/{instance}/move", h.authorized(config.RoleOperate, h.moveInstance))
+	h.waveRoutes()
 	return h
 }
 
@@ -284,7 +285,7 @@
 	switch outcome.Reason {
 	case fold.ReasonInvalidDocument:
 		status = http.StatusUnprocessableEntity
-	case fold.ReasonUnknownInstance, fold.ReasonUnknownPool:
+	case fold.ReasonUnknownInstance, fold.ReasonUnknownPool, fold.ReasonUnknownWave:
 		status = http.StatusNotFound
 	case fold.ReasonSessionNotOpen:
 		status = http.StatusServiceUnavailable
