--- a/internal/fold/waves_rapid_test.go
+++ b/internal/fold/waves_rapid_test.go
@@ -20,7 +20,10 @@
 	rapidSteps  = 150
 )
 
-var wavePools = []string{"a", "b", "spare"}
+var (
+	wavePools     = []string{"a", "b", "spare"}
+	waveInstances = strings.Fields("a-0 a-1 a-2 a-3 a-4 a-5 b-0 b-1 b-2 b-3 b-4 b-5")
+)
 
 // waveModel drives one state with random records and remembers what the state alone does not tell.
 type waveModel struct {
@@ -37,44 +40,30 @@
 	accepted map[string]int
 }
 
-func waveInstances() []string {
-	var ids []string
-	for _, pool := range []string{"a", "b"} {
-		for n := range 6 {
-			ids = append(ids, fmt.Sprintf("%s-%d", pool, n))
-		}
-	}
-	return ids
-}
-
 func (m *waveModel) pick(label string, from ...string) string {
 	return rapid.SampledFrom(from).Draw(m.t, label)
 }
 
-func (m *waveModel) instance() string { return m.pick("instance", waveInstances()...) }
+func (m *waveModel) instance() string { return m.pick("instance", waveInstances...) }
+
+// mostly picks from the likely ones if there are any, so that sequences get beyond the first phases.
+func (m *waveModel) mostly(label string, likely, all []string) string {
+	if len(likely) > 0 && rapid.IntRange(0, 4).Draw(m.t, "likely") > 0 {
+		all = likely
+	}
+	return m.pick(label, all...)
+}
 
-// downOrAny mostly picks an instance that is down, so that sequences get beyond the first phases.
 func (m *waveModel) downOrAny() string {
 	var down []string
 	for _, wave := range m.s.Waves() {
 		down = append(down, sortedKeys(wave.Down)...)
 	}
-	if len(down) == 0 || rapid.IntRange(0, 4).Draw(m.t, "any") == 0 {
-		return m.instance()
-	}
-	return m.pick("down", down...)
+	return m.mostly("down", down, waveInstances)
 }
 
-// wave mostly picks an open wave.
 func (m *waveModel) wave() string {
-	var open []string
-	for _, wave := range m.s.Waves() {
-		open = append(open, wave.ID)
-	}
-	if len(open) == 0 || rapid.IntRange(0, 4).Draw(m.t, "any wave") == 0 {
-		return fmt.Sprintf("w%d", rapid.IntRange(0, m.waves).Draw(m.t, "wave"))
-	}
-	return m.pick("open wave", open...)
+	return m.mostly("wave", sortedKeys(m.s.d.Waves), []string{"w0", fmt.Sprintf("w%d", m.waves)})
 }
 
 func (m *waveModel) openWriter() {
@@ -164,23 +153,22 @@
 	m.apply(w, record.Op{LeaveAdvance: &record.LeaveAdvance{Instance: id, Phase: phase}})
 }
 
-// work starts, ends or releases work of a holder on one of its instances.
+// work starts a job of a holder on an instance, if it has a slot, or releases its slots.
 func (m *waveModel) work(w *writer) {
 	id := m.instance()
+	if rapid.Bool().Draw(m.t, "release") {
+		m.release(w, id)
+		return
+	}
 	m.jobs++
 	job := fmt.Sprintf("j%d", m.jobs)
-	switch rapid.IntRange(0, 2).Draw(m.t, "work") {
-	case 0:
-		m.apply(w, record.Op{JobAccept: &record.JobAccept{Job: job, Team: "t", KeyID: "k", Service: "s"}})
-		m.apply(w, record.Op{JobStart: &record.JobStart{Job: job, Attempt: 1, Instance: id}})
-	case 1:
-		for _, j := range m.s.JobsOf(w.name) {
-			m.apply(w, record.Op{JobFinish: &record.JobFinish{Job: j.ID, Attempt: j.Attempt, Outcome: record.OutcomeSucceeded}})
-		}
-	default:
-		slots := m.s.InstanceSlots(w.name, id)
-		m.apply(w, record.Op{Release: &record.Release{Slots: []record.InstanceSlots{{Instance: id, Slots: slots}}}})
-	}
+	m.apply(w, record.Op{JobAccept: &record.JobAccept{Job: job, Team: "t", KeyID: "k", Service: "s"}})
+	m.apply(w, record.Op{JobStart: &record.JobStart{Job: job, Attempt: 1, Instance: id}})
+}
+
+func (m *waveModel) release(w *writer, id string) {
+	slots := []record.InstanceSlots{{Instance: id, Slots: m.s.InstanceSlots(w.name, id)}}
+	m.apply(w, record.Op{Release: &record.Release{Slots: slots}})
 }
 
 // drain ends the jobs of an instance and releases its slots, as holders do once it is withdrawn.
@@ -191,9 +179,7 @@
 				m.apply(w, record.Op{JobFinish: &record.JobFinish{Job: j.ID, Attempt: j.Attempt, Outcome: record.OutcomeSucceeded}})
 			}
 		}
-		if slots := m.s.InstanceSlots(w.name, id); slots > 0 {
-			m.apply(w, record.Op{Release: &record.Release{Slots: []record.InstanceSlots{{Instance: id, Slots: slots}}}})
-		}
+		m.release(w, id)
 	}
 }
 
@@ -212,19 +198,14 @@
 
 // restore goes on with a state that was encoded and restored.
 func (m *waveModel) restore() {
+	is := is.New(m.t)
 	before, err := m.s.Encode()
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	restored, err := Restore(before)
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	after, err := restored.Encode()
-	if err != nil || string(after) != string(before) {
-		m.t.Fatalf("a restored state has another encoding: %v", err)
-	}
-	m.s = restored
+	is.NoErr(err)
+	m.s, err = Restore(before)
+	is.NoErr(err)
+	after, err := m.s.Encode()
+	is.NoErr(err)
+	is.Equal(string(after), string(before))
 }
 
 func (m *waveModel) apply(w *writer, op record.Op) {
@@ -245,8 +226,7 @@
 	if outcome.Accepted && op.LeaveAdvance != nil && op.LeaveAdvance.Phase == record.LeaveStopping {
 		m.checkIdle(op.LeaveAdvance.Instance)
 	}
-	m.checkPhases()
-	m.checkPools()
+	m.checkWaves()
 }
 
 // checkBudget counts for itself what is available in the pool of an instance that has just gone down.
@@ -294,14 +274,19 @@
 	}
 }
 
-// checkPhases compares each phase with the one before the record.
-func (m *waveModel) checkPhases() {
-	order := []record.LeavePhase{
-		record.LeaveCordoned, record.LeaveDraining, record.LeaveCheckpointing, record.LeaveStopping, record.LeaveRebooting, record.LeaveProbing,
-	}
+var phaseOrder = []record.LeavePhase{"cordoned", "draining", "checkpointing", "stopping", "rebooting", "probing"}
+
+// checkWaves compares each phase with the one before the record, and the instances and pools with their waves.
+func (m *waveModel) checkWaves() {
 	now := map[string]record.LeavePhase{}
-	waveOf := map[string]string{}
+	waveOf, owner := map[string]string{}, map[string]string{}
 	for _, wave := range m.s.Waves() {
+		for _, pool := range wave.Pools {
+			if owner[pool] != "" {
+				m.t.Fatalf("pool %s is in waves %s and %s", pool, owner[pool], wave.ID)
+			}
+			owner[pool] = wave.ID
+		}
 		for id, turn := range wave.Down {
 			if waveOf[id] != "" {
 				m.t.Fatalf("%s is down in two waves", id)
@@ -316,10 +301,10 @@
 			if !known && turn.Phase != record.LeaveCordoned {
 				m.t.Fatalf("%s begins with phase %s", key, turn.Phase)
 			}
-			if slices.Index(order, turn.Phase) < slices.Index(order, before) {
+			if slices.Index(phaseOrder, turn.Phase) < slices.Index(phaseOrder, before) {
 				m.t.Fatalf("%s goes from %s back to %s", key, before, turn.Phase)
 			}
-			if i, ok := m.s.Instance(id); ok && slices.Index(order, turn.Phase) >= slices.Index(order, record.LeaveStopping) && len(i.Held) > 0 {
+			if i, ok := m.s.Instance(id); ok && slices.Index(phaseOrder, turn.Phase) >= slices.Index(phaseOrder, record.LeaveStopping) && len(i.Held) > 0 {
 				m.t.Fatalf("%s is %s with slots held", key, turn.Phase)
 			}
 		}
@@ -332,18 +317,6 @@
 	m.phases = now
 }
 
-func (m *waveModel) checkPools() {
-	owner := map[string]string{}
-	for _, wave := range m.s.Waves() {
-		for _, pool := range wave.Pools {
-			if owner[pool] != "" {
-				m.t.Fatalf("pool %s is in waves %s and %s", pool, owner[pool], wave.ID)
-			}
-			owner[pool] = wave.ID
-		}
-	}
-}
-
 // Guards against any sequence of waves, failures, list changes, moves, documents, work and session ends in which a record
 // takes an instance below the budget, a phase goes back, an instance stops under work, two waves share a pool, or a
 // restored snapshot differs.
@@ -364,7 +337,7 @@
 			m.openWriter()
 		}
 		m.publish()
-		for _, id := range waveInstances() {
+		for _, id := range waveInstances {
 			m.report(id, record.PhaseLive)
 		}
 		for range rapidSteps {
--- a/internal/fold/waves_test.go
+++ b/internal/fold/waves_test.go
@@ -9,14 +9,8 @@
 	"pollenlead/internal/record"
 )
 
-const waveDocument = `
-schema: 1
-maintenance: {pause_after_failures: 2}
-pools:
-  - {name: spare, spare: true}
-  - {name: p, members: [w-], availability_budget: {min_available_percent: 50}}
-services: []
-`
+const waveDocument = `{schema: 1, maintenance: {pause_after_failures: 2}, pools: [{name: spare, spare: true},
+  {name: p, members: [w-], availability_budget: {min_available_percent: 50}}]}`
 
 // waveState returns a running wave over pool p: six instances, two to a rack, one rack to a zone. They have no slots, so
 // nothing needs to drain.
--- a/internal/maintenance/driver_test.go
+++ b/internal/maintenance/driver_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,59 +17,68 @@
 	"pollenlead/internal/record"
 )
 
-const driverDocument = `
-schema: 1
-maintenance: {drain_seconds: 10, reboot_seconds: 20, probe_seconds: 5, pause_after_failures: 2}
-pools:
-  - {name: spare, spare: true}
-  - {name: p, members: [w-], size: 8, availability_budget: {min_available_percent: 75}}
-`
-
-// world is a log, the platform's list and the instances, all in memory. The instances have no slots, so drains end at once.
+// world is a log, the platform's list and the instances, all in memory, with a wave over all pools of a plan.
 type world struct {
+	tb      testing.TB
 	mu      sync.Mutex
 	state   *fold.State
 	seq     map[string]uint64
 	now     time.Time
-	away    map[string]int // steps until the instance is back
+	facts   map[string]record.Instance
+	away    map[string]int // ticks until the instance is back
 	reboots map[string]int // calls by operation ID
 	broken  map[string]bool
-	least   int // smallest number of available instances since the wave started
+	// interrupted means that a reboot was called, but its record was not appended.
+	interrupted bool
+	least       int // smallest number of available instances of the first pool
 }
 
-func newWorld(t *testing.T, holders ...string) *world {
+func newWorld(tb testing.TB, plan Snapshot, holders ...string) *world {
 	w := &world{
-		state: fold.New(), seq: map[string]uint64{}, now: time.Unix(0, 0), away: map[string]int{}, reboots: map[string]int{},
-		broken: map[string]bool{},
+		tb: tb, state: fold.New(), seq: map[string]uint64{}, now: time.Unix(0, 0), facts: map[string]record.Instance{},
+		away: map[string]int{}, reboots: map[string]int{}, broken: map[string]bool{},
 	}
 	for _, h := range holders {
-		w.mustSubmit(t, h, record.Op{SessionOpen: &record.SessionOpen{}})
+		w.mustSubmit(h, record.Op{SessionOpen: &record.SessionOpen{}})
 	}
-	w.mustSubmit(t, holders[0], record.Op{ConfigPublish: &record.ConfigPublish{Document: driverDocument}})
-	for n := range 8 {
-		w.report(t, holders[0], fmt.Sprintf("w-%d", n), record.PhaseLive)
+	doc := "schema: 1\nmaintenance: {drain_seconds: 10, reboot_seconds: 20, probe_seconds: 5}\npools:\n  - {name: spare, spare: true}\n"
+	start := &record.WaveStart{Wave: "wave"}
+	var live []string
+	for _, pool := range plan.Pools {
+		start.Pools = append(start.Pools, pool.Name)
+		doc += fmt.Sprintf("  - {name: %s, members: [%s-], size: %d, availability_budget: {min_available_percent: %d}}\n",
+			pool.Name, pool.Name, pool.Size, pool.MinAvailablePercent)
+		for _, i := range pool.Instances {
+			w.facts[i.ID] = record.Instance{ID: i.ID, AvailabilityZone: i.AvailabilityZone, Rack: i.Rack}
+			live = append(live, i.ID)
+		}
 	}
-	w.mustSubmit(t, holders[0], record.Op{WaveStart: &record.WaveStart{Wave: "wave", Pools: []string{"p"}}})
-	w.least = w.state.PoolBudget("p").Available()
+	w.mustSubmit(holders[0], record.Op{ConfigPublish: &record.ConfigPublish{Document: doc}}, w.report(record.PhaseLive, live),
+		record.Op{WaveStart: start})
+	w.least = len(plan.Pools[0].Instances)
 	return w
 }
 
-func (w *world) report(t *testing.T, holder, id string, phase record.Phase) {
-	facts := record.Instance{ID: id, Phase: phase, Rack: fmt.Sprint((id[2] - '0') / 4)}
-	w.mustSubmit(t, holder, record.Op{InstancesReport: &record.InstancesReport{
-		ListVersion: w.state.ListVersion() + 1, Instances: []record.Instance{facts},
-	}})
+// report returns the list's change of instances. They have no slots, so drains end at once.
+func (w *world) report(phase record.Phase, ids []string) record.Op {
+	report := &record.InstancesReport{ListVersion: w.state.ListVersion() + 1}
+	for _, id := range ids {
+		facts := w.facts[id]
+		facts.Phase = phase
+		report.Instances = append(report.Instances, facts)
+	}
+	return record.Op{InstancesReport: report}
 }
 
-func (w *world) mustSubmit(t *testing.T, holder string, ops ...record.Op) {
-	t.Helper()
+func (w *world) mustSubmit(holder string, ops ...record.Op) {
+	w.tb.Helper()
 	outcomes, err := w.submit(holder, ops)
 	if err != nil {
-		t.Fatal(err)
+		w.tb.Fatal(err)
 	}
 	for _, o := range outcomes {
 		if !o.Accepted {
-			t.Fatalf("%s: %s %s", o.Kind, o.Reason, o.Detail)
+			w.tb.Fatalf("%s: %s %s", o.Kind, o.Reason, o.Detail)
 		}
 	}
 }
@@ -80,7 +92,7 @@
 		return nil, err
 	}
 	result, err := w.state.Apply(w.state.Next(), data)
-	w.least = min(w.least, w.state.PoolBudget("p").Available())
+	w.least = min(w.least, w.state.PoolBudget("p00").Available())
 	return result.Outcomes, err
 }
 
@@ -110,19 +122,20 @@
 }
 
 // tick lets time pass and the list change: a rebooted instance is gone for one tick and then live again.
-func (w *world) tick(t *testing.T, reporter string) {
+func (w *world) tick() {
 	w.now = w.now.Add(time.Second)
-	for n := range 8 {
-		id := fmt.Sprintf("w-%d", n)
-		switch w.away[id] {
-		case 2:
-			w.report(t, reporter, id, record.PhaseGone)
-		case 1:
-			w.report(t, reporter, id, record.PhaseLive)
-		default:
-			continue
+	var gone, live []string
+	for id, ticks := range w.away {
+		if ticks == 2 {
+			gone = append(gone, id)
+			w.away[id] = 1
+		} else {
+			live = append(live, id)
+			delete(w.away, id)
 		}
-		w.away[id]--
+	}
+	if len(gone)+len(live) > 0 {
+		w.mustSubmit(w.state.Sessions()[0].Holder, w.report(record.PhaseGone, gone), w.report(record.PhaseLive, live))
 	}
 }
 
@@ -131,16 +144,26 @@
 	*world
 	holder string
 	valid  bool
-	// lose makes submits fail after they took effect.
-	lose bool
+	// faults makes one in three submits have no effect, and one in three lose its answer. Its seed is fixed.
+	faults *rand.Rand
 }
 
 func (e *entry) Holder() string { return e.holder }
 func (e *entry) Valid() bool    { return e.valid }
 
 func (e *entry) Submit(_ context.Context, ops ...record.Op) ([]fold.Outcome, error) {
+	fault := 2
+	if e.faults != nil {
+		fault = e.faults.IntN(3)
+	}
+	if fault == 0 {
+		e.interrupted = e.interrupted || slices.ContainsFunc(ops, func(op record.Op) bool {
+			return op.LeaveAdvance != nil && op.LeaveAdvance.Phase == record.LeaveRebooting
+		})
+		return nil, errors.New("not sent")
+	}
 	outcomes, err := e.submit(e.holder, ops)
-	if e.lose {
+	if fault == 1 {
 		return nil, errors.New("no answer")
 	}
 	return outcomes, err
@@ -152,6 +175,13 @@
 	})
 }
 
+// smallPlan is a pool of eight instances in two racks, of which two may be down.
+func smallPlan() Snapshot {
+	plan := fleet(8, 1, 2)
+	plan.Pools[0].MinAvailablePercent = 75
+	return plan
+}
+
 // maxTicks ends a wave that makes no progress.
 const maxTicks = 500
 
@@ -161,14 +191,16 @@
 }
 
 // Guards against two entry instances that drive the same wave, a successor that starts an instance's maintenance anew or
-// reboots it twice, and lost answers that stop a wave. The session in charge ends every 7 ticks.
+// reboots it twice, and lost answers that stop a wave. The session in charge ends every 7 ticks, and after a reboot that is not
+// in the log.
 func TestTakeover(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, "h0", "h1", "h2")
+	w := newWorld(t, smallPlan(), "h0", "h1", "h2")
+	faults := rand.New(rand.NewPCG(1, 2))
 	entries := map[string]*entry{}
 	drivers := map[string]*Driver{}
 	add := func(holder string) {
-		entries[holder] = &entry{world: w, holder: holder, valid: true, lose: len(entries)%2 == 0}
+		entries[holder] = &entry{world: w, holder: holder, valid: true, faults: faults}
 		drivers[holder] = entries[holder].driver()
 	}
 	for n := range 3 {
@@ -186,21 +218,23 @@
 			}
 		}
 		is.True(acted <= 1)
-		w.tick(t, w.state.Sessions()[0].Holder)
-		if n%7 == 0 {
+		w.tick()
+		if n%7 == 0 || w.interrupted {
+			w.interrupted = false
 			for holder := range active {
 				if entries[holder].valid {
 					entries[holder].valid = false
-					w.mustSubmit(t, holder, record.Op{SessionClose: &record.SessionClose{}})
+					w.mustSubmit(holder, record.Op{SessionClose: &record.SessionClose{}})
 				}
 			}
 			add(fmt.Sprintf("later-%d", n))
-			w.mustSubmit(t, fmt.Sprintf("later-%d", n), record.Op{SessionOpen: &record.SessionOpen{}})
+			w.mustSubmit(fmt.Sprintf("later-%d", n), record.Op{SessionOpen: &record.SessionOpen{}})
 		}
 	}
 	is.Equal(w.wave().State, fold.WaveFinished)
 	is.Equal(w.wave().Returned, 8)
 	is.Equal(len(w.reboots), 8)
+	is.True(slices.Max(slices.Collect(maps.Values(w.reboots))) > 1)
 	is.True(len(active) > 1)
 	is.Equal(w.least, 6)
 	for _, d := range drivers {
@@ -208,25 +242,30 @@
 	}
 }
 
-// Guards against a wave that goes on when instances do not come back, and one that cannot be aborted.
+// Guards against a driver that acts under a lapsed lease, a wave that goes on when instances do not come back, and one that
+// cannot be aborted.
 func TestFailuresStopTheDriver(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, "h")
+	w := newWorld(t, smallPlan(), "h")
 	e := &entry{world: w, holder: "h", valid: true}
 	d := e.driver()
-	w.broken["w-0"], w.broken["w-1"] = true, true
+	e.valid = false
+	d.Step(t.Context())
+	is.Equal(d.Stats().Ops, uint64(0))
+	e.valid = true
+	w.broken["p00-00"], w.broken["p00-01"] = true, true
 	for n := 0; w.wave().State == fold.WaveRunning && n < maxTicks; n++ {
 		d.Step(t.Context())
-		w.tick(t, "h")
+		w.tick()
 	}
 	is.Equal(w.wave().State, fold.WavePaused)
 	is.Equal(len(w.wave().Failures), 2)
 	is.Equal(len(w.reboots), 2)
 	for range 20 {
 		d.Step(t.Context())
-		w.tick(t, "h")
+		w.tick()
 	}
 	is.Equal(len(w.reboots), 2)
-	w.mustSubmit(t, "h", record.Op{WaveControl: &record.WaveControl{Wave: "wave", Action: record.WaveAbort}})
+	w.mustSubmit("h", record.Op{WaveControl: &record.WaveControl{Wave: "wave", Action: record.WaveAbort}})
 	is.Equal(w.wave().State, fold.WaveAborted)
 }
--- a/internal/maintenance/plan_test.go
+++ b/internal/maintenance/plan_test.go
@@ -56,6 +56,7 @@
 	}{
 		{"pools take as many of a rack as the floor allows, in different zones", func(*Snapshot) {}, "p00-00 p00-01 p01-04 p01-05"},
 		{"a rack that has begun comes first", func(s *Snapshot) { s.Pools[0].Instances[4].Down = true }, "p00-05 p01-00 p01-01"},
+		{"steps of a rack are even", func(s *Snapshot) { s.Pools[0].MinAvailablePercent = 70 }, "p00-00 p00-01 p01-04 p01-05"},
 		{"a pool without room waits", func(s *Snapshot) {
 			s.Pools[0].Instances[0].Live, s.Pools[0].Instances[5].Moving = false, true
 		}, "p01-00 p01-01"},
--- a/internal/operator/waves_test.go
+++ b/internal/operator/waves_test.go
@@ -40,7 +40,7 @@
 	return result.Outcomes, err
 }
 
-func waveHandler(t *testing.T) http.Handler {
+func waveHandler(t *testing.T) *Handler {
 	is := is.New(t)
 	hash := func(token string) string {
 		sum := sha256.Sum256([]byte(token))
@@ -76,7 +76,8 @@
 	return w.Code
 }
 
-// Guards against waves that a viewer can change, actions without effect, and a plan that differs from the budget.
+// Guards against waves that a viewer can change, actions without effect, a plan that differs from the budget, and a status
+// that does not say why a pool makes no progress.
 func TestWaves(t *testing.T) {
 	is := is.New(t)
 	h := waveHandler(t)
@@ -105,6 +106,12 @@
 	is.Equal(status.Actor, "ann")
 	is.Equal(status.PauseReason, "paused by ann")
 	is.Equal(status.Waiting, 4)
+	_, err := h.Committer.Submit(t.Context(), record.Op{InstancesReport: &record.InstancesReport{
+		ListVersion: 2, Instances: []record.Instance{{ID: "w-0", Phase: record.PhaseGone}},
+	}})
+	is.NoErr(err)
+	is.Equal(do(t, h, viewToken, "GET", path, "", &status), http.StatusOK)
+	is.Equal(status.Blocked[0].Text, "pool p has 3 instances available and must keep 3 of 4")
 	is.Equal(do(t, h, operateToken, "POST", path+"/resume", "", nil), http.StatusNoContent)
 	is.Equal(do(t, h, operateToken, "POST", path+"/resume", "", nil), http.StatusConflict)
 	is.Equal(do(t, h, operateToken, "POST", path+"/abort", "", nil), http.StatusNoContent)
@@ -115,20 +122,3 @@
 	is.Equal(waves.Ended[0].State, fold.WaveAborted)
 	is.Equal(do(t, h, viewToken, "GET", "/v1/waves/none", "", nil), http.StatusNotFound)
 }
-
-// Guards against a status that does not say why a wave makes no progress.
-func TestBlockedPool(t *testing.T) {
-	is := is.New(t)
-	h := waveHandler(t)
-	var started WaveResponse
-	do(t, h, operateToken, "POST", "/v1/waves", `{"pools":["p"]}`, &started)
-	m := h.(*Handler).Committer.(*memory)
-	_, err := m.Submit(t.Context(), record.Op{InstancesReport: &record.InstancesReport{
-		ListVersion: 2, Instances: []record.Instance{{ID: "w-0", Phase: record.PhaseGone}},
-	}})
-	is.NoErr(err)
-	var status WaveStatus
-	do(t, h, viewToken, "GET", "/v1/waves/"+started.Wave, "", &status)
-	is.Equal(len(status.Blocked), 1)
-	is.Equal(status.Blocked[0].Text, "pool p has 3 instances available and must keep 3 of 4")
-}
