Say that maintenance withdraws slots too

Holders read SlotGrant.Withdrawn to stop work on a cordoned instance; the comment named only leaving and moves.

--- a/internal/fold/grant.go
+++ b/internal/fold/grant.go
@@ -285,7 +285,8 @@
 type SlotGrant struct {
 	Pool string
 	Held int
-	// Withdrawn means that the instance is leaving or being moved: start nothing there and release the slots.
+	// Withdrawn means that the instance is leaving, being moved or down for maintenance: start nothing there and release
+	// the slots.
 	Withdrawn bool
 	// Started is the number of started jobs of the holder, and Adopted how many of them an earlier holder started.
 	Started int
