--- a/internal/fold/grant.go
+++ b/internal/fold/grant.go
@@ -323,7 +323,8 @@
 type SlotGrant struct {
 	Pool string
 	Held int
-	// Withdrawn means that the instance is leaving or being moved: start nothing there and release the slots.
+	// Withdrawn means that the instance is leaving, being moved or down for maintenance: start nothing there and release
+	// the slots.
 	Withdrawn bool
 	// Excess is the holder's part of the slots held beyond those that the instance has since it shrank.
 	Excess int
