Drive maintenance waves from the entry instances and show one in the demo

Cause: nothing started the wave driver. Change: the entry instance runs it, the audit trail describes its steps, the stand-ins end what runs on a rebooting instance and count what that cuts off, and the demo takes one pool through a wave while the load runs. First runs failed: the wave did not end because a reboot of 200 ms was over before the list was polled (1 s).

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -152,7 +152,7 @@
 		c := op.JobCancel
 		return Entry{Actor: c.Actor, Object: strings.Join(c.Jobs, ","), Text: fmt.Sprintf("cancel %d jobs", len(c.Jobs))}, true
 	default:
-		return Entry{}, false
+		return describeWave(op)
 	}
 }
 
--- a/internal/config/maintenance.go
+++ b/internal/config/maintenance.go
@@ -10,7 +10,7 @@
 
 // Maintenance is when and how maintenance waves run.
 type Maintenance struct {
-	Window Window `yaml:"window"`
+	Window Window `yaml:"window,omitempty"`
 	// DrainSeconds is how long work on a cordoned instance may take to end before its tasks are checkpointed.
 	DrainSeconds int `yaml:"drain_seconds" jsonschema:"minimum=1,maximum=86400"`
 	// RebootSeconds is how long an instance may be away.
--- a/internal/devmode/cluster.go
+++ b/internal/devmode/cluster.go
@@ -61,6 +61,7 @@
 	any := settings.Address{AddrPort: netip.MustParseAddrPort("127.0.0.1:0")}
 	s.Listen = settings.Listen{Callers: any, Peers: any, Operators: any}
 	s.Timeouts.ShutdownSeconds = shutdownSeconds
+	s.Timeouts.ListPollMilliseconds = int(listPoll.Milliseconds())
 	s.BootstrapOperator = &settings.BootstrapOperator{Name: "demo", SHA256: config.HashKey(c.bootstrap)}
 	if err := s.Platform.LogURL.UnmarshalText([]byte(c.standIns.logURL)); err != nil {
 		return s, fmt.Errorf("log URL: %w", err)
--- a/internal/devmode/demo.go
+++ b/internal/devmode/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -36,6 +37,9 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { s.newLoad(t).run(loadCtx) })
 	parts.Go(func() { jobs.run(loadCtx) })
+	wave := newWaveRun(s)
+	var waveErr error
+	parts.Go(func() { waveErr = wave.run(loadCtx, started) })
 	watch := newVersionWatch(s)
 	parts.Go(func() { watch.run(loadCtx) })
 	if s.options.Faults {
@@ -43,14 +47,15 @@
 	}
 	changesErr := s.runChanges(loadCtx, started, &report)
 	parts.Wait()
-	if changesErr != nil {
-		return report, changesErr
+	if err := errors.Join(changesErr, waveErr); err != nil {
+		return report, err
 	}
 	jobs.awaitResults(ctx)
 
 	report.Seconds = time.Since(started).Seconds()
 	t.summarize(&report, s.standIns.observer.Executions)
 	jobs.summarize(&report, s.standIns.observer.Executions)
+	wave.summarize(&report)
 	report.Reverted = watch.reverted()
 	report.OverLimit = s.overLimit()
 	for _, worker := range s.standIns.workers {
--- a/internal/devmode/document.go
+++ b/internal/devmode/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"go.yaml.in/yaml/v3"
 
@@ -41,14 +42,18 @@
 func buildDocument() (*config.Document, demoKeys, error) {
 	keys := demoKeys{teams: map[string]string{}}
 	doc := &config.Document{
-		Schema: config.DocumentSchema,
-		Limits: config.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, JobBodyBytes: 256 << 10, QueueLength: 2000, QueueSeconds: 10, JobResultSeconds: 3600},
-		Pools:  []config.Pool{{Name: "spare", Spare: true}},
+		Schema:      config.DocumentSchema,
+		Limits:      config.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, JobBodyBytes: 256 << 10, QueueLength: 2000, QueueSeconds: 10, JobResultSeconds: 3600},
+		Maintenance: config.Maintenance{DrainSeconds: 10, RebootSeconds: 10, ProbeSeconds: 10, PauseAfterFailures: 2},
+		Pools:       []config.Pool{{Name: "spare", Spare: true}},
 	}
 	for _, service := range demoServices {
+		budget := config.AvailabilityBudget{MinAvailablePercent: 80}
+		if slices.Contains(wavePools, service) {
+			budget.MinAvailablePercent = waveMinAvailablePercent
+		}
 		doc.Pools = append(doc.Pools, config.Pool{
-			Name: service, Members: []string{"w-" + service + "-"},
-			AvailabilityBudget: config.AvailabilityBudget{MinAvailablePercent: 80},
+			Name: service, Members: []string{"w-" + service + "-"}, Size: poolInstances, AvailabilityBudget: budget,
 		})
 		doc.Services = append(doc.Services, config.Service{Name: service, Pool: service, TimeoutSeconds: 10})
 	}
--- a/internal/devmode/platform.go
+++ b/internal/devmode/platform.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"pollenlead/standin"
 )
@@ -19,6 +20,12 @@
 	region           = "region-1"
 )
 
+// rebootTime is how long an instance is leaving and then absent. It is longer than listPoll, so that entry instances see both.
+const (
+	rebootTime = 500 * time.Millisecond
+	listPoll   = 200 * time.Millisecond
+)
+
 // zones are the availability zones of the development mode.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
@@ -31,6 +38,7 @@
 	observer *standin.Observer
 	workers  map[string]*standin.Worker
 	zoneOf   map[string]string
+	poolOf   map[string]string
 	servers  []*standin.Server
 }
 
@@ -38,7 +46,7 @@
 func startStandIns(pools []string) (*standIns, error) {
 	s := &standIns{
 		log: standin.NewLog(), list: standin.NewList(), observer: standin.NewObserver(),
-		workers: map[string]*standin.Worker{}, zoneOf: map[string]string{},
+		workers: map[string]*standin.Worker{}, zoneOf: map[string]string{}, poolOf: map[string]string{},
 	}
 	logServer, err := standin.Start(s.log)
 	if err != nil {
@@ -51,22 +59,23 @@
 	}
 	s.servers = append(s.servers, listServer)
 	s.logURL, s.listURL = logServer.URL, listServer.URL
+	s.list.SetRebootTime(rebootTime)
 	for _, pool := range pools {
 		for n := range poolInstances {
-			if err := s.startWorker(fmt.Sprintf("w-%s-%02d", pool, n), n); err != nil {
+			if err := s.startWorker(pool, fmt.Sprintf("w-%s-%02d", pool, n), n); err != nil {
 				return nil, errors.Join(err, s.close())
 			}
 		}
 	}
 	for n := range spareInstances {
-		if err := s.startWorker(fmt.Sprintf("w-extra-%02d", n), n); err != nil {
+		if err := s.startWorker("spare", fmt.Sprintf("w-extra-%02d", n), n); err != nil {
 			return nil, errors.Join(err, s.close())
 		}
 	}
 	return s, nil
 }
 
-func (s *standIns) startWorker(id string, n int) error {
+func (s *standIns) startWorker(pool, id string, n int) error {
 	worker := standin.NewWorker(standin.WorkerConfig{ID: id, Slots: instanceSlots, Connections: instanceConns, Observer: s.observer})
 	server, err := worker.Start()
 	if err != nil {
@@ -76,6 +85,7 @@
 	s.servers = append(s.servers, server)
 	s.workers[id] = worker
 	s.zoneOf[id] = zone
+	s.poolOf[id] = pool
 	s.list.Set(standin.Instance{
 		ID: id, Kind: "worker", Address: server.Address, Region: region, AvailabilityZone: zone,
 		Rack: fmt.Sprintf("%s-rack-%d", zone, n/instancesPerRack), Phase: "live",
--- a/internal/devmode/tally.go
+++ b/internal/devmode/tally.go
@@ -34,6 +34,12 @@
 	JobsFailed    int `json:"jobs_failed"`
 	JobsRefused   int `json:"jobs_refused"`
 
+	// WaveBelowBudget counts looks at a pool below its availability budget, WaveCut the executions that a reboot cut off.
+	WaveReturned    int     `json:"wave_returned"`
+	WaveSeconds     float64 `json:"wave_seconds"`
+	WaveBelowBudget int     `json:"wave_below_budget"`
+	WaveCut         int     `json:"wave_cut"`
+
 	ConfigSecondsMax        float64 `json:"config_seconds_max"`
 	KeyWithdrawalSecondsMax float64 `json:"key_withdrawal_seconds_max"`
 	LatencyP50MS            float64 `json:"latency_p50_ms"`
@@ -75,6 +81,8 @@
 		{r.ConnectionsMax > instanceConns, "connections_max"},
 		{r.ConfigSecondsMax > configBound.Seconds(), "config_seconds_max"},
 		{r.KeyWithdrawalSecondsMax > keyWithdrawalBound.Seconds(), "key_withdrawal_seconds_max"},
+		{r.WaveBelowBudget > 0, "wave_below_budget"},
+		{r.WaveCut > 0, "wave_cut"},
 		{r.Answered == 0, "answered"},
 	} {
 		if promise.broken {
--- /dev/null
+++ b/internal/devmode/wave.go
@@ -0,0 +1,116 @@
+package devmode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"pollenlead/internal/operator"
+	"pollenlead/internal/record"
+)
+
+// The wave of the demo: the pool of one service, started at this part of its length.
+const waveAt = 0.1
+
+// waveTimeout bounds the wait for the end of the wave.
+const waveTimeout = 60 * time.Second
+
+// wavePools has one pool; its budget lets a whole rack of four be down, so that the wave ends within a short demo.
+var wavePools = demoServices[4:]
+
+const waveMinAvailablePercent = 60
+
+// waveRun is a maintenance wave of the demo and what the platform's list showed meanwhile.
+type waveRun struct {
+	system *system
+	// cut counts the executions that reboots ended.
+	cut atomic.Int64
+
+	seconds     float64
+	returned    int
+	belowBudget int
+}
+
+func newWaveRun(s *system) *waveRun {
+	w := &waveRun{system: s}
+	s.standIns.list.OnReboot(func(id string) { w.cut.Add(int64(s.standIns.workers[id].Restart())) })
+	return w
+}
+
+// run starts a wave, watches the pools in the platform's list, and waits until the wave has ended.
+func (w *waveRun) run(ctx context.Context, started time.Time) error {
+	if !sleepUntil(ctx, started.Add(w.system.moment(waveAt))) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), waveTimeout)
+	defer cancel()
+	body, err := json.Marshal(operator.WaveRequest{Pools: wavePools, Reason: "demo"})
+	if err != nil {
+		return err
+	}
+	var wave operator.WaveResponse
+	begin := time.Now()
+	for {
+		err := w.system.operator.call(ctx, http.MethodPost, w.system.cluster.operators()[0]+"/v1/waves", body, &wave)
+		if err == nil {
+			break
+		}
+		if !sleepUntil(ctx, time.Now().Add(pollInterval)) {
+			return fmt.Errorf("start a wave: %w", err)
+		}
+	}
+	for !w.ended(ctx, wave.Wave) {
+		w.watch()
+		if !sleepUntil(ctx, time.Now().Add(pollInterval)) {
+			return fmt.Errorf("wave %s did not end", wave.Wave)
+		}
+	}
+	w.seconds = time.Since(begin).Seconds()
+	return nil
+}
+
+func (w *waveRun) ended(ctx context.Context, id string) bool {
+	var waves operator.WavesResponse
+	if err := w.system.operator.call(ctx, http.MethodGet, w.system.cluster.operators()[0]+"/v1/waves", nil, &waves); err != nil {
+		return false
+	}
+	at := slices.IndexFunc(waves.Ended, func(s operator.WaveStatus) bool { return s.ID == id })
+	if at < 0 {
+		return false
+	}
+	w.returned = waves.Ended[at].Returned
+	return true
+}
+
+// watch counts the looks at which a pool of the wave had fewer live instances in the list than its budget says.
+func (w *waveRun) watch() {
+	live := w.system.standIns.livePerPool()
+	for _, name := range wavePools {
+		pool, _ := w.system.document.Pool(name)
+		if live[name]*100 < pool.AvailabilityBudget.MinAvailablePercent*poolInstances {
+			w.belowBudget++
+		}
+	}
+}
+
+func (w *waveRun) summarize(r *Report) {
+	r.WaveSeconds = w.seconds
+	r.WaveReturned = w.returned
+	r.WaveBelowBudget = w.belowBudget
+	r.WaveCut = int(w.cut.Load())
+}
+
+// livePerPool counts the live workers of each pool in the newest list.
+func (s *standIns) livePerPool() map[string]int {
+	live := map[string]int{}
+	for _, instance := range s.list.Instances() {
+		if instance.Phase == string(record.PhaseLive) {
+			live[s.poolOf[instance.ID]]++
+		}
+	}
+	return live
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"pollenlead/internal/fold"
 	"pollenlead/internal/gateway"
 	"pollenlead/internal/job"
+	"pollenlead/internal/maintenance"
 	"pollenlead/internal/membership"
 	"pollenlead/internal/operator"
 	"pollenlead/internal/platform/fleetlist"
@@ -54,6 +55,7 @@
 	metrics   *gateway.Metrics
 	jobs      *job.Runner
 	workers   *worker.Pool
+	waves     *maintenance.Driver
 	trail     *audit.Trail
 
 	callers   listener
@@ -182,6 +184,9 @@
 		Replica: i.follower, Committer: i.committer, Session: member.Lease(), Workers: i.workers,
 		Clock: allotment.SystemClock{}, NotSent: replica.ErrNotSent,
 	})
+	i.waves = maintenance.NewDriver(maintenance.Options{
+		Committer: i.committer, Replica: i.follower, Lease: member.Lease(), Rebooter: list, Prober: prober{i}, Clock: time.Now,
+	})
 	i.buildServing()
 	i.operators.server.Handler = operator.NewHandler(operator.Options{
 		Committer: i.committer, Follower: i.follower, Trail: i.trail, Bootstrap: bootstrap(s.BootstrapOperator),
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -70,6 +70,7 @@
 	})
 	start("callers' listener", func(context.Context) error { return i.callers.serve() })
 	start("operators' listener", func(context.Context) error { return i.operators.serve() })
+	start("maintenance", i.waves.Run)
 	start("state changes", i.logChanges)
 }
 
--- a/internal/entry/serving.go
+++ b/internal/entry/serving.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"sync"
@@ -79,6 +80,17 @@
 	return i.ledger.AcquireStarted(team, instance)
 }
 
+// prober asks an instance that is back from a reboot whether it answers.
+type prober struct {
+	instance *Instance
+}
+
+// Probe implements maintenance.Prober.
+func (p prober) Probe(ctx context.Context, instance, address string) error {
+	_, err := p.instance.worker(instance, address).Usage(ctx)
+	return err
+}
+
 // jobSource gives the job runner the folded state in its own terms.
 type jobSource struct {
 	*replica.Follower
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -106,20 +106,18 @@
 		return "", "", false
 	}
 	current := h.config()
-	switch current.Version {
-	case 0:
+	if current.Version == 0 {
 		return h.Bootstrap.Name, config.RolePublish, h.isBootstrap(token)
-	case 1:
-		// The first apply waits with its own key until the document is in force everywhere.
-		if h.isBootstrap(token) {
-			return h.Bootstrap.Name, config.RoleView, true
-		}
 	}
 	identity, ok := current.Document.Authenticate(token)
-	if !ok || identity.Operator == "" {
-		return "", "", false
+	if ok && identity.Operator != "" {
+		return identity.Operator, identity.Role, true
+	}
+	// The first apply waits with its own key until the document is in force everywhere.
+	if current.Version == 1 && h.isBootstrap(token) {
+		return h.Bootstrap.Name, config.RoleView, true
 	}
-	return identity.Operator, identity.Role, true
+	return "", "", false
 }
 
 func (h *Handler) isBootstrap(token string) bool {
--- a/standin/lease.go
+++ b/standin/lease.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// Restart ends all leases and what runs under them, as a reboot of the instance does, and returns how many executions it
+// cut off.
+func (w *Worker) Restart() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cut := len(w.running)
+	for id := range w.leases {
+		w.expireLocked(id)
+	}
+	return cut
+}
+
 // handleCloseLease ends a lease like its expiry does. Closing an unknown lease changes nothing.
 func (w *Worker) handleCloseLease(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
--- a/standin/list.go
+++ b/standin/list.go
@@ -66,6 +66,7 @@
 
 	rebootTime time.Duration
 	operations map[string]bool // reboots by instance and operation ID
+	onReboot   func(id string)
 }
 
 // NewList returns a list with version 0 and no instances.
@@ -97,6 +98,13 @@
 	l.change(i.ID, func(kept []Instance) []Instance { return append(kept, i) })
 }
 
+// Instances returns the newest instances, which the list may not show yet.
+func (l *List) Instances() []Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.versions[len(l.versions)-1].Instances
+}
+
 // Remove drops an instance.
 func (l *List) Remove(id string) {
 	l.change(id, func(kept []Instance) []Instance { return kept })
@@ -143,6 +151,13 @@
 	l.rebootTime = d
 }
 
+// OnReboot sets a function that is called when an instance goes down in a reboot.
+func (l *List) OnReboot(f func(id string)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onReboot = f
+}
+
 func (l *List) handleReboot(w http.ResponseWriter, r *http.Request) {
 	var request struct {
 		OperationID string `json:"operation_id"`
@@ -189,12 +204,16 @@
 	l.mu.Lock()
 	pause := l.rebootTime
 	fails := slices.Contains(l.faults.FailReboots, instance.ID)
+	onReboot := l.onReboot
 	l.mu.Unlock()
 	leaving := instance
 	leaving.Phase = PhaseLeaving
 	l.Set(leaving)
 	time.AfterFunc(pause, func() {
 		l.Remove(instance.ID)
+		if onReboot != nil {
+			onReboot(instance.ID)
+		}
 		if !fails {
 			time.AfterFunc(pause, func() { l.Set(instance) })
 		}
