Send only the own entry in a heartbeat request

The request carried the entries of all members, and the receiver dropped all but the load of the sender: it knows no bound for the age of what a request says, so the contact rule uses only answers.

The request now has the sender's entry alone.

--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -222,16 +222,12 @@
 }
 
 // digest returns the own entry and those of the others with their ages and without their loads.
-func (m *Member) digest(withLoad bool) []Entry {
+func (m *Member) digest() []Entry {
 	own := m.ownEntry()
-	if !withLoad {
-		own.Load = nil
-	}
+	own.Load = nil
 	now := m.opts.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	forget(m.view, now, viewKeep)
-	forget(m.loads, now, viewKeep)
 	others := forwarded(m.view, now, viewKeep)
 	return append([]Entry{own}, others[:min(len(others), maxDigestEntries-1)]...)
 }
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -96,11 +96,15 @@
 	return addresses
 }
 
-// updatePeers starts a goroutine for each new peer and ends those of peers that are gone or moved.
+// updatePeers starts a goroutine for each new peer and ends those of peers that are gone or moved. It drops what was heard
+// too long ago.
 func (m *Member) updatePeers(ctx context.Context, running *sync.WaitGroup) {
 	addresses := m.peerAddresses()
+	now := m.opts.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	forget(m.view, now, viewKeep)
+	forget(m.loads, now, viewKeep)
 	for name, p := range m.peers {
 		if addresses[name] != p.address {
 			p.stop()
@@ -175,11 +179,12 @@
 	}
 }
 
-// sendHeartbeat exchanges digests. The answer was made after the call was sent, which bounds the ages of its entries.
+// sendHeartbeat sends the own entry for the digest of the peer. The answer was made after the call was sent, which bounds
+// the ages of its entries. The peer knows no such bound for the request, so other entries in it would serve no rule.
 func (m *Member) sendHeartbeat(ctx context.Context, p *peer) error {
 	sent := m.opts.Clock()
 	var answer heartbeat
-	if err := m.call(ctx, p, &p.heartbeats, heartbeatTimeout, methodHeartbeat, heartbeat{Digest: m.digest(true)}, &answer); err != nil {
+	if err := m.call(ctx, p, &p.heartbeats, heartbeatTimeout, methodHeartbeat, heartbeat{Digest: []Entry{m.ownEntry()}}, &answer); err != nil {
 		return err
 	}
 	if err := checkDigest(answer.Digest); err != nil {
--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -132,7 +132,7 @@
 	// How long the request was under way is not known here, so it proves nothing about ages.
 	m.learn(params.Digest, time.Time{})
 	// Peers get the load with the heartbeats of this instance; sending it in answers as well would double its cost.
-	return heartbeat{Digest: m.digest(false)}, nil
+	return heartbeat{Digest: m.digest()}, nil
 }
 
 func (m *Member) handleLoadReport(r *jsonrpc2.Request) (any, error) {
