Add internal/capacity, which measures what control takes

The design bounds the control of a node by 1.5% of a core, 128 MB and 28 KB/s, and nothing measured whether the packages keep to that at the target's size.

--- /dev/null
+++ b/internal/capacity/memorylog.go
@@ -0,0 +1,75 @@
+package capacity
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pollenlead/internal/platform"
+)
+
+// memoryLog is a log in memory that holds the records from offset first on.
+type memoryLog struct {
+	first uint64
+
+	mu      sync.Mutex // guards the fields below
+	records [][]byte
+	grown   chan struct{} // closed and replaced at each append
+}
+
+func newMemoryLog(first uint64) *memoryLog {
+	return &memoryLog{first: first, grown: make(chan struct{})}
+}
+
+// Append implements platform.Log.
+func (l *memoryLog) Append(_ context.Context, data []byte) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, data)
+	close(l.grown)
+	l.grown = make(chan struct{})
+	return l.first + uint64(len(l.records)) - 1, nil
+}
+
+// Read implements platform.Log.
+func (l *memoryLog) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (platform.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		batch, grown, err := l.batch(from, limit)
+		if err != nil || len(batch.Entries) > 0 || wait == 0 {
+			return batch, err
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return batch, ctx.Err()
+		}
+	}
+}
+
+func (l *memoryLog) batch(from uint64, limit int) (platform.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from < l.first {
+		return platform.Batch{}, nil, &platform.TrimmedError{First: l.first}
+	}
+	batch := platform.Batch{First: l.first, Next: l.first + uint64(len(l.records))}
+	for at := from; at < batch.Next && len(batch.Entries) < limit; at++ {
+		batch.Entries = append(batch.Entries, platform.Entry{Offset: at, Data: l.records[at-l.first]})
+	}
+	return batch, l.grown, nil
+}
+
+// bytes is the size of all records.
+func (l *memoryLog) bytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total := 0
+	for _, data := range l.records {
+		total += len(data)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/capacity/records.go
@@ -0,0 +1,288 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+
+	"pollenlead/internal/fold"
+	"pollenlead/internal/record"
+)
+
+// recordRounds is the number of repetitions of the measurement of one kind of record.
+const recordRounds = 5
+
+// RecordCost is what one record of a kind takes: its bytes in the log and the processor time to fold it.
+type RecordCost struct {
+	Kind  string `json:"kind"`
+	Bytes int    `json:"bytes"`
+	Fold  Spread `json:"fold"`
+}
+
+// Kinds of records that the sums use. A plan is what package allotment proposes at once: a demand and a release.
+const (
+	recordRenew    = "session_renew"
+	recordPlan     = "demand + release, 4 names"
+	recordPlanAll  = "demand, all names"
+	recordReport   = "instances_report, 1 instance"
+	recordPublish  = "config_publish"
+	recordAccept   = "job_accept"
+	recordStart    = "job_start"
+	recordFinish   = "job_finish"
+	recordChunk    = "snapshot_chunk, 256 KiB"
+	chunkBytes     = 256 << 10
+	planPools      = 2
+	planTeams      = 2
+	publishRecords = 20
+	// startRecords is below the slots of one holder in the smallest fleet.
+	startRecords = 30
+)
+
+// recordKind makes the i-th record of a kind. Records of one kind follow each other.
+type recordKind struct {
+	name string
+	n    int // records per round
+	make func(w *world, i int) (holder int, ops []record.Op)
+}
+
+func recordKinds() []recordKind {
+	return []recordKind{
+		{recordRenew, 2000, func(w *world, i int) (int, []record.Op) {
+			return i % w.size.Holders, []record.Op{{SessionRenew: &record.SessionRenew{}}}
+		}},
+		{recordPlan, 500, planOps},
+		{recordPlanAll, 200, func(w *world, i int) (int, []record.Op) {
+			demand := w.demand(w.size.Pools, w.size.Teams, 1+i)
+			return i % w.size.Holders, []record.Op{{Demand: &demand}}
+		}},
+		{recordReport, 200, reportOps},
+		{recordPublish, publishRecords, func(w *world, _ int) (int, []record.Op) {
+			publish := record.ConfigPublish{Expect: w.state.Config().Version, Document: w.document, Actor: "alice"}
+			return 0, []record.Op{{ConfigPublish: &publish}}
+		}},
+		{recordAccept, 500, func(w *world, i int) (int, []record.Op) {
+			return 0, []record.Op{w.accept(w.size.Jobs + i)}
+		}},
+		{recordStart, startRecords, startOps},
+		{recordFinish, startRecords, func(w *world, i int) (int, []record.Op) {
+			finish := record.JobFinish{
+				Job: jobID(w.size.Jobs + i), Attempt: 1, Outcome: record.OutcomeSucceeded, Status: 200,
+				ContentType: "application/json", Result: make([]byte, jobBodyBytes),
+			}
+			return 0, []record.Op{{JobFinish: &finish}}
+		}},
+	}
+}
+
+// planOps changes the demand of two pools and two teams and releases a slot of one instance and a unit of one team.
+func planOps(w *world, i int) (int, []record.Op) {
+	holder := i % w.size.Holders
+	d := w.fewNames(i)
+	ops := []record.Op{{Demand: &d}}
+	a := w.state.Allotment(w.writers[holder].incarnation)
+	release := record.Release{}
+	if team := d.Teams[0].Name; a.Teams[team].Held > a.Teams[team].Started {
+		release.Teams = []record.TeamUnits{{Name: team, Units: 1}}
+	}
+	for _, id := range sortedSlots(a) {
+		if a.Slots[id].Pool == d.Pools[0].Name && a.Slots[id].Held > a.Slots[id].Started {
+			release.Slots = []record.InstanceSlots{{Instance: id, Slots: 1}}
+			break
+		}
+	}
+	return holder, append(ops, record.Op{Release: &release})
+}
+
+// fewNames is the demand for two pools and two teams, which go through all of them.
+func (w *world) fewNames(i int) record.Demand {
+	var d record.Demand
+	at := i / w.size.Holders
+	all := w.demand(w.size.Pools, w.size.Teams, 1+i)
+	for n := range planPools {
+		d.Pools = append(d.Pools, all.Pools[(at+n)%w.size.Pools])
+	}
+	for n := range planTeams {
+		d.Teams = append(d.Teams, all.Teams[(at+n)%w.size.Teams])
+	}
+	return d
+}
+
+func sortedSlots(a fold.Allotment) []string {
+	ids := make([]string, 0, len(a.Slots))
+	for id := range a.Slots {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// reportOps lets one instance leave and return in turn.
+func reportOps(w *world, i int) (int, []record.Op) {
+	facts := w.instance(i / 2 % w.size.Workers)
+	if i%2 == 0 {
+		facts.Phase = record.PhaseLeaving
+	}
+	report := record.InstancesReport{ListVersion: uint64(2 + i), Instances: []record.Instance{facts}}
+	return 0, []record.Op{{InstancesReport: &report}}
+}
+
+// startOps starts a job that the measurement of job_accept left waiting. Several jobs may not share a slot, so they go
+// through the instances with free slots of the writer.
+func startOps(w *world, i int) (int, []record.Op) {
+	a := w.state.Allotment(w.writers[0].incarnation)
+	for _, id := range sortedSlots(a) {
+		if a.Slots[id].Started < a.Slots[id].Held {
+			return 0, []record.Op{{JobStart: &record.JobStart{Job: jobID(w.size.Jobs + i), Attempt: 1, Instance: id}}}
+		}
+	}
+	return 0, nil
+}
+
+// measureRecords folds each kind of record on a state of the given size.
+func measureRecords(size Size, rounds int) ([]RecordCost, error) {
+	w, err := newWorld(size)
+	if err != nil {
+		return nil, err
+	}
+	var costs []RecordCost
+	for _, kind := range recordKinds() {
+		cost, err := measureKind(w, kind, rounds)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", kind.name, err)
+		}
+		costs = append(costs, cost)
+	}
+	chunk, err := chunkCost(w.writers[0])
+	return append(costs, chunk), err
+}
+
+// measureKind makes and folds the records of a kind. What a record holds depends on the state after the one before it, so
+// all are made first and then folded again on copies of the state before them.
+func measureKind(w *world, kind recordKind, rounds int) (RecordCost, error) {
+	cost := RecordCost{Kind: kind.name}
+	start, err := w.state.Encode()
+	if err != nil {
+		return cost, err
+	}
+	records := make([][]byte, kind.n)
+	for i := range records {
+		holder, ops := kind.make(w, i)
+		if records[i], err = w.writers[holder].encode(ops...); err != nil {
+			return cost, err
+		}
+		if err := w.fold(records[i]); err != nil {
+			return cost, err
+		}
+		cost.Bytes += len(records[i])
+	}
+	cost.Bytes /= kind.n
+	var medians []float64
+	for range rounds {
+		state, err := fold.Restore(start)
+		if err != nil {
+			return cost, err
+		}
+		runtime.GC() // so that the collection of the restored encoding is not counted
+		spread, err := cpuPer(1, kind.n, func() error { return (&world{state: state}).foldAll(records) })
+		if err != nil {
+			return cost, err
+		}
+		medians = append(medians, spread.Median)
+	}
+	slices.Sort(medians)
+	cost.Fold = Spread{Median: medians[len(medians)/2], Min: medians[0], Max: medians[len(medians)-1]}
+	return cost, nil
+}
+
+func (w *world) foldAll(records [][]byte) error {
+	for _, data := range records {
+		if err := w.fold(data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// chunkCost is the size of a chunk's record. The fold only counts chunks, so the time is that of decoding one.
+func chunkCost(w *writer) (RecordCost, error) {
+	cost := RecordCost{Kind: recordChunk}
+	data, err := w.encode(record.Op{SnapshotChunk: &record.SnapshotChunk{Term: 1, Data: make([]byte, chunkBytes)}})
+	if err != nil {
+		return cost, err
+	}
+	cost.Bytes = len(data)
+	cost.Fold, err = cpuPer(recordRounds, publishRecords, func() error {
+		for range publishRecords {
+			if _, err := record.Decode(data); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return cost, err
+}
+
+// demandSlope is the growth of a demand record with the number of names.
+func demandSlope(w *world) (Slope, error) {
+	var points []Point
+	for _, n := range []int{1, 4, 13, 26} {
+		demand := w.demand(n, n, 0)
+		data, err := w.writers[0].encode(record.Op{Demand: &demand})
+		if err != nil {
+			return Slope{}, err
+		}
+		points = append(points, Point{X: float64(2 * n), Y: float64(len(data))})
+	}
+	return Slope{Quantity: "demand record", Unit: "B", Per: "name", Line: Fit(points)}, nil
+}
+
+// reportSlope is the growth of an instances_report with the number of instances.
+func reportSlope(w *world) (Slope, error) {
+	var points []Point
+	for _, n := range []int{1, 50, 200, 430} {
+		report := record.InstancesReport{ListVersion: 2}
+		for i := range n {
+			report.Instances = append(report.Instances, w.instance(i))
+		}
+		data, err := w.writers[0].encode(record.Op{InstancesReport: &report})
+		if err != nil {
+			return Slope{}, err
+		}
+		points = append(points, Point{X: float64(n), Y: float64(len(data))})
+	}
+	return Slope{Quantity: "instances_report record", Unit: "B", Per: "instance", Line: Fit(points)}, nil
+}
+
+// foldSlopes is the time to fold each kind of record over sizes of the fleet, whose document grows with it.
+func foldSlopes() ([]Slope, []RecordCost, error) {
+	points := map[string][]Point{}
+	bytes := []Point{}
+	var costs []RecordCost
+	var err error
+	for _, size := range fleetSizes() {
+		if costs, err = measureRecords(size, recordRounds); err != nil {
+			return nil, nil, err
+		}
+		for _, cost := range costs {
+			points[cost.Kind] = append(points[cost.Kind], Point{X: float64(size.Workers), Y: cost.Fold.Median})
+			if cost.Kind == recordPublish {
+				bytes = append(bytes, Point{X: float64(size.Pools + size.Teams), Y: float64(cost.Bytes)})
+			}
+		}
+	}
+	slopes := []Slope{{Quantity: "config_publish record", Unit: "B", Per: "pool or team", Line: Fit(bytes)}}
+	for _, cost := range costs {
+		slopes = append(slopes, Slope{Quantity: "fold CPU: " + cost.Kind, Unit: "us", Per: "worker", Line: Fit(points[cost.Kind])})
+	}
+	return slopes, costs, nil
+}
+
+// fleetSizes are whole fleets: pools and teams grow with the workers.
+func fleetSizes() []Size {
+	return []Size{
+		{Workers: 50, Pools: 6, Teams: 6, Holders: 9, Jobs: Target.Jobs},
+		{Workers: 200, Pools: 15, Teams: 12, Holders: 9, Jobs: Target.Jobs},
+		{Workers: 430, Pools: 25, Teams: 18, Holders: 9, Jobs: Target.Jobs},
+		Target,
+	}
+}
--- /dev/null
+++ b/internal/capacity/state.go
@@ -0,0 +1,170 @@
+package capacity
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"runtime"
+
+	"pollenlead/internal/fold"
+)
+
+// stateRounds is the number of repetitions of a timed step on a whole state.
+const stateRounds = 5
+
+// StateCost is what one folded state takes.
+type StateCost struct {
+	Size         Size   `json:"size"`
+	EncodedBytes int    `json:"encoded_bytes"`
+	PackedBytes  int    `json:"gzip_bytes"`
+	HeapBytes    int64  `json:"heap_bytes"`
+	Encode       Spread `json:"encode"`
+	Pack         Spread `json:"gzip"`
+	Restore      Spread `json:"restore"`
+	Hash         Spread `json:"hash"`
+}
+
+// Dimension is one count of a Size that is varied while the others keep the target's value, except that there are no jobs.
+type Dimension struct {
+	Name   string
+	Values []int
+	set    func(*Size, int)
+}
+
+func dimensions() []Dimension {
+	return []Dimension{
+		{"worker", []int{50, 200, 430, 860}, func(s *Size, n int) { s.Workers = n }},
+		{"pool", []int{6, 15, 25, 38}, func(s *Size, n int) { s.Pools = n }},
+		{"team", []int{6, 12, 18, 26}, func(s *Size, n int) { s.Teams = n }},
+		{"holder", []int{3, 6, 9, 18}, func(s *Size, n int) { s.Holders = n }},
+		{"job", []int{0, 1_000, 10_000, 50_000}, func(s *Size, n int) { s.Jobs = n }},
+	}
+}
+
+// sizeAt returns the target's size without jobs, but with n in the dimension.
+func (d Dimension) sizeAt(n int) Size {
+	size := Target
+	size.Jobs = 0
+	d.set(&size, n)
+	return size
+}
+
+// measureState measures a state of the given size. Timed steps repeat for the given rounds.
+func measureState(size Size, rounds int) (StateCost, error) {
+	w, err := newWorld(size)
+	if err != nil {
+		return StateCost{}, fmt.Errorf("state of %+v: %w", size, err)
+	}
+	cost := StateCost{Size: size}
+	var encoded, packed []byte
+	cost.Encode, err = cpuPer(rounds, 1, func() error {
+		encoded, err = w.state.Encode()
+		return err
+	})
+	if err != nil {
+		return cost, err
+	}
+	cost.Pack, err = cpuPer(rounds, 1, func() error {
+		packed, err = pack(encoded)
+		return err
+	})
+	if err != nil {
+		return cost, err
+	}
+	cost.Hash, err = cpuPer(rounds, 1, func() error {
+		_, err := w.state.Hash()
+		return err
+	})
+	if err != nil {
+		return cost, err
+	}
+	cost.Restore, err = cpuPer(rounds, 1, func() error {
+		_, err := fold.Restore(encoded)
+		return err
+	})
+	if err != nil {
+		return cost, err
+	}
+	cost.EncodedBytes, cost.PackedBytes = len(encoded), len(packed)
+	cost.HeapBytes, err = heapOf(encoded)
+	return cost, err
+}
+
+// pack compresses as the snapshot writer of package replica does.
+func pack(encoded []byte) ([]byte, error) {
+	var buffer bytes.Buffer
+	packer := gzip.NewWriter(&buffer)
+	if _, err := packer.Write(encoded); err != nil {
+		return nil, err
+	}
+	if err := packer.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// heapOf is the growth of the live heap by a state restored from its encoding.
+func heapOf(encoded []byte) (int64, error) {
+	before := liveHeap()
+	state, err := fold.Restore(encoded)
+	if err != nil {
+		return 0, err
+	}
+	after := liveHeap()
+	runtime.KeepAlive(state)
+	runtime.KeepAlive(encoded)
+	return after - before, nil
+}
+
+func liveHeap() int64 {
+	// The second collection frees what the first one only found to be finalizable or kept in pools.
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// Slope is how a quantity grows with one dimension.
+type Slope struct {
+	Quantity string `json:"quantity"`
+	Unit     string `json:"unit"`
+	Per      string `json:"per"`
+	Line
+}
+
+// stateSlopes measures every dimension and fits each quantity of the state.
+func stateSlopes() ([]Slope, error) {
+	var slopes []Slope
+	for _, d := range dimensions() {
+		var costs []StateCost
+		for _, n := range d.Values {
+			cost, err := measureState(d.sizeAt(n), stateRounds)
+			if err != nil {
+				return nil, err
+			}
+			costs = append(costs, cost)
+		}
+		for _, q := range stateQuantities {
+			var points []Point
+			for i, cost := range costs {
+				points = append(points, Point{X: float64(d.Values[i]), Y: q.of(cost)})
+			}
+			slopes = append(slopes, Slope{Quantity: q.name, Unit: q.unit, Per: d.Name, Line: Fit(points)})
+		}
+	}
+	return slopes, nil
+}
+
+var stateQuantities = []struct {
+	name, unit string
+	of         func(StateCost) float64
+}{
+	{"state encoded", "B", func(c StateCost) float64 { return float64(c.EncodedBytes) }},
+	{"state gzip", "B", func(c StateCost) float64 { return float64(c.PackedBytes) }},
+	{"state heap", "B", func(c StateCost) float64 { return float64(c.HeapBytes) }},
+	{"encode CPU", "us", func(c StateCost) float64 { return c.Encode.Median }},
+	{"gzip CPU", "us", func(c StateCost) float64 { return c.Pack.Median }},
+	{"restore CPU", "us", func(c StateCost) float64 { return c.Restore.Median }},
+	{"hash CPU", "us", func(c StateCost) float64 { return c.Hash.Median }},
+}
