--- a/internal/capacity/records.go
+++ b/internal/capacity/records.go
@@ -34,6 +34,7 @@
 	planPools      = 2
 	planTeams      = 2
 	publishRecords = 20
+	chunkRecords   = 5
 	// startRecords is below the slots of one holder in the smallest fleet.
 	startRecords = 30
 )
@@ -152,7 +153,7 @@
 		}
 		costs = append(costs, cost)
 	}
-	chunk, err := chunkCost(w.writers[0])
+	chunk, err := chunkCost(w.writers[0], rounds)
 	return append(costs, chunk), err
 }
 
@@ -204,15 +205,15 @@
 }
 
 // chunkCost is the size of a chunk's record. The fold only counts chunks, so the time is that of decoding one.
-func chunkCost(w *writer) (RecordCost, error) {
+func chunkCost(w *writer, rounds int) (RecordCost, error) {
 	cost := RecordCost{Kind: recordChunk}
 	data, err := w.encode(record.Op{SnapshotChunk: &record.SnapshotChunk{Term: 1, Data: make([]byte, chunkBytes)}})
 	if err != nil {
 		return cost, err
 	}
 	cost.Bytes = len(data)
-	cost.Fold, err = cpuPer(recordRounds, publishRecords, func() error {
-		for range publishRecords {
+	cost.Fold, err = cpuPer(rounds, chunkRecords, func() error {
+		for range chunkRecords {
 			if _, err := record.Decode(data); err != nil {
 				return err
 			}
