Keep units in use until abandoned work has ended

Cause: the gateway called Ticket.Done as soon as it gave an attempt up (caller gone, service's time over, connection broken), and the job runner released the capacity of tasks that it had lost.

Ruled out: cancelling at the worker by closing the connection, because most backend servers finish what they started; closing the lease at once, because it would stop the work of other permits under the same lease; one lease for each permit, because it costs two round trips for each request.

Change: Permit.Abandon retires the worker lease. New work starts under a new lease, and the retired one is renewed while other permits use it, closed when the last one has ended, and its abandoned permits are freed then, or 2 s after the latest end that was ever asked for. Ticket.Abandon is used for every attempt without a known end and by the job runner for tasks that may run. When a caller goes away, the response is read to its end within the service's time: cancelling would retire the lease, and the unit would stay in use until the longest other work under the lease has ended. The session is closed only after all abandoned work has ended.

TestCallerGoesAway asserted that the attempt is cancelled with its caller. It asserted the fault, and is replaced by a test that the unit is kept until the response has ended or the service's time is over.

An abandoned unit that shares its lease with a long task stays in use until that task has ended.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -26,6 +26,8 @@
 	acquire  error
 	lease    error
 	released int
+	// abandoned frees the abandoned permits.
+	abandoned []func()
 }
 
 func newLedger(units map[string]int, slots ...routing.Candidate) *fakeLedger {
@@ -50,6 +52,28 @@
 	p.l.released++
 }
 
+// Guards against capacity of abandoned work that counts as free, and against fairness that leaves such work out.
+func TestAbandonedTicketStaysInUse(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(map[string]int{"a": 1}, routing.Candidate{Instance: "i", Held: 1})
+	q := newQueue(l, fakeFleet{})
+	ticket, err := q.Admit(t.Context(), Request{Team: "a", Service: "s"})
+	is.NoErr(err)
+	ticket.Abandon(routing.ObservedNothing)
+	ticket.Done(routing.ObservedNothing)
+	is.Equal(q.Running("a", "p"), 1)
+	is.True(!l.HasTeamUnit("a"))
+	l.abandoned[0]()
+	is.Equal(q.Running("a", "p"), 0)
+	is.True(l.HasTeamUnit("a"))
+}
+
+func (p *fakePermit) Abandon(freed func()) {
+	p.l.mu.Lock()
+	defer p.l.mu.Unlock()
+	p.l.abandoned = append(p.l.abandoned, func() { p.Release(); freed() })
+}
+
 func (l *fakeLedger) Candidates(string) []routing.Candidate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -43,7 +43,10 @@
 	Lease(ctx context.Context) (leaseID string, err error)
 	// LeaseRefused says that the instance refused the lease as expired, so that the next start gets a new one.
 	LeaseRefused(ctx context.Context, leaseID string)
+	// Release ends the use of the permit; its work has ended.
 	Release()
+	// Abandon ends the use of the permit while its work may still run. freed is called once the work has certainly ended.
+	Abandon(freed func())
 }
 
 // Ledger is what admission needs of the local ledger. SetQueued is called under the lock of a pool's queue, so the ledger
@@ -174,7 +177,7 @@
 	return usage
 }
 
-// Ticket is the right to run one request on one instance; Done must be called once.
+// Ticket is the right to run one request on one instance. Done or Abandon must be called once.
 type Ticket struct {
 	Team     string
 	Service  string
@@ -204,6 +207,15 @@
 	})
 }
 
+// Abandon records what the attempt showed about the instance, but keeps the capacity in use until the ledger knows that the
+// work has ended. It is for attempts that may still run. Only the first call of Done and Abandon counts.
+func (t *Ticket) Abandon(o routing.Observation) {
+	t.done.Do(func() {
+		t.pool.c.Health.Observe(t.Instance, o)
+		t.permit.Abandon(func() { t.pool.finished(t.Team) })
+	})
+}
+
 // Admit waits until the request may run. The error is one of this package, that of Recheck, or that of ctx.
 func (q *Queue) Admit(ctx context.Context, req Request) (*Ticket, error) {
 	doc := q.c.Document()
--- a/internal/allotment/fake_test.go
+++ b/internal/allotment/fake_test.go
@@ -40,11 +40,13 @@
 
 	until   atomic.Pointer[time.Time]
 	workers map[string]*fakeWorker
-	ledger  *Ledger
+	// openTakes is that of new workers.
+	openTakes time.Duration
+	ledger    *Ledger
 }
 
 func newFake(is *is.I) *fake {
-	f := &fake{state: fold.New(), changed: make(chan struct{}), seq: map[string]uint64{}, workers: map[string]*fakeWorker{}}
+	f := &fake{state: fold.New(), changed: make(chan struct{}), seq: map[string]uint64{}, workers: map[string]*fakeWorker{}, openTakes: 100 * time.Millisecond}
 	f.setEnd(10 * time.Second)
 	f.apply("me", record.Op{SessionOpen: &record.SessionOpen{}}, record.Op{ConfigPublish: &record.ConfigPublish{Document: document}},
 		record.Op{InstancesReport: &record.InstancesReport{Instances: []record.Instance{
@@ -110,7 +112,7 @@
 	defer f.mu.Unlock()
 	w, ok := f.workers[instance]
 	if !ok {
-		w = &fakeWorker{started: time.Now().Add(-time.Hour), expiry: map[string]time.Duration{}}
+		w = &fakeWorker{started: time.Now().Add(-time.Hour), expiry: map[string]time.Duration{}, openTakes: f.openTakes}
 		f.workers[instance] = w
 	}
 	return w
@@ -123,6 +125,32 @@
 	started time.Time
 	expiry  map[string]time.Duration
 	renewed atomic.Int64
+	// openTakes is how long the answer to OpenLease takes.
+	openTakes time.Duration
+	// closeErr is returned by CloseLease, which then closes nothing.
+	closeErr error
+	// renewErr is returned by RenewLease after it took effect.
+	renewErr error
+	closed   []string
+}
+
+func (w *fakeWorker) CloseLease(_ context.Context, id string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closeErr != nil {
+		return w.closeErr
+	}
+	w.closed = append(w.closed, id)
+	w.expiry[id] = w.now()
+	return nil
+}
+
+// closed returns the leases that were closed at w-1.
+func (f *fake) closed() []string {
+	w := f.workers["w-1"]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closed
 }
 
 func (w *fakeWorker) now() time.Duration { return time.Since(w.started) }
@@ -133,7 +161,7 @@
 	id := fmt.Sprintf("lease-%d", len(w.expiry)+1)
 	w.expiry[id] = w.now()
 	opened := platform.Lease{ID: id, Now: w.now()}
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(w.openTakes)
 	return opened, nil
 }
 
@@ -142,7 +170,7 @@
 	defer w.mu.Unlock()
 	w.renewed.Add(1)
 	w.expiry[id] = max(w.expiry[id], until)
-	return w.now(), nil
+	return w.now(), w.renewErr
 }
 
 // setEnd lets the session lease end after d.
--- a/internal/allotment/lease.go
+++ b/internal/allotment/lease.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pollenlead/internal/platform"
@@ -17,10 +18,10 @@
 	leaseIdleAfter = 30 * time.Second
 	// leaseCallTimeout bounds one lease call, so that an unreachable worker delays no other renewal for long.
 	leaseCallTimeout = 2 * time.Second
-	// leaseRenewTick is how often the renewals that are due are looked for.
-	leaseRenewTick = 500 * time.Millisecond
-	// leaseRenewParallel bounds the renewals in flight.
-	leaseRenewParallel = 32
+	// leaseTick is how often the renewals and the retired leases that are due are looked for.
+	leaseTick = 500 * time.Millisecond
+	// leaseCallsParallel bounds the calls in flight.
+	leaseCallsParallel = 32
 )
 
 // target is the worker to which a lease belongs.
@@ -29,20 +30,28 @@
 	connections       int
 }
 
+// errLeaseReplaced says that another lease has to be used.
+var errLeaseReplaced = errors.New("the worker lease was replaced")
+
 // leaseBook keeps the worker leases of this entry instance.
 type leaseBook struct {
 	cfg Config
+	// kick wakes run when a retired lease may be closed or permits may be freed.
+	kick chan struct{}
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// leases has the lease under which new work of each instance starts.
 	leases map[string]*workerLease
+	// retired has the leases under which abandoned work may still run.
+	retired map[*workerLease]struct{}
 }
 
-// workerLease is the lease at one worker. mu of the book guards used and lastUse; the semaphore busy guards the rest, and
-// whoever holds it makes the calls to the worker.
+// workerLease is one lease at one worker. It is never opened twice: an expired one is replaced by another workerLease.
 type workerLease struct {
-	used    int
-	lastUse time.Time
+	// over is set once the worker has confirmed that nothing runs under the lease.
+	over atomic.Bool
 
+	// The semaphore busy guards these; whoever holds it makes the calls to the worker.
 	busy   chan struct{}
 	target target
 	holder string
@@ -52,35 +61,52 @@
 	workerNow time.Duration
 	// end is when the lease ends by the local clock.
 	end time.Time
+
+	// The book's mu guards these.
+	lastUse time.Time
+	// asked is the latest end that was ever asked for, whether or not the worker answered.
+	asked time.Time
+	// permits counts the permits whose work runs under the lease, without the abandoned ones.
+	permits   int
+	abandoned []*Permit
+	// nextClose is when CloseLease may be called next.
+	nextClose time.Time
 }
 
 func newLeaseBook(cfg Config) *leaseBook {
-	return &leaseBook{cfg: cfg, leases: map[string]*workerLease{}}
+	return &leaseBook{
+		cfg: cfg, kick: make(chan struct{}, 1),
+		leases: map[string]*workerLease{}, retired: map[*workerLease]struct{}{},
+	}
 }
 
-// use counts the permits of an instance, so that its lease is renewed while work may run under it.
-func (b *leaseBook) use(instance string, n int) {
+// of returns the lease of the permit or, if it has none yet, that of new work on its instance.
+func (b *leaseBook) of(p *Permit) *workerLease {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.get(instance)
-	w.used += n
-	w.lastUse = b.cfg.Clock.Now()
-}
-
-func (b *leaseBook) get(instance string) *workerLease {
-	w, ok := b.leases[instance]
+	if p.lease != nil {
+		return p.lease
+	}
+	w, ok := b.leases[p.Instance]
 	if !ok {
-		w = &workerLease{busy: make(chan struct{}, 1)}
-		b.leases[instance] = w
+		w = &workerLease{busy: make(chan struct{}, 1), lastUse: b.cfg.Clock.Now()}
+		b.leases[p.Instance] = w
 	}
 	return w
 }
 
-// lease returns the ID of a lease that is valid now, opening one if there is none.
-func (b *leaseBook) lease(ctx context.Context, t target) (string, error) {
-	b.mu.Lock()
-	w := b.get(t.instance)
-	b.mu.Unlock()
+// lease returns the ID of a lease that is valid now, opening one if there is none, and counts the permit as its user. A
+// permit keeps its lease, also a retired one, as long as that is valid: its work may run under it already.
+func (b *leaseBook) lease(ctx context.Context, t target, p *Permit) (string, error) {
+	for {
+		id, err := b.tryLease(ctx, b.of(p), t, p)
+		if !errors.Is(err, errLeaseReplaced) {
+			return id, err
+		}
+	}
+}
+
+func (b *leaseBook) tryLease(ctx context.Context, w *workerLease, t target, p *Permit) (string, error) {
 	select {
 	case w.busy <- struct{}{}:
 	case <-ctx.Done():
@@ -90,24 +116,59 @@
 	if !b.cfg.Session.Valid() {
 		return "", ErrLeaseExpired
 	}
+	// The lease of an instance that came back under another address is one of the earlier worker.
+	if w.id != "" && (!b.valid(w, b.cfg.Session.Holder()) || w.target.address != t.address) {
+		b.replace(w, p)
+		return "", errLeaseReplaced
+	}
 	w.target = t
-	if b.valid(w, b.cfg.Session.Holder()) {
-		return w.id, nil
+	if w.id == "" {
+		if err := b.open(ctx, w); err != nil {
+			return "", fmt.Errorf("open lease of instance %s: %w", t.instance, err)
+		}
 	}
-	if err := b.open(ctx, w); err != nil {
-		return "", fmt.Errorf("open lease of instance %s: %w", t.instance, err)
+	if !b.attach(w, p) {
+		return "", errLeaseReplaced
 	}
 	return w.id, nil
 }
 
+// replace ends the use of a lease under which nothing may start any more.
+func (b *leaseBook) replace(w *workerLease, p *Permit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leases[p.Instance] == w {
+		delete(b.leases, p.Instance)
+	}
+	if p.lease == w {
+		p.lease = nil
+		w.permits--
+	}
+}
+
+// attach counts the permit as a user of the lease. It reports false if the lease was retired meanwhile.
+func (b *leaseBook) attach(w *workerLease, p *Permit) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.lastUse = b.cfg.Clock.Now()
+	if p.lease == w {
+		return true
+	}
+	if _, retired := b.retired[w]; retired || b.leases[p.Instance] != w {
+		return false
+	}
+	p.lease = w
+	w.permits++
+	return true
+}
+
 // valid reports whether work may start under the lease. The caller holds busy.
 func (b *leaseBook) valid(w *workerLease, holder string) bool {
-	return w.id != "" && w.holder == holder && b.cfg.Clock.Now().Before(w.end)
+	return w.id != "" && !w.over.Load() && w.holder == holder && b.cfg.Clock.Now().Before(w.end)
 }
 
-// open replaces the lease by a new one. The caller holds busy.
+// open opens the lease at the worker. The caller holds busy.
 func (b *leaseBook) open(ctx context.Context, w *workerLease) error {
-	w.id = ""
 	holder := b.cfg.Session.Holder()
 	opened, err := b.worker(w).OpenLease(ctx, holder)
 	if err != nil {
@@ -129,6 +190,11 @@
 		return ErrLeaseExpired
 	}
 	end := b.cfg.Session.End()
+	b.mu.Lock()
+	if end.After(w.asked) {
+		w.asked = end
+	}
+	b.mu.Unlock()
 	now, err := b.worker(w).RenewLease(ctx, w.id, w.workerNow+end.Sub(w.readAt))
 	if err != nil {
 		return err
@@ -141,13 +207,13 @@
 	return b.cfg.Workers.Worker(w.target.instance, w.target.address, w.target.connections)
 }
 
-// run renews leases until ctx ends.
+// run renews and closes leases until ctx ends.
 func (b *leaseBook) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	slots := make(chan struct{}, leaseRenewParallel)
-	for {
-		for _, w := range b.due() {
+	slots := make(chan struct{}, leaseCallsParallel)
+	each := func(leases []*workerLease, call func(context.Context, *workerLease)) {
+		for _, w := range leases {
 			select {
 			case slots <- struct{}{}:
 			case <-ctx.Done():
@@ -155,38 +221,53 @@
 			}
 			wg.Go(func() {
 				defer func() { <-slots }()
-				b.renew(ctx, w)
+				call(ctx, w)
 			})
 		}
+	}
+	for ctx.Err() == nil {
+		closing, freed := b.settle()
+		for _, p := range freed {
+			p.free()
+		}
+		each(closing, b.close)
+		each(b.due(), b.renew)
 		select {
 		case <-ctx.Done():
-			return
-		case <-b.cfg.Clock.After(leaseRenewTick):
+		case <-b.kick:
+		case <-b.cfg.Clock.After(leaseTick):
 		}
 	}
 }
 
-// due returns the leases that are not in a call, and forgets those that are unused and have lapsed.
+// due returns the leases that are not in a call and need a renewal, and forgets those that are unused and have lapsed.
 func (b *leaseBook) due() []*workerLease {
 	holder := b.cfg.Session.Holder()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.cfg.Clock.Now()
 	var due []*workerLease
-	for instance, w := range b.leases {
+	check := func(w *workerLease, idle bool) (valid bool) {
 		select {
 		case w.busy <- struct{}{}:
 		default:
-			continue
+			return true
 		}
-		idle := w.used == 0 && now.Sub(w.lastUse) >= leaseIdleAfter
-		if idle && !b.valid(w, holder) {
-			delete(b.leases, instance)
-		}
-		if !idle && b.valid(w, holder) && now.Sub(w.readAt) >= leaseRenewEvery {
+		defer func() { <-w.busy }()
+		valid = b.valid(w, holder)
+		if !idle && valid && now.Sub(w.readAt) >= leaseRenewEvery {
 			due = append(due, w)
 		}
-		<-w.busy
+		return valid
+	}
+	for instance, w := range b.leases {
+		idle := w.permits == 0 && now.Sub(w.lastUse) >= leaseIdleAfter
+		if !check(w, idle) && idle {
+			delete(b.leases, instance)
+		}
+	}
+	for w := range b.retired {
+		check(w, w.permits == 0)
 	}
 	return due
 }
@@ -204,18 +285,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
-	err := b.extend(ctx, w)
-	if refused := (*platform.RefusedError)(nil); errors.As(err, &refused) && refused.Refusal == platform.RefusedLeaseLapsed {
-		w.id = ""
+	if isLapsed(b.extend(ctx, w)) {
+		w.over.Store(true)
+		b.wake()
 	}
 }
 
-// refused forgets a lease that the worker does not accept any more, as after its restart.
-func (b *leaseBook) refused(ctx context.Context, instance, id string) {
+func isLapsed(err error) bool {
+	refused := (*platform.RefusedError)(nil)
+	return errors.As(err, &refused) && refused.Refusal == platform.RefusedLeaseLapsed
+}
+
+// refused notes that the worker does not accept the permit's lease any more, as after its restart.
+func (b *leaseBook) refused(ctx context.Context, p *Permit, id string) {
 	b.mu.Lock()
-	w, ok := b.leases[instance]
+	w := p.lease
 	b.mu.Unlock()
-	if !ok {
+	if w == nil {
 		return
 	}
 	select {
@@ -225,6 +311,7 @@
 	}
 	defer func() { <-w.busy }()
 	if w.id == id {
-		w.id = ""
+		w.over.Store(true)
+		b.wake()
 	}
 }
--- a/internal/allotment/ledger.go
+++ b/internal/allotment/ledger.go
@@ -86,6 +86,7 @@
 	instances map[string]*instanceAccount
 	members   map[string][]string // the instances with held slots by pool, ordered by ID.
 	queued    map[queueKey]int
+	abandoned int
 	changed   chan struct{}
 }
 
@@ -188,10 +189,13 @@
 type Permit struct {
 	Team, Instance, Address string
 
-	ledger  *Ledger
-	pool    string
-	started bool
-	once    sync.Once
+	ledger   *Ledger
+	pool     string
+	started  bool
+	acquired time.Time
+	freed    func()
+	once     sync.Once
+	lease    *workerLease // guarded by the lease book's mu
 }
 
 // Acquire takes one unit of the team and one slot of the instance.
@@ -238,37 +242,39 @@
 	i := l.instances[instance]
 	p := &Permit{
 		Team: team, Instance: instance, Address: i.grant.Facts.Address,
-		ledger: l, pool: i.grant.Pool, started: started,
+		ledger: l, pool: i.grant.Pool, started: started, acquired: l.cfg.Clock.Now(),
 	}
 	l.count(p, 1)
-	l.leases.use(instance, 1)
 	return p
 }
 
 // count adds n to the use of the permit's team, pool and instance. The caller holds mu.
 func (l *Ledger) count(p *Permit, n int) {
-	started := 0
 	if p.started {
-		started = n
+		accountOf(l.teams, p.Team).started += n
+		l.instances[p.Instance].started += n
 	}
+	l.countUse(p, n)
+}
+
+func (l *Ledger) countUse(p *Permit, n int) {
 	team, pool, instance := accountOf(l.teams, p.Team), accountOf(l.pools, p.pool), l.instances[p.Instance]
 	team.used += n
-	team.started += started
 	pool.used += n
 	instance.used += n
-	instance.started += started
 	l.observe(team)
 	l.observe(pool)
 }
 
-// Release gives the unit and the slot back for the next use. It is idempotent.
+// Release gives the unit and the slot back for the next use. Call it only if the work has ended or did not start; otherwise
+// call Abandon. It is idempotent.
 func (p *Permit) Release() {
 	p.once.Do(func() {
 		l := p.ledger
+		l.leases.release(p)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.count(p, -1)
-		l.leases.use(p.Instance, -1)
 		l.notify()
 	})
 }
@@ -276,13 +282,14 @@
 // Lease returns the worker lease under which the permit's work must start.
 func (p *Permit) Lease(ctx context.Context) (string, error) {
 	l := p.ledger
-	return l.leases.lease(ctx, target{instance: p.Instance, address: p.Address, connections: l.MaxConnections(p.Instance)})
+	t := target{instance: p.Instance, address: p.Address, connections: l.MaxConnections(p.Instance)}
+	return l.leases.lease(ctx, t, p)
 }
 
 // LeaseRefused says that the worker refused a start under the lease with RefusedLeaseLapsed, so that the next Lease opens a
 // new one instead of waiting for the next renewal to find out.
 func (p *Permit) LeaseRefused(ctx context.Context, leaseID string) {
-	p.ledger.leases.refused(ctx, p.Instance, leaseID)
+	p.ledger.leases.refused(ctx, p, leaseID)
 }
 
 func accountOf(accounts map[string]*account, name string) *account {
--- a/internal/allotment/prop_test.go
+++ b/internal/allotment/prop_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,10 +35,11 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		f, clock := newFake(is.New(t)), &stepClock{}
 		f.setEnd(time.Hour)
-		f.ledger.cfg.Clock = clock
+		f.openTakes = 0
+		f.ledger.cfg.Clock, f.ledger.leases.cfg.Clock = clock, clock
 		f.apply("other", record.Op{SessionOpen: &record.SessionOpen{}})
 		p := proposer{ledger: f.ledger, results: make(chan result, 1)}
-		var permits []*Permit
+		var permits []*Permit // without those that were released or whose work has ended
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			permits = randomStep(rt, f, clock, &p, permits)
 			checkPermits(rt, f, permits)
@@ -54,7 +56,7 @@
 func randomStep(rt *rapid.T, f *fake, clock *stepClock, p *proposer, permits []*Permit) []*Permit {
 	team := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "team")
 	n := rapid.IntRange(0, 6).Draw(rt, "n")
-	switch rapid.IntRange(0, 6).Draw(rt, "step") {
+	switch rapid.IntRange(0, 9).Draw(rt, "step") {
 	case 0, 1:
 		if c := f.ledger.Candidates("p"); len(c) > 0 {
 			if permit, err := f.ledger.Acquire(team, c[n%len(c)].Instance); err == nil {
@@ -62,7 +64,7 @@
 			}
 		}
 	case 2:
-		if len(permits) > 0 {
+		if len(permits) > 0 && !abandoned(f, permits[n%len(permits)]) {
 			permits[n%len(permits)].Release()
 			return append(permits[:n%len(permits):n%len(permits)], permits[n%len(permits)+1:]...)
 		}
@@ -79,6 +81,26 @@
 		if p.unresolved != nil && len(late) > 0 {
 			f.apply("me", late...)
 		}
+	case 6:
+		if len(permits) > 0 {
+			p := permits[n%len(permits)]
+			p.Abandon(nil)
+			if p.lease == nil { // nothing started under it, so it is free
+				return slices.Delete(slices.Clone(permits), n%len(permits), n%len(permits)+1)
+			}
+		}
+	case 7, 8:
+		if len(permits) > 0 {
+			p := permits[n%len(permits)]
+			f.Worker(p.Instance, "", 0).(*fakeWorker).closeErr = []error{nil, errors.New("no answer")}[n%2]
+			// An abandoned permit gets no lease.
+			if !abandoned(f, p) {
+				if id, err := p.Lease(context.Background()); err == nil && n == 0 {
+					p.LeaseRefused(context.Background(), id)
+				}
+			}
+		}
+		return settleLeases(f, permits)
 	default:
 		clock.now = clock.now.Add(time.Duration(n) * 100 * time.Millisecond)
 		p.step(context.Background())
@@ -89,9 +111,33 @@
 	return permits
 }
 
+func abandoned(f *fake, p *Permit) bool {
+	for w := range f.ledger.leases.retired {
+		if slices.Contains(w.abandoned, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// settleLeases does what the loop of the lease book does, and returns the permits whose work may still run.
+func settleLeases(f *fake, permits []*Permit) []*Permit {
+	closing, freed := f.ledger.leases.settle()
+	for _, p := range freed {
+		p.free()
+	}
+	for _, w := range closing {
+		f.ledger.leases.close(context.Background(), w)
+	}
+	return slices.DeleteFunc(slices.Clone(permits), func(p *Permit) bool { return slices.Contains(freed, p) })
+}
+
 func checkPermits(rt *rapid.T, f *fake, permits []*Permit) {
 	teams, instances := map[string]int{}, map[string]int{}
 	for _, p := range permits {
+		if w := p.lease; w != nil && w.permits > 0 && slices.Contains(f.workers[p.Instance].closed, w.id) {
+			rt.Fatalf("the lease of %d permits was closed", w.permits)
+		}
 		teams[p.Team]++
 		instances[p.Instance]++
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -103,6 +103,11 @@
 		i.logger.Info().Int("jobs", left).Msg("running jobs are handed on")
 	}
 	i.gateway.WaitSettled()
+	// The end of the session frees the units for other holders. Without it the session is revoked once its lease and with it
+	// the worker leases have expired.
+	if err := i.ledger.WaitAbandoned(ctx); err != nil {
+		return fmt.Errorf("the session is left to be revoked: %w", err)
+	}
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	if err := i.member.Close(closeCtx); err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,9 +27,19 @@
 
 // attempt sends the request to the ticket's instance. again says that another attempt is safe.
 func (x *exchange) attempt(ticket *admission.Ticket, body io.Reader) (problem *Problem, again bool) {
-	observed := routing.ObservedNothing
-	defer func() { ticket.Done(observed) }()
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.service.Timeout())
+	observed, ended := routing.ObservedNothing, false
+	defer func() {
+		if ended {
+			ticket.Done(observed)
+		} else {
+			x.g.c.Metrics.abandoned.Add(1)
+			ticket.Abandon(observed)
+		}
+	}()
+	// The attempt goes on when the caller goes away: most backend servers finish what they have started, and only the end
+	// of the response shows that the unit and the slot are free. To cancel and abandon the attempt would retire the worker
+	// lease, and the unit would stay in use until the longest other work under that lease has ended.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), x.service.Timeout())
 	defer cancel()
 	x.g.c.Metrics.attempts.Add(1)
 	requestID := ulid.Make().String()
@@ -48,6 +58,7 @@
 		if isLeaseRefusal(err) {
 			ticket.LeaseRefused(ctx)
 		}
+		ended = errors.Is(err, platform.ErrNotSent) // refusals are among these
 		problem, again, observed = x.explain(ctx, err)
 		return problem, again
 	}
@@ -62,11 +73,15 @@
 		observed = routing.ObservedFailure
 	}
 	x.writeHead(response, requestID)
-	if from := x.stream(response); from != nil {
-		observed = routing.ObservedNothing
-		if from == errTruncated && ctx.Err() == nil {
+	err = x.stream(response)
+	ended = !errors.Is(err, errTruncated)
+	if err != nil {
+		if !ended {
 			observed = routing.ObservedFailure
 		}
+		if !ended && ctx.Err() != nil {
+			observed = routing.ObservedNothing
+		}
 		// The server closes the connection without the end of the response, so the caller sees that it is incomplete.
 		x.g.c.Metrics.aborted.Add(1)
 		panic(http.ErrAbortHandler)
@@ -90,21 +105,17 @@
 		return refuse(http.StatusServiceUnavailable, ReasonInstanceRefused, err.Error()).orLater(), true, observed
 	}
 	if errors.Is(err, platform.ErrNotSent) {
-		observed := routing.ObservedFailure
-		if x.r.Context().Err() != nil {
-			observed = routing.ObservedNothing
-		}
-		return refuse(http.StatusBadGateway, ReasonInstanceUnreachable, err.Error()).orLater(), true, observed
+		return refuse(http.StatusBadGateway, ReasonInstanceUnreachable, err.Error()).orLater(), true, routing.ObservedFailure
 	}
 	x.run = record.RunMayHaveRun
 	switch {
 	case x.body.failure() != nil:
 		return bodyProblem(x.body.failure()), false, routing.ObservedNothing
-	case x.r.Context().Err() != nil:
-		return refuse(http.StatusBadGateway, ReasonNoResponse, "the caller went away"), false, routing.ObservedNothing
 	case ctx.Err() != nil:
 		// A retry after the whole time of the service would come too late for most callers.
 		return refuse(http.StatusGatewayTimeout, ReasonTimeout, "no response within the service's time"), false, routing.ObservedFailure
+	case x.r.Context().Err() != nil:
+		return refuse(http.StatusBadGateway, ReasonNoResponse, "the caller went away"), false, routing.ObservedNothing
 	}
 	return refuse(http.StatusBadGateway, ReasonNoResponse, err.Error()), !x.nonIdempotent, routing.ObservedFailure
 }
@@ -149,22 +160,22 @@
 	errCallerGone = errors.New("the caller went away")
 )
 
-// stream copies the body, and then the trailers. Each read is passed on at once, so slow streams reach the caller.
+// stream copies the body, and then the trailers. Each read is passed on at once, so slow streams reach the caller. When the
+// caller is gone, the rest is read and dropped. An error that is not errTruncated says that the response came to its end.
 func (x *exchange) stream(response *http.Response) error {
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	controller := http.NewResponseController(x.w)
-	total := int64(0)
+	total, gone := int64(0), false
 	defer func() { x.g.c.Metrics.responseBytes.Add(total) }()
 	for {
 		n, err := response.Body.Read(*buffer)
-		if n > 0 {
-			if _, err := x.w.Write((*buffer)[:n]); err != nil {
-				return errCallerGone
-			}
-			total += int64(n)
-			if total != response.ContentLength {
-				_ = controller.Flush()
+		total += int64(n)
+		if n > 0 && !gone {
+			_, err := x.w.Write((*buffer)[:n])
+			gone = err != nil
+			if !gone && total != response.ContentLength {
+				gone = controller.Flush() != nil
 			}
 		}
 		if err == io.EOF {
@@ -177,6 +188,9 @@
 	if response.ContentLength >= 0 && total != response.ContentLength && !bodiless(x.r.Method, response.StatusCode) {
 		return errTruncated
 	}
+	if gone {
+		return errCallerGone
+	}
 	for name, values := range response.Trailer {
 		x.w.Header()[name] = values
 	}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -26,6 +26,9 @@
 	g       *Gateway
 	backend http.HandlerFunc
 
+	// ends has how each permit ended.
+	ends chan string
+
 	mu        sync.Mutex
 	contact   bool
 	doErrors  []error // the errors of the first attempts
@@ -40,7 +43,7 @@
 
 func newFixture(t *testing.T, backend http.HandlerFunc) *fixture {
 	f := &fixture{
-		backend: backend, contact: true, outcome: fold.Outcome{Accepted: true}, jobs: map[string]fold.Job{},
+		backend: backend, ends: make(chan string, 100), contact: true, outcome: fold.Outcome{Accepted: true}, jobs: map[string]fold.Job{},
 		doc: &config.Document{
 			Limits:   config.Limits{HeaderBytes: 2000, BodyBytes: 1 << 20, JobBodyBytes: 100, QueueLength: 9, QueueSeconds: 9},
 			Services: []config.Service{{Name: "s", Pool: "p", TimeoutSeconds: 60}},
@@ -51,7 +54,7 @@
 		},
 	}
 	document := func() *config.Document { return f.doc }
-	q := admission.New(admission.Config{Document: document, Ledger: ledger{}, Fleet: ledger{}, Health: routing.NewHealth(time.Now)})
+	q := admission.New(admission.Config{Document: document, Ledger: ledger{f}, Fleet: ledger{f}, Health: routing.NewHealth(time.Now)})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		f.backend(w, r)
@@ -84,21 +87,23 @@
 	return []fold.Outcome{f.outcome}, f.logError
 }
 
-type ledger struct{}
+// ledger has capacity for everything and counts how permits end.
+type ledger struct{ f *fixture }
 
 func (ledger) Candidates(string) []routing.Candidate {
 	// Only a request that avoids i1 goes elsewhere.
 	return []routing.Candidate{{Instance: "i1", Held: 9}, {Instance: "i2", Used: 1, Held: 9}, {Instance: "i3", Used: 1, Held: 9}}
 }
-func (ledger) Acquire(string, string) (admission.Permit, error) { return ledger{}, nil }
-func (ledger) HasTeamUnit(string) bool                          { return true }
-func (ledger) SetQueued(string, string, int)                    {}
-func (ledger) Changed() <-chan struct{}                         { return nil }
-func (ledger) PeerRunning(string, string) int                   { return 0 }
-func (ledger) Leaving(string) bool                              { return false }
-func (ledger) Lease(context.Context) (string, error)            { return "lease", nil }
-func (ledger) LeaseRefused(context.Context, string)             {}
-func (ledger) Release()                                         {}
+func (l ledger) Acquire(string, string) (admission.Permit, error) { return l, nil }
+func (ledger) HasTeamUnit(string) bool                            { return true }
+func (ledger) SetQueued(string, string, int)                      {}
+func (ledger) Changed() <-chan struct{}                           { return nil }
+func (ledger) PeerRunning(string, string) int                     { return 0 }
+func (ledger) Leaving(string) bool                                { return false }
+func (ledger) Lease(context.Context) (string, error)              { return "lease", nil }
+func (ledger) LeaseRefused(context.Context, string)               {}
+func (l ledger) Release()                                         { l.f.ends <- "released" }
+func (l ledger) Abandon(func())                                   { l.f.ends <- "abandoned" }
 
 type worker struct {
 	platform.Worker
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -202,22 +202,66 @@
 
 func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
 
-// Guards against attempts that go on, and keep their slot, after their caller has gone away.
+// Guards against giving a unit back while the instance may still run the work of a caller that has gone away, against
+// abandoning work whose response comes, and against attempts that go on beyond the service's time.
 func TestCallerGoesAway(t *testing.T) {
-	is := is.New(t)
-	began, cancelled := make(chan struct{}), make(chan struct{})
-	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
-		close(began)
-		<-r.Context().Done()
-		close(cancelled)
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	r, _ := http.NewRequestWithContext(ctx, "GET", f.gateway.URL+requests+"/", nil)
-	r.Header.Set("Authorization", "Bearer t/k")
-	go func() { <-began; cancel() }()
-	_, err := http.DefaultTransport.RoundTrip(r)
-	is.True(errors.Is(err, context.Canceled))
-	<-cancelled
+	for want, answers := range map[string]bool{"released": true, "abandoned": false} {
+		is := is.New(t)
+		began, gone, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+			close(began)
+			<-gone
+			if answers {
+				_, _ = w.Write(make([]byte, 1<<20))
+				return
+			}
+			<-r.Context().Done()
+			close(ended)
+		})
+		f.doc.Services[0].TimeoutSeconds = 1
+		ctx, cancel := context.WithCancel(t.Context())
+		r, _ := http.NewRequestWithContext(ctx, "GET", f.gateway.URL+requests+"/", nil)
+		r.Header.Set("Authorization", "Bearer t/k")
+		go func() { <-began; cancel() }()
+		_, err := http.DefaultTransport.RoundTrip(r)
+		is.True(errors.Is(err, context.Canceled))
+		close(gone)
+		is.Equal(<-f.ends, want)
+		if !answers {
+			<-ended
+		}
+	}
+}
+
+// Guards against a unit that is given back although the work may still run, and one that is kept although it has not run.
+func TestEndOfAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		err     error
+		backend http.HandlerFunc
+		want    string
+	}{
+		"complete":      {nil, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) }, "released"},
+		"refused":       {refused, nil, "released"},
+		"not sent":      {platform.ErrNotSent, nil, "released"},
+		"no answer":     {platform.ErrNoAnswer, nil, "abandoned"},
+		"wrong request": {nil, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Request-Id", "other") }, "abandoned"},
+		"truncated": {nil, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("x"))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, "abandoned"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, c.backend)
+			for range maxAttempts {
+				if c.err != nil {
+					f.doErrors = append(f.doErrors, c.err)
+				}
+			}
+			f.call(t, "GET", requests+"/", "")
+			is.New(t).Equal(<-f.ends, c.want)
+		})
+	}
 }
 
 // Guards against a body that the caller sends for nothing, because 100 Continue came before the request could run.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,8 +6,8 @@
 type Metrics struct {
 	Map *expvar.Map
 
-	requests, answered, attempts, retries, aborted, jobs, responseBytes expvar.Int
-	refusals                                                            *expvar.Map
+	requests, answered, attempts, retries, aborted, abandoned, jobs, responseBytes expvar.Int
+	refusals                                                                       *expvar.Map
 }
 
 // NewMetrics returns counters at zero.
@@ -16,7 +16,7 @@
 	for name, v := range map[string]expvar.Var{
 		"requests_total": &m.requests, "requests_answered_total": &m.answered, "attempts_total": &m.attempts,
 		"retries_total": &m.retries, "responses_aborted_total": &m.aborted, "jobs_accepted_total": &m.jobs,
-		"response_body_bytes": &m.responseBytes, "problems_by_reason_total": m.refusals,
+		"attempts_abandoned_total": &m.abandoned, "response_body_bytes": &m.responseBytes, "problems_by_reason_total": m.refusals,
 	} {
 		m.Map.Set(name, v)
 	}
--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -73,8 +73,10 @@
 	finish   record.JobFinish
 	// lease gets the worker lease of an adopted job.
 	lease func(context.Context) (string, error)
-	// abandoned leaves the capacity in use, because the task may go on until another instance adopts it.
-	abandoned bool
+	// mayRun says that the task may be running at the worker.
+	mayRun bool
+	// left leaves the capacity in use, because the task may go on until another instance adopts it.
+	left bool
 }
 
 func (a *attempt) run() {
@@ -96,7 +98,11 @@
 			panic(fmt.Sprintf("job %s: %v", a.job.ID, err)) // a step returned a trigger that its state does not have
 		}
 	}
-	if a.capacity.release != nil && !a.abandoned {
+	switch {
+	case a.capacity.release == nil || a.left:
+	case a.mayRun:
+		a.capacity.abandon(a.observed)
+	default:
 		a.capacity.release(a.observed)
 	}
 }
@@ -153,7 +159,6 @@
 		ID: a.taskID(), LeaseID: a.capacity.leaseID, Service: a.job.Service, RequestID: a.taskID(),
 		ContentType: a.job.ContentType, Body: a.job.Body,
 	}
-	mayHaveRun := false
 	for began := a.r.c.Now(); ; {
 		if a.gone.Err() != nil {
 			return a.interrupted()
@@ -166,13 +171,13 @@
 		}
 		refused := (*platform.RefusedError)(nil)
 		if errors.As(err, &refused) {
-			return a.refusedBy(refused, mayHaveRun)
+			return a.refusedBy(refused)
 		}
-		if errors.Is(err, platform.ErrNotSent) && !mayHaveRun {
+		if errors.Is(err, platform.ErrNotSent) && !a.mayRun {
 			a.observed = routing.ObservedFailure
 			return a.retryOrFail("the instance could not be reached: " + err.Error())
 		}
-		mayHaveRun = mayHaveRun || !errors.Is(err, platform.ErrNotSent)
+		a.mayRun = a.mayRun || !errors.Is(err, platform.ErrNotSent)
 		if a.r.c.Now().Sub(began) > lostAfter {
 			return a.lost("no answer to the start of the task")
 		}
@@ -180,11 +185,11 @@
 	}
 }
 
-func (a *attempt) refusedBy(refused *platform.RefusedError, mayHaveRun bool) trigger {
+func (a *attempt) refusedBy(refused *platform.RefusedError) trigger {
 	if refused.Refusal == platform.RefusedLeaving {
 		a.observed = routing.ObservedLeaving
 	}
-	if mayHaveRun {
+	if a.mayRun {
 		return a.lost("the start was not answered, and then " + refused.Error())
 	}
 	a.r.delay(a.job.ID)
@@ -230,7 +235,7 @@
 	if job, ok := a.r.c.Source.Job(a.job.ID); ok && job.State == fold.JobCancelled {
 		return onGone
 	}
-	a.abandoned = a.r.hard.Err() != nil
+	a.left = a.r.hard.Err() != nil
 	return onEnd
 }
 
@@ -240,7 +245,12 @@
 		_, err := call(a.r.hard, func(ctx context.Context) (struct{}, error) {
 			return struct{}{}, a.worker().StopTask(ctx, a.taskID())
 		})
-		if err == nil || errors.Is(err, platform.ErrUnknownTask) || !sleep(a.r.hard, retryInterval) {
+		if err == nil || errors.Is(err, platform.ErrUnknownTask) {
+			// A start that is still under way is possible only if none was answered; the lease is closed then.
+			a.mayRun = a.mayRun && err != nil
+			break
+		}
+		if !sleep(a.r.hard, retryInterval) {
 			break
 		}
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -110,9 +110,11 @@
 	instance string
 	address  string
 	leaseID  string
-	release  func(routing.Observation)
+	// release and abandon are those of admission.Ticket.
+	release func(routing.Observation)
+	abandon func(routing.Observation)
 }
 
 func ofTicket(t *admission.Ticket) capacity {
-	return capacity{instance: t.Instance, address: t.Address, leaseID: t.LeaseID, release: t.Done}
+	return capacity{instance: t.Instance, address: t.Address, leaseID: t.LeaseID, release: t.Done, abandon: t.Abandon}
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -53,6 +53,7 @@
 	stops   []string
 	adopts  []string
 	used    int
+	unended int    // abandoned permits
 	blocked string // the team without units
 	queued  map[string]int
 }
@@ -176,6 +177,7 @@
 func (p permit) Lease(context.Context) (string, error) { return "lease", nil }
 func (p permit) LeaseRefused(context.Context, string)  {}
 func (p permit) Release()                              { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.used-- }
+func (p permit) Abandon(func())                        { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.used--; p.w.unended++ }
 
 type worker struct {
 	platform.Worker
@@ -222,7 +224,8 @@
 	return job
 }
 
-// Guards against lost or repeated runs in each way in which the start or the run of a task can end.
+// Guards against lost or repeated runs in each way in which the start or the run of a task can end, and against capacity that
+// is given back as free while the task may run.
 func TestAttemptEnds(t *testing.T) {
 	type status = platform.TaskStatus
 	refused := &platform.RefusedError{Refusal: platform.RefusedSlotsFull}
@@ -235,17 +238,18 @@
 		reason        string
 		starts        int
 		instances     int
+		unended       int
 	}{
-		{"done", true, nil, done(platform.Task{}), fold.JobSucceeded, "", 1, 1},
-		{"refused", true, []error{refused}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2},
-		{"not sent", true, []error{platform.ErrNotSent}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2},
-		{"lost answer", true, []error{platform.ErrNoAnswer}, done(platform.Task{}), fold.JobSucceeded, "", 2, 1},
-		{"lost answer, then refused", true, []error{platform.ErrNoAnswer, refused}, status{}, fold.JobUnknown, "refused", 2, 1},
-		{"lost answer, then refused, idempotent", false, []error{platform.ErrNoAnswer, refused}, done(platform.Task{}), fold.JobSucceeded, "", 3, 2},
-		{"fails everywhere", false, nil, status{State: platform.TaskFailed}, fold.JobFailed, "given up", 3, 3},
-		{"fails, non-idempotent", true, nil, status{State: platform.TaskFailed, Status: 500}, fold.JobFailed, "failed", 1, 1},
-		{"lapsed", true, nil, status{State: platform.TaskLapsed}, fold.JobUnknown, "lapsed", 1, 1},
-		{"large result", true, nil, status{State: platform.TaskDone, Result: make([]byte, maxResultBytes+1)}, fold.JobFailed, "at most", 1, 1},
+		{"done", true, nil, done(platform.Task{}), fold.JobSucceeded, "", 1, 1, 0},
+		{"refused", true, []error{refused}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2, 0},
+		{"not sent", true, []error{platform.ErrNotSent}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2, 0},
+		{"lost answer", true, []error{platform.ErrNoAnswer}, done(platform.Task{}), fold.JobSucceeded, "", 2, 1, 0},
+		{"lost answer, then refused", true, []error{platform.ErrNoAnswer, refused}, status{}, fold.JobUnknown, "refused", 2, 1, 1},
+		{"lost answer, then refused, idempotent", false, []error{platform.ErrNoAnswer, refused}, done(platform.Task{}), fold.JobSucceeded, "", 3, 2, 1},
+		{"fails everywhere", false, nil, status{State: platform.TaskFailed}, fold.JobFailed, "given up", 3, 3, 0},
+		{"fails, non-idempotent", true, nil, status{State: platform.TaskFailed, Status: 500}, fold.JobFailed, "failed", 1, 1, 0},
+		{"lapsed", true, nil, status{State: platform.TaskLapsed}, fold.JobUnknown, "lapsed", 1, 1, 0},
+		{"large result", true, nil, status{State: platform.TaskDone, Result: make([]byte, maxResultBytes+1)}, fold.JobFailed, "at most", 1, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
@@ -263,6 +267,9 @@
 					instances[strings.Fields(start)[0]] = true
 				}
 				w.is.Equal(len(instances), c.instances)
+				synctest.Wait()
+				w.is.Equal(w.unended, c.unended)
+				w.is.Equal(w.used, 0)
 			})
 		})
 	}
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -12,6 +12,7 @@
 
 // judge turns a worker's answer into the next trigger.
 func (a *attempt) judge(status platform.TaskStatus) trigger {
+	a.mayRun = status.State == platform.TaskRunning
 	switch status.State {
 	case platform.TaskRunning:
 		return onRunning
@@ -72,7 +73,7 @@
 func (a *attempt) commitFinish() trigger {
 	a.finish.Job, a.finish.Attempt = a.job.ID, a.job.Attempt
 	if err := a.r.c.submit(a.r.hard, record.Op{JobFinish: &a.finish}); err != nil {
-		a.abandoned = a.r.hard.Err() != nil
+		a.left = a.r.hard.Err() != nil
 	}
 	return onEnd
 }
@@ -114,6 +115,8 @@
 	if a.capacity.release == nil {
 		permit := a.r.c.AcquireStarted(a.job.Team, a.job.Instance)
 		a.capacity.release = func(routing.Observation) { permit.Release() }
+		a.capacity.abandon = func(routing.Observation) { permit.Abandon(nil) }
+		a.mayRun = true
 		a.lease = permit.Lease
 	}
 	_, err = call(a.gone, func(ctx context.Context) (struct{}, error) {
--- a/standin/service.go
+++ b/standin/service.go
@@ -23,7 +23,11 @@
 	if !sleep(r.Context(), milliseconds(w.Faults().DelayMS)) {
 		panic(http.ErrAbortHandler)
 	}
-	ctx, cancel := context.WithCancel(r.Context())
+	ctx := r.Context()
+	if w.Faults().FinishDeparted {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e := &execution{
 		Execution: Execution{
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -47,6 +47,8 @@
 	Pause bool `json:"pause"`
 	// Leaving refuses new work; running work continues.
 	Leaving bool `json:"leaving"`
+	// FinishDeparted goes on with a synchronous request after its client has gone, as most backend servers do.
+	FinishDeparted bool `json:"finish_departed"`
 }
 
 // Execution is one run of a synchronous request or of a task. End is zero while it runs.
