Forget claims of idempotency keys after the retention time

Ruled out: one forgetting session per claim, as for jobs, because it would split one op into one for each session.

Change: each process watches the ended claims; the session with the highest rendezvous score for the role "claims" forgets up to 500 of them in one op, job_result_seconds after it first saw them ended. Jobs and claims share dueOf. The forgetter starts the time of a forgotten key again, because the key may be claimed anew before the next look.

Conclusion: claims are bounded by the claims of one retention time. A process that takes the role over within 5 s of a key being forgotten and claimed anew may forget it early.

--- a/internal/entry/serving.go
+++ b/internal/entry/serving.go
@@ -14,6 +14,7 @@
 	"pollenlead/internal/job"
 	"pollenlead/internal/membership"
 	"pollenlead/internal/platform"
+	"pollenlead/internal/record"
 	"pollenlead/internal/replica"
 	"pollenlead/internal/routing"
 )
@@ -102,6 +103,12 @@
 	return ids
 }
 
+// Claims implements job.Source.
+func (s jobSource) Claims() (claims []record.ClaimRef) {
+	s.View(func(state *fold.State) { claims = state.Claims() })
+	return claims
+}
+
 // Holders implements job.Source.
 func (s jobSource) Holders() (holders []string) {
 	s.View(func(state *fold.State) {
--- a/internal/job/forget.go
+++ b/internal/job/forget.go
@@ -13,28 +13,46 @@
 	forgetInterval = 5 * time.Second
 	// maxForgotten bounds one op.
 	maxForgotten = 500
+	// claimsResource is the rendezvous name of the role that forgets claims.
+	claimsResource = "claims"
 )
 
-// forgetLoop forgets finished jobs after the document's retention, counted from when this process first saw them finished.
+// forgetLoop forgets finished jobs and ended claims of idempotency keys after the document's retention, counted from when
+// this process first saw them ended.
 func (r *Runner) forgetLoop(ctx context.Context) {
-	seen := map[string]time.Time{}
+	jobs, claims := map[string]time.Time{}, map[record.ClaimRef]time.Time{}
 	for sleep(ctx, forgetInterval) {
-		due := dueJobs(seen, r.c.Source.Finished(), r.c.Now(), r.c.Document().Limits.JobResultRetention())
-		due = mine(due, r.c.Holder(), r.c.Source.Holders())
-		if len(due) == 0 {
-			continue
+		retention := r.c.Document().Limits.JobResultRetention()
+		holder, holders := r.c.Holder(), r.c.Source.Holders()
+		due := mine(dueOf(jobs, r.c.Source.Finished(), r.c.Now(), retention), holder, holders)
+		// What is not forgotten now, for whatever reason, is due again next time.
+		if len(due) > 0 {
+			_ = r.c.submit(ctx, record.Op{JobForget: &record.JobForget{Jobs: due}})
 		}
-		// Jobs that are not forgotten now, for whatever reason, are due again next time.
-		_ = r.c.submit(ctx, record.Op{JobForget: &record.JobForget{Jobs: due}})
+		// Every process watches the claims, so that the next one can take the role over at any time.
+		old := dueOf(claims, r.c.Source.Claims(), r.c.Now(), retention)
+		if len(old) > 0 && allot.Preferred(claimsResource, holders) == holder {
+			r.forgetClaims(ctx, claims, old[:min(len(old), maxForgotten)])
+		}
+	}
+}
+
+func (r *Runner) forgetClaims(ctx context.Context, seen map[record.ClaimRef]time.Time, old []record.ClaimRef) {
+	if err := r.c.submit(ctx, record.Op{ClaimsForget: &record.ClaimsForget{Claims: old}}); err != nil {
+		return
+	}
+	// A key may be claimed again before the next look, and is kept for the whole time then.
+	for _, claim := range old {
+		delete(seen, claim)
 	}
 }
 
-// dueJobs updates seen, which holds when each finished job was first seen, and returns the jobs that were kept for long
+// dueOf updates seen, which holds when each ended item was first seen, and returns the items that were kept for long
 // enough.
-func dueJobs(seen map[string]time.Time, finished []string, now time.Time, retention time.Duration) []string {
-	listed := make(map[string]bool, len(finished))
-	var due []string
-	for _, id := range finished {
+func dueOf[K comparable](seen map[K]time.Time, ended []K, now time.Time, retention time.Duration) []K {
+	listed := make(map[K]bool, len(ended))
+	var due []K
+	for _, id := range ended {
 		listed[id] = true
 		first, ok := seen[id]
 		if !ok {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -47,6 +47,8 @@
 	Job(id string) (fold.Job, bool)
 	// Finished returns the IDs of finished jobs that are not forgotten yet.
 	Finished() []string
+	// Claims returns the ended claims of idempotency keys that are not forgotten yet.
+	Claims() []record.ClaimRef
 	// Holders returns the open sessions.
 	Holders() []string
 	// Address returns the address of a worker instance.
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"pollenlead/internal/admission"
+	"pollenlead/internal/allot"
 	"pollenlead/internal/config"
 	"pollenlead/internal/fold"
 	"pollenlead/internal/platform"
@@ -53,7 +54,8 @@
 	stops   []string
 	adopts  []string
 	used    int
-	unended int    // abandoned permits
+	unended int // abandoned permits
+	others  []string
 	blocked string // the team without units
 	queued  map[string]int
 }
@@ -147,7 +149,16 @@
 	}
 	return
 }
-func (w *world) Holders() []string              { return []string{"e1"} }
+func (w *world) Holders() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string{"e1"}, w.others...)
+}
+func (w *world) Claims() (claims []record.ClaimRef) {
+	w.view(func(s *fold.State) { claims = s.Claims() })
+	return claims
+}
+
 func (w *world) Address(string) (string, bool)  { return "a", true }
 func (w *world) PeerRunning(string, string) int { return 0 }
 func (w *world) Leaving(string) bool            { return false }
@@ -296,6 +307,42 @@
 	})
 }
 
+// Guards against claims that are kept for ever, forgotten too early (also after a second claim of the same key), forgotten
+// while they are open, or forgotten by every entry instance.
+func TestClaimsAreForgotten(t *testing.T) {
+	run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
+		claim := func(key string) {
+			w.is.True(w.apply("e1", record.Op{RequestClaim: &record.RequestClaim{Team: "t", IdempotencyKey: key, Service: "s"}}).Accepted)
+		}
+		settle := func(key string) {
+			w.apply("e1", record.Op{RequestSettle: &record.RequestSettle{Team: "t", IdempotencyKey: key, Run: record.RunCompleted}})
+		}
+		known := func(key string) (ok bool) {
+			w.view(func(s *fold.State) { _, ok = s.Claim("t", key) })
+			return ok
+		}
+		claim("open")
+		claim("a")
+		settle("a")
+		time.Sleep(59 * time.Second)
+		w.is.True(known("a"))
+		time.Sleep(forgetInterval + 2*time.Second)
+		w.is.True(!known("a"))
+		claim("a")
+		settle("a")
+		time.Sleep(59 * time.Second)
+		w.is.True(known("a"))
+		for n := 0; len(w.Holders()) == 1; n++ { // a session with a higher score
+			if other := fmt.Sprint(n); allot.Preferred(claimsResource, []string{"e1", other}) == other {
+				w.view(func(*fold.State) { w.others = []string{other} })
+			}
+		}
+		time.Sleep(time.Minute)
+		w.is.True(known("a"))
+		w.is.True(known("open"))
+	})
+}
+
 // Guards against jobs that hold capacity or are lost while the log is down.
 func TestLogDown(t *testing.T) {
 	run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
