Hold back list answers that report most instances as gone

Cause: an empty answer of the platform's list reported every instance as gone, and the fold then withdrew all slots of the fleet at once.

Ruled out: refusing empty answers only, because a list that restarts may also answer with a part of the fleet; reporting the allowed half of a doubtful answer, because there is no reason to trust that half.

Change: one poll reports as gone at most half of the live instances of the folded state, and at least 4 (a rack). More than that are reported only after 10 polls in a row (10 s) that show the same. Other changes of the answer are reported at once. Stats.ListGoneHeldBack counts the answers held back.

Conclusion: an empty answer of less than 10 s costs no slots. A real loss of more than half of the fleet is in the log 10 s later; outlier ejection acts on it at once.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -23,6 +23,13 @@
 	listResource = "list"
 	// maxReportInstances bounds one report well below the size of a record; the next poll reports the rest.
 	maxReportInstances = 1500
+	// minGoneLimit is the number of known instances that one poll may always report as gone: small pools lose a rack of 4
+	// instances at once.
+	minGoneLimit = 4
+	// goneConfirmPolls is the number of polls in a row that must show the same before one report may exceed the limit on gone
+	// instances. An empty or partial answer of a list that restarts would otherwise drop all slots of the fleet at once; a
+	// real loss of half of the fleet shows in failing requests long before, and its routers eject those instances.
+	goneConfirmPolls = 10
 	// reportTimeout bounds the wait for one report. The next poll compares again.
 	reportTimeout = 3 * time.Second
 )
@@ -81,14 +88,45 @@
 	return rank >= 0 && t.polls > rank*listTakeoverPolls
 }
 
+// goneGuard counts the polls in a row that report the same instances as gone, more of them than one poll may.
+type goneGuard struct {
+	gone  []string
+	polls int
+}
+
+// next counts a poll and returns the changes that may be reported now. live has the live instances of the folded
+// state. Those beyond the limit are held back, and not only some of them, because the answer as a whole is doubtful.
+func (g goneGuard) next(changes []record.Instance, live map[string]bool) (goneGuard, []record.Instance) {
+	var gone []string
+	var rest []record.Instance
+	for _, facts := range changes {
+		if facts.Phase == record.PhaseGone && live[facts.ID] {
+			gone = append(gone, facts.ID)
+		} else {
+			rest = append(rest, facts)
+		}
+	}
+	if len(gone) <= max(len(live)/2, minGoneLimit) {
+		return goneGuard{}, changes
+	}
+	if !slices.Equal(gone, g.gone) {
+		return goneGuard{gone: gone, polls: 1}, rest
+	}
+	g.polls++
+	if g.polls < goneConfirmPolls {
+		return g, rest
+	}
+	return g, changes
+}
+
 // runList polls the list, and reports to the log what differs from the folded state.
 func (m *Member) runList(ctx context.Context) {
-	turn := listTurn{}
+	turn, guard := listTurn{}, goneGuard{}
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
 	for {
 		if listing, ok := m.pollList(ctx); ok {
-			turn = m.reportList(ctx, listing, turn)
+			turn, guard = m.reportList(ctx, listing, turn, guard)
 		}
 		select {
 		case <-ticker.C:
@@ -113,24 +151,35 @@
 }
 
 // reportList proposes the differences if there are any and it is this session's turn.
-func (m *Member) reportList(ctx context.Context, listing platform.Listing, turn listTurn) listTurn {
+func (m *Member) reportList(ctx context.Context, listing platform.Listing, turn listTurn, guard goneGuard) (listTurn, goneGuard) {
 	holder := m.lease.Holder()
 	var folded uint64
 	var changes []record.Instance
 	var sessions []string
+	live := map[string]bool{}
 	m.opts.Follower.View(func(s *fold.State) {
 		folded = s.ListVersion()
 		changes = listChanges(listing, s)
+		for _, known := range s.Instances() {
+			if known.Facts.Phase == record.PhaseLive {
+				live[known.Facts.ID] = true
+			}
+		}
 		for _, session := range s.Sessions() {
 			sessions = append(sessions, session.Holder)
 		}
 	})
+	all := len(changes)
+	guard, changes = guard.next(changes, live)
+	if len(changes) < all {
+		m.count(func(s *Stats) { s.ListGoneHeldBack++ })
+	}
 	if len(changes) == 0 {
-		return listTurn{}
+		return listTurn{}, guard
 	}
 	turn = turn.next(folded)
 	if !m.lease.Valid() || !turn.due(rank(listResource, holder, sessions)) {
-		return turn
+		return turn, guard
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -140,7 +189,7 @@
 	if err == nil && outcomes[0].Accepted {
 		m.count(func(s *Stats) { s.ListReports++ })
 	}
-	return turn
+	return turn, guard
 }
 
 // listChanges returns the facts in which the listing differs from the folded state, ordered by ID within each phase. A
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -56,6 +56,7 @@
 	RelayedReads, RelayedAppends             uint64
 	BadMessages                              uint64
 	ListPollsFailed, ListReports             uint64
+	ListGoneHeldBack                         uint64
 }
 
 // Member is this entry instance among the others.
--- a/internal/membership/rules_test.go
+++ b/internal/membership/rules_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -214,3 +215,38 @@
 	is.Equal(listChanges(platform.Listing{Version: 6, Workers: []record.Instance{w1}}, state),
 		[]record.Instance{w1, {ID: "w2", Phase: record.PhaseGone}})
 }
+
+// Guards against an empty or partial list that drops all slots of the fleet at once, against a small loss or a lasting large
+// one that is never reported, and against holding back other changes meanwhile.
+func TestGoneGuard(t *testing.T) {
+	is := is.New(t)
+	live, gone := map[string]bool{}, []record.Instance{}
+	for n := range 10 {
+		id := fmt.Sprintf("w%d", n)
+		live[id] = true
+		gone = append(gone, record.Instance{ID: id, Phase: record.PhaseGone})
+	}
+	fresh := record.Instance{ID: "new", Phase: record.PhaseLive}
+	half, most := gone[:5], append([]record.Instance{fresh}, gone[:6]...)
+	_, report := goneGuard{}.next(half, live)
+	is.Equal(report, half)
+	four := map[string]bool{"w0": true, "w1": true, "w2": true, "w3": true}
+	_, report = goneGuard{}.next(gone[:4], four)
+	is.Equal(len(report), 4)
+	_, report = goneGuard{}.next(gone, four)
+	is.Equal(len(report), 10) // six of them are gone already
+
+	guard := goneGuard{}
+	for range goneConfirmPolls - 1 {
+		guard, report = guard.next(most, live)
+		is.Equal(report, []record.Instance{fresh})
+	}
+	other, report := guard.next(gone, live)
+	is.Equal(len(report), 0) // another answer starts from the beginning
+	_, report = other.next(most, live)
+	is.Equal(len(report), 1)
+	_, report = guard.next(half, live)
+	is.Equal(report, half)
+	_, report = guard.next(most, live)
+	is.Equal(report, most)
+}
