Refuse requests with trailers

Cause: a request's trailers were dropped without a word, although they may carry a checksum or signature of the body.

Ruled out: forwarding them. The transport sends trailers only with a body of unknown length, they are known only when the body has been read, and a retry sends the body from a copy, so platform.ServiceRequest, both clients' bodies and the replay buffer would all have to carry them.

Change: a request that announces trailers gets 400 invalid_request, "request trailers are not supported", run not_run.

Conclusion: no caller loses trailers without knowing it.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -233,6 +233,22 @@
 	}
 }
 
+// Guards against a request that runs without its trailers, which the caller would not notice.
+func TestRequestTrailersAreRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(http.ResponseWriter, *http.Request) { t.Error("the request ran") })
+	r, _ := http.NewRequest("POST", f.gateway.URL+requests+"/", io.MultiReader(strings.NewReader("body")))
+	r.Header.Set("Authorization", "Bearer t/k")
+	r.Trailer = http.Header{"Digest": {"x"}}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	is.NoErr(err)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusBadRequest)
+	expectProblem(is, string(answer), ReasonInvalidRequest, record.RunNotRun)
+}
+
 // Guards against a unit that is given back although the work may still run, and one that is kept although it has not run.
 func TestEndOfAttempt(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -98,6 +98,10 @@
 	if !r.ProtoAtLeast(1, 1) {
 		return nil, refuse(http.StatusHTTPVersionNotSupported, ReasonInvalidRequest, "HTTP/1.1 is required")
 	}
+	// The backend server would get the request without its trailers, which may carry a checksum or a signature of the body.
+	if len(r.Trailer) > 0 {
+		return nil, refuse(http.StatusBadRequest, ReasonInvalidRequest, "request trailers are not supported")
+	}
 	if len(r.Header.Get(HeaderIdempotencyKey)) > maxIdempotencyKeyBytes {
 		return nil, refuse(http.StatusBadRequest, ReasonInvalidRequest, "the idempotency key is too long")
 	}
