Count adopted jobs and queued work in the usage of an entry instance

Cause: a job adopted from another holder was counted in the ledger but not in admission, so fairness and heartbeats missed it. The heartbeat's load was read with one locked call for each pair of team and pool, and left queued work out.

Ruled out: taking the load from the ledger, because it counts by team and by pool but not by both.

Change: Queue.Adopt returns a ticket for the permit of an adopted job; the job runner ends it like any other, so the observation of the instance's health counts too. load() converts admission's Usage, running and queued.

Conclusion: fairness over all entry instances sees every running job and all queued work.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -68,6 +68,20 @@
 	is.True(l.HasTeamUnit("a"))
 }
 
+// Guards against adopted jobs that fairness and heartbeats leave out, or that stay counted after their end.
+func TestAdoptedJobIsCounted(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(map[string]int{"t1": 1}, routing.Candidate{Instance: "i", Used: 1, Held: 1})
+	q := newQueue(l, fakeFleet{})
+	ticket := q.Adopt("t1", "s", "i", &fakePermit{l: l, team: "t1"})
+	is.Equal(q.Usage(), []Usage{{Team: "t1", Pool: "p", Running: 1}})
+	id, err := ticket.Lease(t.Context())
+	is.NoErr(err)
+	is.Equal(id, "lease")
+	ticket.Done(routing.ObservedSuccess)
+	is.Equal(len(q.Usage()), 0)
+}
+
 func (p *fakePermit) Abandon(freed func()) {
 	p.l.mu.Lock()
 	defer p.l.mu.Unlock()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -191,6 +191,21 @@
 	done   sync.Once
 }
 
+// Adopt counts a job that an earlier holder started, and whose permit was taken for it, as running in the pool of its
+// service. The ticket has no lease yet.
+func (q *Queue) Adopt(team, service, instance string, permit Permit) *Ticket {
+	// A service that the document no longer has counts in no pool.
+	known, _ := q.c.Document().Service(service)
+	p := q.pool(known.Pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.team(team).running++
+	return &Ticket{Team: team, Service: service, Pool: p.name, Instance: instance, permit: permit, pool: p}
+}
+
+// Lease returns the worker lease of an adopted job.
+func (t *Ticket) Lease(ctx context.Context) (string, error) { return t.permit.Lease(ctx) }
+
 // LeaseRefused says that the instance refused the ticket's lease as expired.
 func (t *Ticket) LeaseRefused(ctx context.Context) {
 	if t.permit != nil {
--- a/internal/entry/serving.go
+++ b/internal/entry/serving.go
@@ -76,8 +76,8 @@
 	return job, ok
 }
 
-func (i *Instance) acquireStarted(team, instance string) admission.Permit {
-	return i.ledger.AcquireStarted(team, instance)
+func (i *Instance) acquireStarted(team, service, instance string) *admission.Ticket {
+	return i.queue.Adopt(team, service, instance, i.ledger.AcquireStarted(team, instance))
 }
 
 // jobSource gives the job runner the folded state in its own terms.
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"time"
 
+	"pollenlead/internal/admission"
 	"pollenlead/internal/fold"
 	"pollenlead/internal/membership"
 	"pollenlead/internal/operator"
@@ -38,21 +39,27 @@
 
 // load is what heartbeats tell other entry instances of this one.
 func (i *Instance) load() membership.Load {
-	running := map[string]map[string]int{}
-	doc := i.document()
-	for _, pool := range doc.Pools {
-		for _, team := range doc.Teams {
-			n := i.queue.Running(team.Name, pool.Name)
-			if n == 0 {
-				continue
-			}
-			if running[pool.Name] == nil {
-				running[pool.Name] = map[string]int{}
-			}
-			running[pool.Name][team.Name] = n
-		}
+	return loadOf(i.queue.Usage())
+}
+
+func loadOf(usage []admission.Usage) membership.Load {
+	load := membership.Load{Running: map[string]map[string]int{}, Queued: map[string]map[string]int{}}
+	for _, u := range usage {
+		addCount(load.Running, u.Pool, u.Team, u.Running)
+		addCount(load.Queued, u.Pool, u.Team, u.Queued)
+	}
+	return load
+}
+
+// addCount leaves zeros out, because heartbeats carry the counts.
+func addCount(counts map[string]map[string]int, pool, team string, n int) {
+	if n == 0 {
+		return
+	}
+	if counts[pool] == nil {
+		counts[pool] = map[string]int{}
 	}
-	return membership.Load{Running: running}
+	counts[pool][team] = n
 }
 
 // status gathers the answer to an operator's status request.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -76,7 +76,7 @@
 	Document  func() *config.Document
 	Worker    func(instance, address string) platform.Worker
 	// AcquireStarted takes the unit and the slot of an adopted job, which are in use already.
-	AcquireStarted func(team, instance string) admission.Permit
+	AcquireStarted func(team, service, instance string) *admission.Ticket
 	Now            func() time.Time
 	// NotSent is the error of Log that says that the ops will never take effect.
 	NotSent error
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -80,8 +80,11 @@
 		q := admission.New(admission.Config{Document: doc, Ledger: w, Fleet: w, Health: routing.NewHealth(time.Now)})
 		r := NewRunner(Config{
 			Holder: func() string { return "e1" }, Source: w, Log: w, Admission: q, Document: doc, Now: time.Now, NotSent: errNotSent,
-			Worker:         func(instance, _ string) platform.Worker { return worker{w: w, instance: instance} },
-			AcquireStarted: func(team, instance string) admission.Permit { p, _ := w.Acquire(team, instance); return p },
+			Worker: func(instance, _ string) platform.Worker { return worker{w: w, instance: instance} },
+			AcquireStarted: func(team, service, instance string) *admission.Ticket {
+				p, _ := w.Acquire(team, instance)
+				return q.Adopt(team, service, instance, p)
+			},
 		})
 		go q.Run(t.Context())
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -113,11 +113,10 @@
 		return a.judge(status), nil
 	}
 	if a.capacity.release == nil {
-		permit := a.r.c.AcquireStarted(a.job.Team, a.job.Instance)
-		a.capacity.release = func(routing.Observation) { permit.Release() }
-		a.capacity.abandon = func(routing.Observation) { permit.Abandon(nil) }
+		ticket := a.r.c.AcquireStarted(a.job.Team, a.job.Service, a.job.Instance)
+		a.capacity.release, a.capacity.abandon = ticket.Done, ticket.Abandon
 		a.mayRun = true
-		a.lease = permit.Lease
+		a.lease = ticket.Lease
 	}
 	_, err = call(a.gone, func(ctx context.Context) (struct{}, error) {
 		leaseID, err := a.lease(ctx)
