Measure requests through one entry instance against direct calls

Cause: no figure said what an entry instance adds to a request.

Change: BenchmarkEntry drives a real entry.Instance, and the same worker stand-ins directly, in one run at 1, 16 and 128 callers. Callers, entry instance, workers and log share one process, so allocations per request include those of the callers and of the worker stand-in. Callers write and read raw bytes to keep the load generator small.

Ruled out: net/http's client as the load generator, because the callers share the CPUs with what is measured.

--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// benchSlots lets all callers of the largest step run at once: 16 workers with 8 slots.
+const (
+	benchWorkers = 16
+	benchSlots   = 8
+)
+
+// BenchmarkEntry measures requests through one entry instance and direct calls to the same worker stand-ins, in turns.
+// Callers, entry instance, workers and log share the process and its CPUs.
+func BenchmarkEntry(b *testing.B) {
+	f := start(b, benchWorkers, benchSlots, benchWorkers*benchSlots, 30)
+	lease := f.benchLease(b)
+	entry := rawRequest("/v1/services/s/requests/", "Authorization: Bearer "+f.key+"\r\n")
+	for _, callers := range []int{1, 16, 128} {
+		b.Run(fmt.Sprintf("direct/callers=%d", callers), func(b *testing.B) {
+			drive(b, callers, func(n int) (string, string) {
+				worker := n % benchWorkers
+				return f.servers[worker].Address, rawRequest("/services/s/", "Request-Id: x\r\nLease-Id: "+lease[worker]+"\r\n")
+			})
+		})
+		b.Run(fmt.Sprintf("entry/callers=%d", callers), func(b *testing.B) {
+			drive(b, callers, func(int) (string, string) { return f.callers.socket.Addr().String(), entry })
+		})
+	}
+}
+
+// benchLease opens a lease at each worker that lasts for the benchmark.
+func (f *fixture) benchLease(b *testing.B) []string {
+	var ids []string
+	for n, server := range f.servers {
+		w := f.Instance.workers.Worker(fmt.Sprintf("bench-%d", n), server.Address, 8)
+		opened, err := w.OpenLease(b.Context(), "bench")
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := w.RenewLease(b.Context(), opened.ID, opened.Now+time.Hour); err != nil {
+			b.Fatal(err)
+		}
+		ids = append(ids, opened.ID)
+	}
+	return ids
+}
+
+func rawRequest(path, headers string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n"
+}
+
+// drive sends b.N requests over one connection for each caller. The callers write and read the bytes themselves, so that the
+// figures hold little of the load generator.
+func drive(b *testing.B, callers int, target func(n int) (address, request string)) {
+	histograms := make([]*hdrhistogram.Histogram, callers)
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	var all sync.WaitGroup
+	ready, begin := sync.WaitGroup{}, make(chan struct{})
+	ready.Add(callers)
+	for n := range callers {
+		histograms[n] = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+		all.Go(func() {
+			address, request := target(n)
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				b.Error(err)
+				ready.Done()
+				return
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			_, err = exchange(conn, reader, request) // opens the connections and leases behind it
+			ready.Done()
+			<-begin
+			for err == nil && left.Add(-1) >= 0 {
+				var took time.Duration
+				took, err = exchange(conn, reader, request)
+				_ = histograms[n].RecordValue(took.Microseconds())
+			}
+			if err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	ready.Wait()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	b.ResetTimer()
+	began := time.Now()
+	close(begin)
+	all.Wait()
+	took := time.Since(began)
+	b.StopTimer()
+	runtime.ReadMemStats(&after)
+	for _, h := range histograms[1:] {
+		histograms[0].Merge(h)
+	}
+	b.ReportMetric(float64(b.N)/took.Seconds(), "requests/s")
+	b.ReportMetric(float64(histograms[0].ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(histograms[0].ValueAtQuantile(99)), "p99-µs")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(b.N), "allocs/request")
+}
+
+// exchange sends a request and reads the response to its end.
+func exchange(conn net.Conn, reader *bufio.Reader, request string) (time.Duration, error) {
+	began := time.Now()
+	if _, err := io.WriteString(conn, request); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", response.Status, strings.TrimSpace(string(body)))
+	}
+	return time.Since(began), err
+}
