Remove copies and wakeups from the path of a request

Cause: each release of a permit woke admission's loop, which took the lock of every pool, although nothing waited; each dispatch copied the candidates three times and took membership's lock once per candidate; the header was cloned twice, the values of each response header once more, and the worker's URL was parsed for each request.

Change: Release notifies only if requests are queued here (a request that comes later looks for a free unit itself, and Ticket.Done dispatches anyway); candidates are filtered in place; the leaving instances are an atomic pointer; Worker.Do takes over its header; the URL is built from the address. TestAcquireIsBounded queues a request before it waits for the change that a release makes; it checks the same wakeup.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -189,10 +189,10 @@
 	}
 }
 
-// candidates returns the instances of the pool that are not leaving. The ledger's slice is not changed.
+// candidates returns the instances of the pool that are not leaving.
 func (p *poolQueue) candidates() []routing.Candidate {
 	all := p.c.Ledger.Candidates(p.name)
-	staying := make([]routing.Candidate, 0, len(all))
+	staying := all[:0]
 	for _, c := range all {
 		if !p.c.Fleet.Leaving(c.Instance) {
 			staying = append(staying, c)
--- a/internal/allotment/ledger.go
+++ b/internal/allotment/ledger.go
@@ -151,7 +151,7 @@
 func (l *Ledger) Candidates(pool string) []Candidate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var candidates []Candidate
+	candidates := make([]Candidate, 0, len(l.members[pool]))
 	for _, id := range l.members[pool] {
 		i := l.instances[id]
 		if i.grant.Withdrawn {
@@ -275,7 +275,10 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.count(p, -1)
-		l.notify()
+		// Without waiting requests nobody has to be woken: a request that comes later looks for a free unit itself.
+		if len(l.queued) > 0 {
+			l.notify()
+		}
 	})
 }
 
--- a/internal/allotment/ledger_test.go
+++ b/internal/allotment/ledger_test.go
@@ -41,6 +41,7 @@
 		is.True(errors.Is(err, ErrNoTeamUnit))
 		is.Equal(l.Usage().RunningByTeam, map[string]int{"a": 4, "b": 2})
 
+		l.SetQueued("a", "p", 1)
 		changed := l.Changed()
 		permits[0].Release()
 		permits[0].Release()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -138,7 +138,7 @@
 	removeHopByHop(response.Header)
 	response.Header.Del("Request-Id")
 	for name, values := range response.Header {
-		h[name] = slices.Clone(values)
+		h[name] = values
 	}
 	h.Set(HeaderRequestID, requestID)
 	if len(response.Trailer) > 0 {
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -147,6 +147,8 @@
 		return listing, false
 	}
 	m.list.update(listing)
+	leaving := m.list.leaving
+	m.leaving.Store(&leaving)
 	return listing, true
 }
 
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -64,6 +65,8 @@
 	opts        Options
 	lease       *SessionLease
 	incarnation string // of the process; it does not change with the session
+	// leaving has the leaving worker instances of the last list. Each request asks for all candidates, so it needs no lock.
+	leaving atomic.Pointer[map[string]bool]
 
 	mu      sync.Mutex // guards the fields below
 	holders []string   // the sessions of this process, the current one last
@@ -183,9 +186,8 @@
 
 // Leaving reports whether the platform's list shows the instance as leaving. It does not wait for the log.
 func (m *Member) Leaving(instance string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.list.leaving[instance]
+	leaving := m.leaving.Load()
+	return leaving != nil && (*leaving)[instance]
 }
 
 // PeerUsage returns the running work of the other holders that was reported lately.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -164,7 +164,7 @@
 	// refused with RefusedLeaseLapsed.
 	RenewLease(ctx context.Context, leaseID string, until time.Duration) (workerNow time.Duration, err error)
 	CloseLease(ctx context.Context, leaseID string) error
-	// Do sends a synchronous request. The answer's body streams; the caller closes it.
+	// Do sends a synchronous request. The answer's body streams; the caller closes it. Do takes over and changes req.Header.
 	Do(ctx context.Context, req ServiceRequest) (*http.Response, error)
 	// StartTask starts a task. Repeating it with the same ID runs nothing and returns the task's state.
 	StartTask(ctx context.Context, task Task) (TaskStatus, error)
--- a/internal/platform/worker/client.go
+++ b/internal/platform/worker/client.go
@@ -70,6 +70,7 @@
 // Client is a platform.Worker.
 type Client struct {
 	instance string
+	address  string
 	peer     httpcall.Peer
 	timeout  time.Duration
 
@@ -78,7 +79,7 @@
 }
 
 func newClient(instance, address string, timeout time.Duration) *Client {
-	c := &Client{instance: instance, timeout: timeout}
+	c := &Client{instance: instance, address: address, timeout: timeout}
 	c.peer = httpcall.Peer{Name: "worker " + instance, URL: "http://" + address, Transport: c}
 	return c
 }
--- a/internal/platform/worker/do.go
+++ b/internal/platform/worker/do.go
@@ -84,7 +84,7 @@
 		return nil, err
 	}
 	if req.Header != nil {
-		r.Header = req.Header.Clone()
+		r.Header = req.Header
 	}
 	for _, name := range hopHeaders {
 		r.Header.Del(name)
@@ -99,10 +99,6 @@
 }
 
 func (c *Client) serviceURL(req platform.ServiceRequest) (*url.URL, error) {
-	target, err := url.Parse(c.peer.URL)
-	if err != nil {
-		return nil, err
-	}
 	escaped := "/services/" + url.PathEscape(req.Service) + "/" + strings.TrimPrefix(req.Path, "/")
 	path, err := url.PathUnescape(escaped)
 	if err != nil {
@@ -113,8 +109,7 @@
 			return nil, errDotSegment
 		}
 	}
-	target.Path, target.RawPath, target.RawQuery = path, escaped, req.Query
-	return target, nil
+	return &url.URL{Scheme: "http", Host: c.address, Path: path, RawPath: escaped, RawQuery: req.Query}, nil
 }
 
 // checkRefusal tells the worker's refusal from a response of the backend server with status 409.
