Take the lock of a pool's queue twice per request instead of four times

Cause: the mutex profile of BenchmarkEntry showed nearly all contention at the lock of the pool's queue: enqueue, dispatch, the decrement at the end and dispatch again each took it.

Ruled out: a lock per team, because the fair choice compares the teams.

Change: enqueue and finished dispatch under the lock that they hold already.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -62,6 +62,7 @@
 	return t
 }
 
+// enqueue adds a waiter and admits what can be admitted, under one lock because all requests of the pool take it.
 func (p *poolQueue) enqueue(req Request, length, share int) (*waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -82,6 +83,7 @@
 	}
 	w.element = w.list.PushBack(w)
 	p.c.Ledger.SetQueued(req.Team, p.name, t.queued())
+	p.dispatchLocked()
 	return w, nil
 }
 
@@ -121,8 +123,8 @@
 func (p *poolQueue) finished(team string) {
 	p.mu.Lock()
 	p.team(team).running--
+	p.dispatchLocked()
 	p.mu.Unlock()
-	p.dispatch()
 	if p.q.waiting.Load() == 0 {
 		return
 	}
@@ -147,6 +149,11 @@
 func (p *poolQueue) dispatch() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dispatchLocked()
+}
+
+// dispatchLocked is called with the lock held.
+func (p *poolQueue) dispatchLocked() {
 	if p.waiting == 0 {
 		return
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -266,7 +266,6 @@
 	if err != nil {
 		return grant{}, err
 	}
-	p.dispatch()
 	select {
 	case g := <-w.granted:
 		return g, nil
