Check that abandoned work is exercised and keeps the session open

Cause: the end-to-end test did not show that attempts were abandoned in it, and nothing tested that WaitAbandoned reports work that may still run, on which the shutdown relies.

Change: the end-to-end test checks attempts_abandoned_total and waits for the abandoned units; a ledger test checks that WaitAbandoned fails while a close is not confirmed.

Conclusion: the path from the gateway to the closed lease is covered end to end.

--- a/internal/allotment/abandon_test.go
+++ b/internal/allotment/abandon_test.go
@@ -76,6 +76,9 @@
 		asked := f.End()
 		f.setEnd(time.Hour)
 		p.Abandon(nil)
+		ctx, cancel := context.WithDeadline(context.Background(), asked)
+		defer cancel()
+		is.True(errors.Is(f.ledger.WaitAbandoned(ctx), context.DeadlineExceeded)) // the session may not be closed yet
 		time.Sleep(time.Until(asked) + leaseExpiryGuard - time.Millisecond)
 		is.Equal(usedByA(f), 1)
 		is.True(f.leaseEnd("w-1", id).Before(time.Now())) // it was not renewed
--- a/internal/entry/abandon_test.go
+++ b/internal/entry/abandon_test.go
@@ -39,7 +39,9 @@
 		})
 	}
 	all.Wait()
+	is.True(f.metrics.Map.Get("attempts_abandoned_total").String() != "0")
 	t.Logf("highest number running: %d, upper limit %d", f.observer.Highest()["t"], upperLimit)
 	is.Equal(f.observer.Highest()["t"], upperLimit)
-	is.Equal(f.call(t.Context(), 0), http.StatusOK) // the units come back
+	is.NoErr(f.ledger.WaitAbandoned(t.Context())) // the units come back
+	is.Equal(f.call(t.Context(), 0), http.StatusOK)
 }
