--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -43,12 +43,16 @@
 	Lease(ctx context.Context) (leaseID string, err error)
 	// LeaseRefused says that the instance refused the lease as expired, so that the next start gets a new one.
 	LeaseRefused(ctx context.Context, leaseID string)
+	// Release ends the use of the permit; its work has ended.
 	Release()
+	// Abandon ends the use of the permit while its work may still run. freed is called once the work has certainly ended.
+	Abandon(freed func())
 }
 
 // Ledger is what admission needs of the local ledger. SetQueued is called under the lock of a pool's queue, so the ledger
 // must not call back into admission.
 type Ledger interface {
+	// Candidates returns a slice that the caller may change.
 	Candidates(pool string) []routing.Candidate
 	Acquire(team, instance string) (Permit, error)
 	HasTeamUnit(team string) bool
@@ -174,7 +178,7 @@
 	return usage
 }
 
-// Ticket is the right to run one request on one instance; Done must be called once.
+// Ticket is the right to run one request on one instance. Done or Abandon must be called once.
 type Ticket struct {
 	Team     string
 	Service  string
@@ -188,6 +192,21 @@
 	done   sync.Once
 }
 
+// Adopt counts a job that an earlier holder started, and whose permit was taken for it, as running in the pool of its
+// service. The ticket has no lease yet.
+func (q *Queue) Adopt(team, service, instance string, permit Permit) *Ticket {
+	// A service that the document no longer has counts in no pool.
+	known, _ := q.c.Document().Service(service)
+	p := q.pool(known.Pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.team(team).running++
+	return &Ticket{Team: team, Service: service, Pool: p.name, Instance: instance, permit: permit, pool: p}
+}
+
+// Lease returns the worker lease of an adopted job.
+func (t *Ticket) Lease(ctx context.Context) (string, error) { return t.permit.Lease(ctx) }
+
 // LeaseRefused says that the instance refused the ticket's lease as expired.
 func (t *Ticket) LeaseRefused(ctx context.Context) {
 	if t.permit != nil {
@@ -204,6 +223,15 @@
 	})
 }
 
+// Abandon records what the attempt showed about the instance, but keeps the capacity in use until the ledger knows that the
+// work has ended. It is for attempts that may still run. Only the first call of Done and Abandon counts.
+func (t *Ticket) Abandon(o routing.Observation) {
+	t.done.Do(func() {
+		t.pool.c.Health.Observe(t.Instance, o)
+		t.permit.Abandon(func() { t.pool.finished(t.Team) })
+	})
+}
+
 // Admit waits until the request may run. The error is one of this package, that of Recheck, or that of ctx.
 func (q *Queue) Admit(ctx context.Context, req Request) (*Ticket, error) {
 	doc := q.c.Document()
@@ -238,7 +266,6 @@
 	if err != nil {
 		return grant{}, err
 	}
-	p.dispatch()
 	select {
 	case g := <-w.granted:
 		return g, nil
--- a/internal/entry/serving.go
+++ b/internal/entry/serving.go
@@ -15,6 +15,7 @@
 	"pollenlead/internal/job"
 	"pollenlead/internal/membership"
 	"pollenlead/internal/platform"
+	"pollenlead/internal/record"
 	"pollenlead/internal/replica"
 	"pollenlead/internal/routing"
 )
@@ -76,8 +77,8 @@
 	return job, ok
 }
 
-func (i *Instance) acquireStarted(team, instance string) admission.Permit {
-	return i.ledger.AcquireStarted(team, instance)
+func (i *Instance) acquireStarted(team, service, instance string) *admission.Ticket {
+	return i.queue.Adopt(team, service, instance, i.ledger.AcquireStarted(team, instance))
 }
 
 // prober asks an instance that is back from a reboot whether it answers.
@@ -114,6 +115,12 @@
 	return ids
 }
 
+// Claims implements job.Source.
+func (s jobSource) Claims() (claims []record.ClaimRef) {
+	s.View(func(state *fold.State) { claims = state.Claims() })
+	return claims
+}
+
 // Holders implements job.Source.
 func (s jobSource) Holders() (holders []string) {
 	s.View(func(state *fold.State) {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -47,6 +47,8 @@
 	Job(id string) (fold.Job, bool)
 	// Finished returns the IDs of finished jobs that are not forgotten yet.
 	Finished() []string
+	// Claims returns the ended claims of idempotency keys that are not forgotten yet.
+	Claims() []record.ClaimRef
 	// Holders returns the open sessions.
 	Holders() []string
 	// Address returns the address of a worker instance.
@@ -74,7 +76,7 @@
 	Document  func() *config.Document
 	Worker    func(instance, address string) platform.Worker
 	// AcquireStarted takes the unit and the slot of an adopted job, which are in use already.
-	AcquireStarted func(team, instance string) admission.Permit
+	AcquireStarted func(team, service, instance string) *admission.Ticket
 	Now            func() time.Time
 	// NotSent is the error of Log that says that the ops will never take effect.
 	NotSent error
@@ -110,9 +112,11 @@
 	instance string
 	address  string
 	leaseID  string
-	release  func(routing.Observation)
+	// release and abandon are those of admission.Ticket.
+	release func(routing.Observation)
+	abandon func(routing.Observation)
 }
 
 func ofTicket(t *admission.Ticket) capacity {
-	return capacity{instance: t.Instance, address: t.Address, leaseID: t.LeaseID, release: t.Done}
+	return capacity{instance: t.Instance, address: t.Address, leaseID: t.LeaseID, release: t.Done, abandon: t.Abandon}
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"pollenlead/internal/admission"
+	"pollenlead/internal/allot"
 	"pollenlead/internal/config"
 	"pollenlead/internal/fold"
 	"pollenlead/internal/platform"
@@ -53,6 +54,8 @@
 	stops   []string
 	adopts  []string
 	used    int
+	unended int // abandoned permits
+	others  []string
 	blocked string // the team without units
 	queued  map[string]int
 }
@@ -77,8 +80,11 @@
 		q := admission.New(admission.Config{Document: doc, Ledger: w, Fleet: w, Health: routing.NewHealth(time.Now)})
 		r := NewRunner(Config{
 			Holder: func() string { return "e1" }, Source: w, Log: w, Admission: q, Document: doc, Now: time.Now, NotSent: errNotSent,
-			Worker:         func(instance, _ string) platform.Worker { return worker{w: w, instance: instance} },
-			AcquireStarted: func(team, instance string) admission.Permit { p, _ := w.Acquire(team, instance); return p },
+			Worker: func(instance, _ string) platform.Worker { return worker{w: w, instance: instance} },
+			AcquireStarted: func(team, service, instance string) *admission.Ticket {
+				p, _ := w.Acquire(team, instance)
+				return q.Adopt(team, service, instance, p)
+			},
 		})
 		go q.Run(t.Context())
 		ctx, cancel := context.WithCancel(t.Context())
@@ -146,7 +152,16 @@
 	}
 	return
 }
-func (w *world) Holders() []string              { return []string{"e1"} }
+func (w *world) Holders() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string{"e1"}, w.others...)
+}
+func (w *world) Claims() (claims []record.ClaimRef) {
+	w.view(func(s *fold.State) { claims = s.Claims() })
+	return claims
+}
+
 func (w *world) Address(string) (string, bool)  { return "a", true }
 func (w *world) PeerRunning(string, string) int { return 0 }
 func (w *world) Leaving(string) bool            { return false }
@@ -176,6 +191,7 @@
 func (p permit) Lease(context.Context) (string, error) { return "lease", nil }
 func (p permit) LeaseRefused(context.Context, string)  {}
 func (p permit) Release()                              { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.used-- }
+func (p permit) Abandon(func())                        { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.used--; p.w.unended++ }
 
 type worker struct {
 	platform.Worker
@@ -222,7 +238,8 @@
 	return job
 }
 
-// Guards against lost or repeated runs in each way in which the start or the run of a task can end.
+// Guards against lost or repeated runs in each way in which the start or the run of a task can end, and against capacity that
+// is given back as free while the task may run.
 func TestAttemptEnds(t *testing.T) {
 	type status = platform.TaskStatus
 	refused := &platform.RefusedError{Refusal: platform.RefusedSlotsFull}
@@ -235,17 +252,18 @@
 		reason        string
 		starts        int
 		instances     int
+		unended       int
 	}{
-		{"done", true, nil, done(platform.Task{}), fold.JobSucceeded, "", 1, 1},
-		{"refused", true, []error{refused}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2},
-		{"not sent", true, []error{platform.ErrNotSent}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2},
-		{"lost answer", true, []error{platform.ErrNoAnswer}, done(platform.Task{}), fold.JobSucceeded, "", 2, 1},
-		{"lost answer, then refused", true, []error{platform.ErrNoAnswer, refused}, status{}, fold.JobUnknown, "refused", 2, 1},
-		{"lost answer, then refused, idempotent", false, []error{platform.ErrNoAnswer, refused}, done(platform.Task{}), fold.JobSucceeded, "", 3, 2},
-		{"fails everywhere", false, nil, status{State: platform.TaskFailed}, fold.JobFailed, "given up", 3, 3},
-		{"fails, non-idempotent", true, nil, status{State: platform.TaskFailed, Status: 500}, fold.JobFailed, "failed", 1, 1},
-		{"lapsed", true, nil, status{State: platform.TaskLapsed}, fold.JobUnknown, "lapsed", 1, 1},
-		{"large result", true, nil, status{State: platform.TaskDone, Result: make([]byte, maxResultBytes+1)}, fold.JobFailed, "at most", 1, 1},
+		{"done", true, nil, done(platform.Task{}), fold.JobSucceeded, "", 1, 1, 0},
+		{"refused", true, []error{refused}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2, 0},
+		{"not sent", true, []error{platform.ErrNotSent}, done(platform.Task{}), fold.JobSucceeded, "", 2, 2, 0},
+		{"lost answer", true, []error{platform.ErrNoAnswer}, done(platform.Task{}), fold.JobSucceeded, "", 2, 1, 0},
+		{"lost answer, then refused", true, []error{platform.ErrNoAnswer, refused}, status{}, fold.JobUnknown, "refused", 2, 1, 1},
+		{"lost answer, then refused, idempotent", false, []error{platform.ErrNoAnswer, refused}, done(platform.Task{}), fold.JobSucceeded, "", 3, 2, 1},
+		{"fails everywhere", false, nil, status{State: platform.TaskFailed}, fold.JobFailed, "given up", 3, 3, 0},
+		{"fails, non-idempotent", true, nil, status{State: platform.TaskFailed, Status: 500}, fold.JobFailed, "failed", 1, 1, 0},
+		{"lapsed", true, nil, status{State: platform.TaskLapsed}, fold.JobUnknown, "lapsed", 1, 1, 0},
+		{"large result", true, nil, status{State: platform.TaskDone, Result: make([]byte, maxResultBytes+1)}, fold.JobFailed, "at most", 1, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
@@ -263,6 +281,9 @@
 					instances[strings.Fields(start)[0]] = true
 				}
 				w.is.Equal(len(instances), c.instances)
+				synctest.Wait()
+				w.is.Equal(w.unended, c.unended)
+				w.is.Equal(w.used, 0)
 			})
 		})
 	}
@@ -289,6 +310,42 @@
 	})
 }
 
+// Guards against claims that are kept for ever, forgotten too early (also after a second claim of the same key), forgotten
+// while they are open, or forgotten by every entry instance.
+func TestClaimsAreForgotten(t *testing.T) {
+	run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
+		claim := func(key string) {
+			w.is.True(w.apply("e1", record.Op{RequestClaim: &record.RequestClaim{Team: "t", IdempotencyKey: key, Service: "s"}}).Accepted)
+		}
+		settle := func(key string) {
+			w.apply("e1", record.Op{RequestSettle: &record.RequestSettle{Team: "t", IdempotencyKey: key, Run: record.RunCompleted}})
+		}
+		known := func(key string) (ok bool) {
+			w.view(func(s *fold.State) { _, ok = s.Claim("t", key) })
+			return ok
+		}
+		claim("open")
+		claim("a")
+		settle("a")
+		time.Sleep(59 * time.Second)
+		w.is.True(known("a"))
+		time.Sleep(forgetInterval + 2*time.Second)
+		w.is.True(!known("a"))
+		claim("a")
+		settle("a")
+		time.Sleep(59 * time.Second)
+		w.is.True(known("a"))
+		for n := 0; len(w.Holders()) == 1; n++ { // a session with a higher score
+			if other := fmt.Sprint(n); allot.Preferred(claimsResource, []string{"e1", other}) == other {
+				w.view(func(*fold.State) { w.others = []string{other} })
+			}
+		}
+		time.Sleep(time.Minute)
+		w.is.True(known("a"))
+		w.is.True(known("open"))
+	})
+}
+
 // Guards against jobs that hold capacity or are lost while the log is down.
 func TestLogDown(t *testing.T) {
 	run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
