Refuse jobs within 5 s while the log is down

Cause: submitJob and cancelJob waited for the log as long as the caller did. Ruled out: claims of idempotency keys (bounded by claimWait) and publishes (bounded by 20 s) did answer. Change: both wait for at most 5 s. Before: failtest.TestLogOutage had no answer to a job submission within 60 s (0 != 503). After: 503, log_unavailable. Conclusion: jobs are refused like other work that needs the log.

--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/oklog/ulid/v2"
@@ -14,6 +16,10 @@
 	"pollenlead/internal/record"
 )
 
+// submitWait is the longest wait for the acceptance or the cancellation of a job; normally it takes one group commit. While
+// the log is down the committer keeps trying, so without a bound callers would get no answer until the log is back.
+const submitWait = 5 * time.Second
+
 // JobStatus is the answer about a job.
 type JobStatus struct {
 	ID          string        `json:"id"`
@@ -113,7 +119,9 @@
 	if op.IdempotencyKey != "" {
 		op.Fingerprint = jobFingerprint(op)
 	}
-	outcome, err := g.submit(r.Context(), record.Op{JobAccept: &op})
+	ctx, cancel := context.WithTimeout(r.Context(), submitWait)
+	defer cancel()
+	outcome, err := g.submit(ctx, record.Op{JobAccept: &op})
 	switch {
 	case err != nil:
 		problem := refuse(http.StatusServiceUnavailable, ReasonLogUnavailable, err.Error()).orLater()
@@ -228,7 +236,9 @@
 	if !ok {
 		return
 	}
-	outcome, err := g.submit(r.Context(), record.Op{JobCancel: &record.JobCancel{Jobs: []string{job.ID}, Actor: "team " + job.Team}})
+	ctx, cancel := context.WithTimeout(r.Context(), submitWait)
+	defer cancel()
+	outcome, err := g.submit(ctx, record.Op{JobCancel: &record.JobCancel{Jobs: []string{job.ID}, Actor: "team " + job.Team}})
 	if err != nil {
 		g.fail(w, refuse(http.StatusServiceUnavailable, ReasonLogUnavailable, err.Error()).withRun(record.RunMayHaveRun).orLater())
 		return
