--- /dev/null
+++ b/internal/failtest/cluster_test.go
@@ -0,0 +1,394 @@
+package failtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.yaml.in/yaml/v3"
+
+	"pollenlead/internal/config"
+	"pollenlead/internal/entry"
+	"pollenlead/internal/operator"
+	"pollenlead/internal/record"
+	"pollenlead/internal/settings"
+	"pollenlead/standin"
+)
+
+// patience bounds every wait for a condition. It decides no verdict on a machine that makes progress at all.
+const patience = 60 * time.Second
+
+// logFront stands before the log and loses the answer of chosen appends, which take effect.
+type logFront struct {
+	inner *standin.Log
+
+	mu   sync.Mutex
+	lose map[record.Kind]int
+	lost map[record.Kind]int
+}
+
+func (f *logFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/append" {
+		f.inner.ServeHTTP(w, r)
+		return
+	}
+	data, _ := io.ReadAll(r.Body)
+	answer := httptest.NewRecorder()
+	f.inner.ServeHTTP(answer, httptest.NewRequest(r.Method, r.URL.String(), bytes.NewReader(data)))
+	status := answer.Code
+	if status == http.StatusOK && f.loses(data) {
+		status = http.StatusGatewayTimeout
+	}
+	w.WriteHeader(status)
+	if status == http.StatusOK {
+		_, _ = w.Write(answer.Body.Bytes())
+	}
+}
+
+func (f *logFront) loses(data []byte) (loses bool) {
+	r, err := record.Decode(data)
+	if err != nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, op := range r.Ops {
+		if f.lose[op.Kind()] > 0 {
+			f.lose[op.Kind()]--
+			f.lost[op.Kind()]++
+			loses = true
+		}
+	}
+	return loses
+}
+
+func (f *logFront) count(kind record.Kind) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost[kind]
+}
+
+// node is one entry instance, with its own way to the log and to its peers' way to it.
+type node struct {
+	name     string
+	instance *entry.Instance
+	cancel   context.CancelFunc
+	done     chan error
+	ended    bool
+	log      *relay
+	peers    *relay
+}
+
+type cluster struct {
+	t        *testing.T
+	front    *logFront
+	logURL   string
+	log      *standin.Log
+	list     *standin.List
+	listURL  string
+	observer *standin.Observer
+	workers  []*standin.Worker
+	servers  []*standin.Server
+	nodes    []*node
+	doc      *config.Document
+	keys     map[string]string // by key ID
+	version  uint64
+}
+
+type shape struct {
+	nodes, workers, slots int
+	limit                 int // upper limit of team a
+	lose                  map[record.Kind]int
+}
+
+// newCluster starts entry instances and workers, publishes the document and waits until requests are answered.
+func newCluster(t *testing.T, s shape) *cluster {
+	t.Helper()
+	c := &cluster{t: t, log: standin.NewLog(), list: standin.NewList(), observer: standin.NewObserver(), keys: map[string]string{}}
+	c.front = &logFront{inner: c.log, lose: s.lose, lost: map[record.Kind]int{}}
+	c.logURL, c.listURL = c.serve(c.front), c.serve(c.list)
+	for n := range s.workers {
+		c.addWorker(fmt.Sprintf("w-%d", n), fmt.Sprintf("zone-%d", n%2), max(s.slots, 4))
+	}
+	c.doc = c.document(s.limit)
+	for n := range s.nodes {
+		c.start(fmt.Sprintf("entry-%d", n))
+	}
+	c.await("the first publish", func() bool { return c.publish(0, 0).Status == http.StatusOK })
+	c.awaitServing()
+	return c
+}
+
+func (c *cluster) serve(h http.Handler) string {
+	server, err := standin.Start(h)
+	c.must(err)
+	c.t.Cleanup(func() { _ = server.Close() })
+	return server.URL
+}
+
+func (c *cluster) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) addWorker(id, zone string, slots int) {
+	w := standin.NewWorker(standin.WorkerConfig{ID: id, Slots: slots, Connections: 8 * slots, Observer: c.observer})
+	server, err := w.Start()
+	c.must(err)
+	c.t.Cleanup(func() { _ = server.Close() })
+	c.workers, c.servers = append(c.workers, w), append(c.servers, server)
+	c.listWorker(len(c.workers)-1, standin.PhaseLive)
+	_ = zone
+}
+
+func (c *cluster) listWorker(n int, phase string) {
+	c.list.Set(standin.Instance{
+		ID: fmt.Sprintf("w-%d", n), Kind: standin.KindWorker, Address: c.servers[n].Address, Region: "r",
+		AvailabilityZone: fmt.Sprintf("zone-%d", n%2), Rack: "rack", Phase: phase, Slots: 4, Connections: 32, Cores: 8, MemoryBytes: 1 << 30,
+	})
+}
+
+func (c *cluster) document(limit int) *config.Document {
+	key := func(id string) config.Key {
+		token, k, err := config.NewKey(id)
+		c.must(err)
+		c.keys[id] = token
+		return k
+	}
+	if limit == 0 {
+		limit = 20
+	}
+	limits := config.DefaultLimits()
+	limits.QueueSeconds = 30
+	return &config.Document{
+		Schema: config.DocumentSchema, Limits: limits,
+		Pools:    []config.Pool{{Name: "main", Members: []string{"w-"}}, {Name: "spare", Spare: true}},
+		Services: []config.Service{{Name: "work", Pool: "main", TimeoutSeconds: 40}},
+		Teams: []config.Team{
+			{Name: "a", Share: 1, UpperLimit: limit, Keys: []config.Key{key("a1"), key("a2")}},
+			{Name: "b", Share: 1, UpperLimit: 20, Keys: []config.Key{key("b1")}},
+		},
+		Operators: []config.Operator{{Name: "op", Role: config.RolePublish, Key: key("o1")}},
+	}
+}
+
+// start starts an entry instance under a name that none has now.
+func (c *cluster) start(name string) *node {
+	logWay, err := newRelay(strings.TrimPrefix(c.logURL, "http://"))
+	c.must(err)
+	peerWay, err := newRelay("")
+	c.must(err)
+	s := settings.Defaults()
+	s.Name, s.Region, s.AvailabilityZone = name, "r", "zone-0"
+	address := settings.Address{AddrPort: netip.MustParseAddrPort("127.0.0.1:0")}
+	// The peers' port is taken from a socket that is closed again, because the relay must know it.
+	probe := httptest.NewServer(nil)
+	port := probe.Listener.Addr().String()
+	probe.Close()
+	peerWay.setTarget(port)
+	s.Listen = settings.Listen{Callers: address, Peers: settings.Address{AddrPort: netip.MustParseAddrPort(port)}, Operators: address}
+	s.Advertise.Peers = settings.Address{AddrPort: peerWay.address()}
+	s.Timeouts.ShutdownSeconds = 30
+	s.BootstrapOperator = &settings.BootstrapOperator{Name: "op", SHA256: config.HashKey(c.keys["o1"])}
+	c.must(s.Platform.LogURL.UnmarshalText([]byte("http://" + logWay.address().String())))
+	c.must(s.Platform.ListURL.UnmarshalText([]byte(c.listURL)))
+	instance, err := entry.New(s, zerolog.Nop())
+	c.must(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{name: name, instance: instance, cancel: cancel, done: make(chan error, 1), log: logWay, peers: peerWay}
+	go func() { n.done <- instance.Run(ctx) }()
+	c.nodes = append(c.nodes, n)
+	c.list.Set(standin.Instance{ID: name, Kind: standin.KindEntry, Address: peerWay.address().String(), Region: "r", AvailabilityZone: "zone-0", Phase: standin.PhaseLive})
+	c.t.Cleanup(func() { c.kill(n) })
+	return n
+}
+
+func (c *cluster) kill(n *node) {
+	if n.ended {
+		return
+	}
+	n.ended = true
+	n.instance.Kill()
+	<-n.done
+	c.gone(n)
+}
+
+// stop shuts an instance down gracefully.
+func (c *cluster) stop(n *node) error {
+	n.ended = true
+	n.cancel()
+	err := <-n.done
+	c.gone(n)
+	return err
+}
+
+func (c *cluster) gone(n *node) {
+	n.cancel()
+	n.log.close()
+	n.peers.close()
+	c.list.Remove(n.name)
+	c.nodes = slices.DeleteFunc(slices.Clone(c.nodes), func(other *node) bool { return other == n })
+}
+
+func (c *cluster) await(what string, ok func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
+
+// awaitServing waits until every instance answers a request of each team.
+func (c *cluster) awaitServing() {
+	c.t.Helper()
+	for n, node := range c.nodes {
+		c.await("a request at "+node.name, func() bool {
+			return c.request(n, "a1", "", nil).Status == http.StatusOK && c.request(n, "b1", "", nil).Status == http.StatusOK
+		})
+	}
+}
+
+// reply is what a caller or operator got.
+type reply struct {
+	Status  int    `json:"-"`
+	Reason  string `json:"reason"`
+	Run     string `json:"run"`
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	Version uint64 `json:"version"`
+	Body    string `json:"-"`
+	Err     error  `json:"-"`
+}
+
+func (c *cluster) do(method, url, token string, header map[string]string, body []byte) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return reply{Err: err}
+	}
+	req.GetBody = nil // The client must not repeat a request by itself.
+	req.Header.Set("Authorization", "Bearer "+token)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return reply{Err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	r := reply{}
+	_ = json.Unmarshal(data, &r)
+	r.Status, r.Body, r.Err = resp.StatusCode, string(data), err
+	return r
+}
+
+// request sends a synchronous request. id counts its executions; extra headers may say how long it works.
+func (c *cluster) request(n int, key, id string, extra map[string]string) reply {
+	return c.requestTo(c.nodes[n], key, id, extra)
+}
+
+func (c *cluster) requestTo(n *node, key, id string, extra map[string]string) reply {
+	header := map[string]string{"Caller-Request-Id": id, "Team": key[:1]}
+	for name, value := range extra {
+		header[name] = value
+	}
+	return c.do(http.MethodPost, n.instance.CallersURL()+"/v1/services/work/requests/x", c.keys[key], header, []byte("body"))
+}
+
+// submit submits a job of team a.
+func (c *cluster) submit(n int, id string, workMS int, header map[string]string) reply {
+	body := fmt.Sprintf(`{"work_ms":%d,"caller_request_id":%q,"team":"a"}`, workMS, id)
+	return c.do(http.MethodPost, c.nodes[n].instance.CallersURL()+"/v1/services/work/jobs", c.keys["a1"], header, []byte(body))
+}
+
+// job asks about a job.
+func (c *cluster) job(n int, id string) reply {
+	return c.do(http.MethodGet, c.nodes[n].instance.CallersURL()+"/v1/jobs/"+id, c.keys["a1"], nil, nil)
+}
+
+func (c *cluster) awaitJob(n int, id string, states ...string) string {
+	c.t.Helper()
+	var last string
+	c.await(fmt.Sprintf("job %s to be one of %v", id, states), func() bool {
+		last = c.job(n, id).State
+		return slices.Contains(states, last)
+	})
+	return last
+}
+
+// publish publishes c.doc.
+func (c *cluster) publish(n int, expect uint64) reply {
+	text, err := yaml.Marshal(c.doc)
+	c.must(err)
+	r := c.do(http.MethodPut, c.nodes[n].instance.OperatorsURL()+"/v1/config?expect="+strconv.FormatUint(expect, 10), c.keys["o1"], nil, text)
+	if r.Status == http.StatusOK {
+		c.version = r.Version
+	}
+	return r
+}
+
+func (c *cluster) status(n int) operator.StatusResponse {
+	r := c.do(http.MethodGet, c.nodes[n].instance.OperatorsURL()+"/v1/status", c.keys["o1"], nil, nil)
+	var s operator.StatusResponse
+	_ = json.Unmarshal([]byte(r.Body), &s)
+	return s
+}
+
+// awaitSameState waits until all instances have the same hash at the same offset, and fails on different hashes.
+func (c *cluster) awaitSameState() {
+	c.t.Helper()
+	c.await("all instances at one offset", func() bool {
+		first := c.status(0)
+		for n := range c.nodes[1:] {
+			s := c.status(n + 1)
+			if s.Applied != first.Applied || s.Applied == 0 {
+				return false
+			}
+			if s.StateHash != first.StateHash {
+				c.t.Fatalf("at offset %d the state of %s differs from that of %s", s.Applied, s.Name, first.Name)
+			}
+		}
+		return true
+	})
+}
+
+// kinds counts the ops of a kind in the log, without copies of a record.
+func (c *cluster) kinds(kind record.Kind) (n int) {
+	seen := map[string]bool{}
+	for _, entry := range c.log.Records() {
+		r, err := record.Decode(entry.Data)
+		if id := fmt.Sprint(r.Incarnation, r.Seq); err == nil && !seen[id] {
+			seen[id] = true
+			for _, op := range r.Ops {
+				if op.Kind() == kind {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+func (c *cluster) documentText() []byte {
+	text, err := yaml.Marshal(c.doc)
+	c.must(err)
+	return text
+}
