--- /dev/null
+++ b/internal/failtest/worker_test.go
@@ -0,0 +1,100 @@
+package failtest
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pollenlead/standin"
+)
+
+// Guards against a worker that fails everything and keeps its share of the requests, and against a pool without any
+// instance when all of them fail.
+func TestWorkerThatFailsEverything(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, shape{nodes: 1, workers: 4})
+	bad := c.workers[0]
+	bad.SetFaults(standin.WorkerFaults{FailAll: true})
+	before := len(bad.Executions())
+	failed := 0
+	for n := range 100 {
+		if r := c.request(0, "a1", fmt.Sprint("r", n), nil); r.Status != http.StatusOK {
+			failed++
+		}
+	}
+	is.True(len(bad.Executions())-before < 25) // less than its share
+	is.True(failed < 25)
+	for _, w := range c.workers {
+		w.SetFaults(standin.WorkerFaults{FailAll: true})
+	}
+	for n := range 60 {
+		is.Equal(c.request(0, "a1", fmt.Sprint("f", n), nil).Status, http.StatusInternalServerError) // half of the pool stays in use
+	}
+	for _, w := range c.workers {
+		w.SetFaults(standin.WorkerFaults{})
+	}
+	c.await("a request after the failure", func() bool { return c.request(0, "a1", "", nil).Status == http.StatusOK })
+}
+
+// Guards against a response to another request, or a truncated one, that reaches the caller as whole.
+func TestWrongOrTruncatedResponse(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]standin.WorkerFaults{"wrong": {WrongRequestID: true}, "truncated": {Truncate: true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, shape{nodes: 1, workers: 2})
+			for _, w := range c.workers {
+				w.SetFaults(fault)
+			}
+			for n := range 10 {
+				id := fmt.Sprint("r", n)
+				r := c.request(0, "a1", id, map[string]string{"Answer-Bytes": "100000", "Pollenlead-Non-Idempotent": "true"})
+				is.True(r.Err != nil || (r.Status != http.StatusOK && r.Run == "may_have_run"))
+				is.True(c.observer.Executions(id) <= 1)
+			}
+		})
+	}
+}
+
+// Guards against a stale or absent list that stops work, and against an availability zone whose loss stops the pool.
+func TestListDownStaleAndZoneGone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, shape{nodes: 2, workers: 4})
+	c.list.SetFaults(standin.ListFaults{LagMS: 600000})
+	c.workers[0].SetFaults(standin.WorkerFaults{Leaving: true})
+	for n := range 20 { // the refusals of the leaving worker cover what the stale list does not show
+		is.Equal(c.request(n%2, "a1", fmt.Sprint("s", n), nil).Status, http.StatusOK)
+	}
+	c.workers[0].SetFaults(standin.WorkerFaults{})
+	c.list.SetFaults(standin.ListFaults{Outage: true})
+	is.Equal(c.publish(0, 1).Version, uint64(2))
+	for n := range 20 {
+		is.Equal(c.request(n%2, "a1", fmt.Sprint("d", n), nil).Status, http.StatusOK)
+	}
+	is.NoErr(c.servers[1].Close()) // zone-1 has the workers 1 and 3
+	is.NoErr(c.servers[3].Close())
+	var ok sync.Map
+	c.await("requests without the zone at both instances", func() bool {
+		for n := range c.nodes {
+			for range 10 {
+				r := c.request(n, "a1", "", nil)
+				ok.Store(n, r.Status)
+				if r.Status != http.StatusOK {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	c.list.SetFaults(standin.ListFaults{})
+	c.list.Remove("w-1")
+	c.list.Remove("w-3")
+	c.await("the list to be folded", func() bool { return len(c.status(0).Instances) == 2 && len(c.status(1).Instances) == 2 })
+	c.awaitSameState()
+}
