Check a request's key after it got its worker lease

Cause: admission checked key and contact when the request got its slot, and then waited for the worker lease. Ruled out: the wait in the queue itself, which the check already covered. Change: the check comes after the lease. Before: TestKeyIsCheckedAfterTheWorkerLease failed (no error from Admit). After: it passes, with admission, allotment and job under -race. Conclusion: nothing but the write to the worker lies between the check and the start.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -262,18 +262,12 @@
 	return g, nil
 }
 
-// ticket checks the request again and gets the worker lease, outside all locks.
+// ticket gets the worker lease and checks the request again, outside all locks.
 func (q *Queue) ticket(ctx context.Context, p *poolQueue, req Request, g grant) (*Ticket, error) {
 	t := &Ticket{
 		Team: req.Team, Service: req.Service, Pool: p.name,
 		Instance: g.candidate.Instance, Address: g.candidate.Address, permit: g.permit, pool: p,
 	}
-	if req.Recheck != nil {
-		if err := req.Recheck(); err != nil {
-			t.Done(routing.ObservedNothing)
-			return nil, err
-		}
-	}
 	leaseID, err := g.permit.Lease(ctx)
 	if err != nil {
 		observed := routing.ObservedFailure
@@ -284,5 +278,12 @@
 		return nil, fmt.Errorf("%w at instance %s: %w", ErrLease, g.candidate.Instance, err)
 	}
 	t.LeaseID = leaseID
+	// The check comes last, because a lease of an instance that does not answer may take seconds.
+	if req.Recheck != nil {
+		if err := req.Recheck(); err != nil {
+			t.Done(routing.ObservedNothing)
+			return nil, err
+		}
+	}
 	return t, nil
 }
