Give no worker lease to a permit of an ended session

Cause: a permit did not know whose unit it spends. Ruled out: leases that were handed out before the loss (they end with the old session), and adopted jobs (they run already and keep getting a lease). Change: the permit keeps its holder and compares it with that of the lease. Conclusion: work starts only under the session that was granted its unit.

--- a/internal/allotment/lease.go
+++ b/internal/allotment/lease.go
@@ -76,28 +76,28 @@
 	return w
 }
 
-// lease returns the ID of a lease that is valid now, opening one if there is none.
-func (b *leaseBook) lease(ctx context.Context, t target) (string, error) {
+// lease returns the ID and the holder of a lease that is valid now, opening one if there is none.
+func (b *leaseBook) lease(ctx context.Context, t target) (id, holder string, err error) {
 	b.mu.Lock()
 	w := b.get(t.instance)
 	b.mu.Unlock()
 	select {
 	case w.busy <- struct{}{}:
 	case <-ctx.Done():
-		return "", fmt.Errorf("lease of instance %s: %w", t.instance, ctx.Err())
+		return "", "", fmt.Errorf("lease of instance %s: %w", t.instance, ctx.Err())
 	}
 	defer func() { <-w.busy }()
 	if !b.cfg.Session.Valid() {
-		return "", ErrLeaseExpired
+		return "", "", ErrLeaseExpired
 	}
 	w.target = t
 	if b.valid(w, b.cfg.Session.Holder()) {
-		return w.id, nil
+		return w.id, w.holder, nil
 	}
 	if err := b.open(ctx, w); err != nil {
-		return "", fmt.Errorf("open lease of instance %s: %w", t.instance, err)
+		return "", "", fmt.Errorf("open lease of instance %s: %w", t.instance, err)
 	}
-	return w.id, nil
+	return w.id, w.holder, nil
 }
 
 // valid reports whether work may start under the lease. The caller holds busy.
--- a/internal/allotment/ledger.go
+++ b/internal/allotment/ledger.go
@@ -188,8 +188,10 @@
 type Permit struct {
 	Team, Instance, Address string
 
-	ledger  *Ledger
-	pool    string
+	ledger *Ledger
+	pool   string
+	// holder is whose unit and slot a permit spends. It is empty for adopted work, which runs whoever holds them.
+	holder  string
 	started bool
 	once    sync.Once
 }
@@ -209,7 +211,9 @@
 	if !ok || i.free() <= 0 {
 		return nil, ErrNoSlot
 	}
-	return l.take(team, instance, false), nil
+	p := l.take(team, instance, false)
+	p.holder = holder
+	return p, nil
 }
 
 // AcquireStarted counts the unit and the slot of a job that an earlier holder started. It never refuses, because the task
@@ -273,10 +277,16 @@
 	})
 }
 
-// Lease returns the worker lease under which the permit's work must start.
+// Lease returns the worker lease under which the permit's work must start. A permit of an ended session gets none, because
+// its unit may be in use elsewhere by now.
 func (p *Permit) Lease(ctx context.Context) (string, error) {
 	l := p.ledger
-	return l.leases.lease(ctx, target{instance: p.Instance, address: p.Address, connections: l.MaxConnections(p.Instance)})
+	t := target{instance: p.Instance, address: p.Address, connections: l.MaxConnections(p.Instance)}
+	id, holder, err := l.leases.lease(ctx, t)
+	if err == nil && p.holder != "" && p.holder != holder {
+		return "", ErrLeaseExpired
+	}
+	return id, err
 }
 
 // LeaseRefused says that the worker refused a start under the lease with RefusedLeaseLapsed, so that the next Lease opens a
