Check a waiting request's key, not only its ID

Cause: the check of a request that leaves the queue looked for the key's ID in the document. Ruled out: new requests, which are authenticated by hash. Change: the check authenticates the bearer key again against the document in force. Before: TestKeyWithdrawnWhileARequestWaits/replaced failed (the request was answered instead of refused with key_withdrawn). After: both cases pass, and gateway under -race. Conclusion: a replaced secret counts as a withdrawn key.

--- a/internal/failtest/log_test.go
+++ b/internal/failtest/log_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"pollenlead/internal/config"
 	"pollenlead/internal/record"
 	"pollenlead/standin"
 )
@@ -141,13 +142,15 @@
 	job := c.submit(0, "job", 10, nil)
 	c.awaitJob(0, job.ID, "succeeded")
 	is.True(c.log.Trim(c.makeSnapshot(1)) > 1000)
+	// The bad snapshots claim to be recent, so that no instance writes a good one because the last one is old.
+	next := c.status(0).Applied
 	fake := record.Record{Writer: "fake", Incarnation: "fake"}
 	for seq, op := range []record.Op{
 		{SessionOpen: &record.SessionOpen{PeerAddress: "127.0.0.1:1"}},
-		{SnapshotBegin: &record.SnapshotBegin{Term: 2, Offset: 1, Chunks: 1, Bytes: 3, SHA256: "00"}},
+		{SnapshotBegin: &record.SnapshotBegin{Term: 2, Offset: next, Chunks: 1, Bytes: 3, SHA256: "00"}},
 		{SnapshotChunk: &record.SnapshotChunk{Term: 2, Data: []byte("bad")}},
 		{SnapshotEnd: &record.SnapshotEnd{Term: 2}},
-		{SnapshotBegin: &record.SnapshotBegin{Term: 3, Offset: 2, Chunks: 2, Bytes: 3, SHA256: "00"}},
+		{SnapshotBegin: &record.SnapshotBegin{Term: 3, Offset: next, Chunks: 2, Bytes: 3, SHA256: "00"}},
 		{SnapshotChunk: &record.SnapshotChunk{Term: 3, Data: []byte("bad")}},
 	} {
 		fake.Seq, fake.Ops = uint64(seq+1), []record.Op{op}
@@ -228,9 +231,22 @@
 	is.Equal(second.Version, uint64(2)) // the loser learns the current version
 }
 
-// Guards against a key that works for longer than 5 s after its withdrawal, also for a request that waits in a queue.
+// Guards against a key that works for longer than 5 s after its withdrawal, also for a request that waits in a queue, and
+// also when another secret takes its ID.
 func TestKeyWithdrawnWhileARequestWaits(t *testing.T) {
 	t.Parallel()
+	for name, withdraw := range map[string]func(*config.Team){
+		"removed":  func(team *config.Team) { team.Keys = team.Keys[:1] },
+		"replaced": func(team *config.Team) { team.Keys[1].SHA256 = config.HashKey("another secret") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testWithdrawal(t, withdraw)
+		})
+	}
+}
+
+func testWithdrawal(t *testing.T, withdraw func(*config.Team)) {
 	is := is.New(t)
 	c := newCluster(t, shape{nodes: 2, workers: 1, limit: 2})
 	var holders sync.WaitGroup
@@ -241,7 +257,7 @@
 	waiting := make(chan reply, 1)
 	go func() { waiting <- c.request(1, "a2", "waits", nil) }()
 	c.await("the request to wait", func() bool { return c.status(1).Teams[0].Running == 2 })
-	c.doc.Teams[0].Keys = c.doc.Teams[0].Keys[:1]
+	withdraw(&c.doc.Teams[0])
 	is.Equal(c.publish(0, 1).Version, uint64(2))
 	published := time.Now()
 	for n := range c.nodes {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,24 +105,35 @@
 	if ok, reason := g.c.TakesKeyedWork(); !ok {
 		return Identity{}, refuse(http.StatusServiceUnavailable, ReasonNoContact, reason).orLater()
 	}
-	scheme, bearer, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") {
+	bearer, ok := bearerOf(r)
+	if !ok {
 		return Identity{}, refuse(http.StatusUnauthorized, ReasonUnauthorized, "a bearer key is required")
 	}
-	id, ok := g.c.Authenticate(doc, strings.TrimSpace(bearer))
+	id, ok := g.c.Authenticate(doc, bearer)
 	if !ok || id.Team == "" {
 		return Identity{}, refuse(http.StatusUnauthorized, ReasonUnauthorized, "the key is not in force")
 	}
 	return id, nil
 }
 
-// recheck returns the check of a request that leaves the queue.
-func (g *Gateway) recheck(id Identity) func() error {
+func bearerOf(r *http.Request) (bearer string, ok bool) {
+	scheme, bearer, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	return strings.TrimSpace(bearer), strings.EqualFold(scheme, "Bearer")
+}
+
+// recheck returns the check of a request that leaves the queue. The key itself is checked again, because a new document may
+// give its ID to another secret.
+func (g *Gateway) recheck(id Identity, r *http.Request) func() error {
+	bearer, _ := bearerOf(r)
 	return func() error {
 		if ok, _ := g.c.TakesKeyedWork(); !ok {
 			return admission.ErrNoContact
 		}
-		team, _ := g.c.Document().Team(id.Team)
+		doc := g.c.Document()
+		if again, ok := g.c.Authenticate(doc, bearer); !ok || again != id {
+			return admission.ErrKeyWithdrawn
+		}
+		team, _ := doc.Team(id.Team)
 		for _, key := range team.Keys {
 			if key.ID == id.KeyID {
 				return nil
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -269,7 +269,7 @@
 		}
 		ticket, err := x.g.c.Admission.Admit(x.r.Context(), admission.Request{
 			Team: x.id.Team, Service: x.service.Name, Urgent: isSet(x.r, HeaderUrgent), Avoid: slices.Clone(x.avoid),
-			Recheck: x.g.recheck(x.id),
+			Recheck: x.g.recheck(x.id, x.r),
 		})
 		if err != nil {
 			return admissionProblem(err)
