--- a/internal/allotment/lease.go
+++ b/internal/allotment/lease.go
@@ -127,6 +127,10 @@
 			return "", fmt.Errorf("open lease of instance %s: %w", t.instance, err)
 		}
 	}
+	// A unit of an ended session may have been granted to another holder since.
+	if p.holder != "" && p.holder != w.holder {
+		return "", ErrLeaseExpired
+	}
 	if !b.attach(w, p) {
 		return "", errLeaseReplaced
 	}
