--- a/internal/devmode/wave.go
+++ b/internal/devmode/wave.go
@@ -37,13 +37,16 @@
 
 func newWaveRun(s *system) *waveRun {
 	w := &waveRun{system: s}
+	if s.standIns == nil {
+		return w
+	}
 	s.standIns.list.OnReboot(func(id string) { w.cut.Add(int64(s.standIns.workers[id].Restart())) })
 	return w
 }
 
-// run starts a wave, watches the pools in the platform's list, and waits until the wave has ended.
+// run starts a wave, unless the stand-ins run in another process, watches the pools in the platform's list, and waits until the wave has ended.
 func (w *waveRun) run(ctx context.Context, started time.Time) error {
-	if !sleepUntil(ctx, started.Add(w.system.moment(waveAt))) {
+	if w.system.standIns == nil || !sleepUntil(ctx, started.Add(w.system.moment(waveAt))) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), waveTimeout)
@@ -55,7 +58,7 @@
 	var wave operator.WaveResponse
 	begin := time.Now()
 	for {
-		err := w.system.operator.call(ctx, http.MethodPost, w.system.cluster.operators()[0]+"/v1/waves", body, &wave)
+		err := w.system.operator.call(ctx, http.MethodPost, w.system.entries.operators()[0]+"/v1/waves", body, &wave)
 		if err == nil {
 			break
 		}
@@ -75,7 +78,7 @@
 
 func (w *waveRun) ended(ctx context.Context, id string) bool {
 	var waves operator.WavesResponse
-	if err := w.system.operator.call(ctx, http.MethodGet, w.system.cluster.operators()[0]+"/v1/waves", nil, &waves); err != nil {
+	if err := w.system.operator.call(ctx, http.MethodGet, w.system.entries.operators()[0]+"/v1/waves", nil, &waves); err != nil {
 		return false
 	}
 	at := slices.IndexFunc(waves.Ended, func(s operator.WaveStatus) bool { return s.ID == id })
@@ -88,10 +91,10 @@
 
 // watch counts the looks at which a pool of the wave had fewer live instances in the list than its budget says.
 func (w *waveRun) watch() {
-	live := w.system.standIns.livePerPool()
+	live, members := w.system.standIns.livePerPool(), w.system.standIns.membersPerPool()
 	for _, name := range wavePools {
 		pool, _ := w.system.document.Pool(name)
-		if live[name]*100 < pool.AvailabilityBudget.MinAvailablePercent*poolInstances {
+		if live[name]*100 < pool.AvailabilityBudget.MinAvailablePercent*members[name] {
 			w.belowBudget++
 		}
 	}
@@ -114,3 +117,11 @@
 	}
 	return live
 }
+
+func (s *standIns) membersPerPool() map[string]int {
+	members := map[string]int{}
+	for _, pool := range s.poolOf {
+		members[pool]++
+	}
+	return members
+}
