Reuse the slice of candidates of a pool's queue

Cause: each dispatch allocated the candidates twice while it held the lock of the pool's queue, where nearly all contention is.

Ruled out: caching the candidates between dispatches, because each permit changes them.

Change: the ledger hands the candidates out one by one, and admission appends them to a slice that the queue keeps.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -88,10 +88,10 @@
 	p.l.abandoned = append(p.l.abandoned, func() { p.Release(); freed() })
 }
 
-func (l *fakeLedger) Candidates(string) []routing.Candidate {
+func (l *fakeLedger) AppendCandidates(to []routing.Candidate, _ string) []routing.Candidate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]routing.Candidate(nil), l.slots...)
+	return append(to, l.slots...)
 }
 
 func (l *fakeLedger) Acquire(team, instance string) (Permit, error) {
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -48,7 +48,8 @@
 	turn    uint64
 	// lastRefusal is the ledger's error that ended the last dispatch, to explain a timeout.
 	lastRefusal error
-	// heads and owners are reused between dispatches. owners has the waiter of each head.
+	// buffer, heads and owners are reused between dispatches. owners has the waiter of each head.
+	buffer []routing.Candidate
 	heads  []Head
 	owners []*waiter
 }
@@ -196,9 +197,10 @@
 	}
 }
 
-// candidates returns the instances of the pool that are not leaving.
+// candidates returns the instances of the pool that are not leaving. The slice is valid until the next call.
 func (p *poolQueue) candidates() []routing.Candidate {
-	all := p.c.Ledger.Candidates(p.name)
+	p.buffer = p.c.Ledger.AppendCandidates(p.buffer[:0], p.name)
+	all := p.buffer
 	staying := all[:0]
 	for _, c := range all {
 		if !p.c.Fleet.Leaving(c.Instance) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -52,8 +52,8 @@
 // Ledger is what admission needs of the local ledger. SetQueued is called under the lock of a pool's queue, so the ledger
 // must not call back into admission.
 type Ledger interface {
-	// Candidates returns a slice that the caller may change.
-	Candidates(pool string) []routing.Candidate
+	// AppendCandidates appends the instances of the pool where this process holds slots.
+	AppendCandidates(to []routing.Candidate, pool string) []routing.Candidate
 	Acquire(team, instance string) (Permit, error)
 	HasTeamUnit(team string) bool
 	SetQueued(team, pool string, n int)
--- a/internal/allotment/ledger.go
+++ b/internal/allotment/ledger.go
@@ -148,21 +148,25 @@
 
 // Candidates returns the instances of the pool with slots of this holder that are not withdrawn, ordered by ID. The full
 // ones are among them with Used equal to Held, because outlier ejection has to know how many instances there are.
-func (l *Ledger) Candidates(pool string) []Candidate {
+func (l *Ledger) Candidates(pool string) (candidates []Candidate) {
+	l.EachCandidate(pool, func(c Candidate) { candidates = append(candidates, c) })
+	return candidates
+}
+
+// EachCandidate calls yield with each element of Candidates, under the ledger's lock.
+func (l *Ledger) EachCandidate(pool string, yield func(Candidate)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	candidates := make([]Candidate, 0, len(l.members[pool]))
 	for _, id := range l.members[pool] {
 		i := l.instances[id]
 		if i.grant.Withdrawn {
 			continue
 		}
-		candidates = append(candidates, Candidate{
+		yield(Candidate{
 			Instance: id, Address: i.grant.Facts.Address, AvailabilityZone: i.grant.Facts.AvailabilityZone,
 			Used: i.grant.Held - max(i.free(), 0), Held: i.grant.Held,
 		})
 	}
-	return candidates
 }
 
 // HasTeamUnit reports whether the team has a free unit here.
--- a/internal/entry/serving.go
+++ b/internal/entry/serving.go
@@ -135,13 +135,9 @@
 	*allotment.Ledger
 }
 
-func (a ledgerAdapter) Candidates(pool string) []routing.Candidate {
-	held := a.Ledger.Candidates(pool)
-	candidates := make([]routing.Candidate, len(held))
-	for n, c := range held {
-		candidates[n] = routing.Candidate(c)
-	}
-	return candidates
+func (a ledgerAdapter) AppendCandidates(to []routing.Candidate, pool string) []routing.Candidate {
+	a.EachCandidate(pool, func(c allotment.Candidate) { to = append(to, routing.Candidate(c)) })
+	return to
 }
 
 func (a ledgerAdapter) Acquire(team, instance string) (admission.Permit, error) {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -90,9 +90,9 @@
 // ledger has capacity for everything and counts how permits end.
 type ledger struct{ f *fixture }
 
-func (ledger) Candidates(string) []routing.Candidate {
+func (ledger) AppendCandidates(to []routing.Candidate, _ string) []routing.Candidate {
 	// Only a request that avoids i1 goes elsewhere.
-	return []routing.Candidate{{Instance: "i1", Held: 9}, {Instance: "i2", Used: 1, Held: 9}, {Instance: "i3", Used: 1, Held: 9}}
+	return append(to, []routing.Candidate{{Instance: "i1", Held: 9}, {Instance: "i2", Used: 1, Held: 9}, {Instance: "i3", Used: 1, Held: 9}}...)
 }
 func (l ledger) Acquire(string, string) (admission.Permit, error) { return l, nil }
 func (ledger) HasTeamUnit(string) bool                            { return true }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -176,8 +176,8 @@
 	w.queued[team] = n
 }
 func (w *world) Changed() <-chan struct{} { w.mu.Lock(); defer w.mu.Unlock(); return w.changed }
-func (w *world) Candidates(string) []routing.Candidate {
-	return []routing.Candidate{{Instance: "w-1", Held: 8}, {Instance: "w-2", Held: 8}, {Instance: "w-3", Held: 8}}
+func (w *world) AppendCandidates(to []routing.Candidate, _ string) []routing.Candidate {
+	return append(to, []routing.Candidate{{Instance: "w-1", Held: 8}, {Instance: "w-2", Held: 8}, {Instance: "w-3", Held: 8}}...)
 }
 func (w *world) Acquire(string, string) (admission.Permit, error) {
 	w.mu.Lock()
