--- a/internal/failtest/cluster_test.go
+++ b/internal/failtest/cluster_test.go
@@ -175,7 +175,7 @@
 	limits := config.DefaultLimits()
 	limits.QueueSeconds = 30
 	return &config.Document{
-		Schema: config.DocumentSchema, Limits: limits,
+		Schema: config.DocumentSchema, Limits: limits, Maintenance: config.DefaultMaintenance(),
 		Pools:    []config.Pool{{Name: "main", Members: []string{"w-"}}, {Name: "spare", Spare: true}},
 		Services: []config.Service{{Name: "work", Pool: "main", TimeoutSeconds: 40}},
 		Teams: []config.Team{
--- a/internal/fold/prop_test.go
+++ b/internal/fold/prop_test.go
@@ -15,12 +15,15 @@
 	"pollenlead/internal/record"
 )
 
+// rapidDefaults are the seed and the checks of every property test that sets none of its own.
+var rapidDefaults = map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"}
+
 // TestMain gives rapid a fixed seed, so that CI repeats the same checks; -rapid.seed and -rapid.checks choose others.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	set := map[string]bool{"rapid.nofailfile": false}
 	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+	for name, value := range rapidDefaults {
 		if !set[name] {
 			_ = flag.Set(name, value)
 		}
--- a/internal/fold/waves_rapid_test.go
+++ b/internal/fold/waves_rapid_test.go
@@ -324,11 +324,11 @@
 	is := is.New(t)
 	for name, value := range map[string]string{"rapid.seed": rapidSeed, "rapid.checks": rapidChecks} {
 		f := flag.Lookup(name)
-		if f.Value.String() != f.DefValue {
+		if f.Value.String() != rapidDefaults[name] {
 			continue
 		}
 		is.NoErr(f.Value.Set(value))
-		t.Cleanup(func() { _ = f.Value.Set(f.DefValue) })
+		t.Cleanup(func() { _ = f.Value.Set(rapidDefaults[name]) })
 	}
 	accepted := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
