Bound the jobs that the control state keeps

Change: the fold counts the encoded size of all jobs, refuses further ones from 36 MiB on (reason jobs_full, callers get queue_full and not_run), and keeps no result beyond 52 MiB. The count is derived and built again by Restore.

--- a/internal/fold/index.go
+++ b/internal/fold/index.go
@@ -10,6 +10,8 @@
 type index struct {
 	// open has the unfinished jobs by holder and ID. Jobs without a holder are under "".
 	open map[string]map[string]*Job
+	// jobBytes is about how much of the encoded state all jobs take.
+	jobBytes int
 	// started counts the started jobs by holder.
 	started map[string]*startedCounts
 	// startedChanged is the offset after the last record that changed the started jobs of an open session.
@@ -66,6 +68,7 @@
 
 // addJob adds a job under its holder and state. It must be removed before either is changed.
 func (x *index) addJob(job *Job) {
+	x.jobBytes += encodedBytes(job)
 	if job.Finished() {
 		return
 	}
@@ -79,6 +82,7 @@
 }
 
 func (x *index) removeJob(job *Job) {
+	x.jobBytes -= encodedBytes(job)
 	if job.Finished() {
 		return
 	}
--- a/internal/fold/jobs.go
+++ b/internal/fold/jobs.go
@@ -4,6 +4,18 @@
 	"pollenlead/internal/record"
 )
 
+// A snapshot may have 64 MiB. Beyond jobAcceptBytes no job is accepted, and beyond jobResultBytes no result is kept, so that
+// the jobs never make the state too large for a snapshot: then no entry instance could start after a trim of the log.
+const (
+	jobAcceptBytes = 36 << 20
+	jobResultBytes = 52 << 20
+	// jobFieldBytes is the encoded size of a job without its body and result.
+	jobFieldBytes = 400
+)
+
+// encodedBytes is about the size of a job in the encoded state, where bodies and results are in base64.
+func encodedBytes(job *Job) int { return jobFieldBytes + (len(job.Body)+len(job.Result))*4/3 }
+
 // JobState is the state of a job.
 type JobState string
 
@@ -110,6 +122,11 @@
 		if outcome, taken := s.takenKey(op); taken {
 			return outcome
 		}
+	}
+	if s.jobBytes >= jobAcceptBytes {
+		return rejected(ReasonJobsFull, "the jobs that are kept take %d bytes, the limit is %d", s.jobBytes, jobAcceptBytes)
+	}
+	if op.IdempotencyKey != "" {
 		s.d.JobKeys[keyOf(op.Team, op.IdempotencyKey)] = op.Job
 	}
 	s.d.Jobs[op.Job] = &Job{
@@ -193,6 +210,9 @@
 	}
 	s.removeJob(job)
 	defer s.addJob(job)
+	if s.jobBytes+len(op.Result)*4/3 > jobResultBytes {
+		op.Result, op.Reason = nil, "the result was not kept: the jobs that are kept take too many bytes"
+	}
 	return endAttempt(job, op)
 }
 
@@ -233,6 +253,7 @@
 		}
 		s.removeJob(job)
 		job.State, job.Body, job.Reason = JobCancelled, nil, "cancelled by "+op.Actor
+		s.addJob(job)
 		cancelled++
 	}
 	if cancelled == 0 {
@@ -255,6 +276,7 @@
 		if job.IdempotencyKey != "" {
 			delete(s.d.JobKeys, keyOf(job.Team, job.IdempotencyKey))
 		}
+		s.removeJob(job)
 		delete(s.d.Jobs, id)
 	}
 	return accepted()
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -185,6 +185,7 @@
 	ReasonKeyWithdrawn           Reason = "key_withdrawn"
 	ReasonDuplicate              Reason = "duplicate"
 	ReasonIdempotencyKeyConflict Reason = "idempotency_key_conflict"
+	ReasonJobsFull               Reason = "jobs_full"
 	ReasonUnknownJob             Reason = "unknown_job"
 	ReasonNotHolder              Reason = "not_holder"
 	ReasonStaleAttempt           Reason = "stale_attempt"
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -182,6 +182,8 @@
 		return refuse(http.StatusUnauthorized, ReasonKeyWithdrawn, outcome.Detail)
 	case fold.ReasonUnknownService:
 		return refuse(http.StatusNotFound, ReasonUnknownService, outcome.Detail)
+	case fold.ReasonJobsFull:
+		return refuse(http.StatusServiceUnavailable, ReasonQueueFull, outcome.Detail).orLater()
 	default:
 		return refuse(http.StatusServiceUnavailable, ReasonRejected, string(outcome.Reason)+": "+outcome.Detail).orLater()
 	}
