--- a/internal/failtest/cluster_test.go
+++ b/internal/failtest/cluster_test.go
@@ -313,6 +313,19 @@
 	return c.do(http.MethodPost, n.instance.CallersURL()+"/v1/services/work/requests/x", c.keys[key], header, []byte("body"))
 }
 
+// requests sends requests of team a at once and fails unless all are answered.
+func (c *cluster) requests(n, count int, workMS string) {
+	var all sync.WaitGroup
+	for range count {
+		all.Go(func() {
+			if r := c.request(n, "a1", "", map[string]string{"Work-Ms": workMS}); r.Status != http.StatusOK {
+				c.t.Errorf("request at instance %d: %+v", n, r)
+			}
+		})
+	}
+	all.Wait()
+}
+
 // submit submits a job of team a.
 func (c *cluster) submit(n int, id string, workMS int, header map[string]string) reply {
 	body := fmt.Sprintf(`{"work_ms":%d,"caller_request_id":%q,"team":"a"}`, workMS, id)
--- a/internal/failtest/log_test.go
+++ b/internal/failtest/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -45,12 +46,20 @@
 	c.awaitSameState()
 }
 
-// Guards against lost or doubled effects while the log is slow and stores records twice.
+// Guards against lost or doubled effects while the log is slow and stores records twice. A release that counts twice would
+// free units that are in use.
 func TestSlowLogAndDuplicateRecords(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	c := newCluster(t, shape{nodes: 2, workers: 2})
+	c := newCluster(t, shape{nodes: 2, workers: 4, limit: 6})
 	c.log.SetFaults(standin.LogFaults{DelayMS: 300, Duplicate: 1 << 20})
+	c.requests(0, 6, "1500") // the first instance gets all units
+	var all sync.WaitGroup
+	all.Go(func() { c.requests(0, 3, "6000") })
+	c.await("three of them in use", func() bool { return c.observer.Running("a") == 3 })
+	all.Go(func() { c.requests(1, 18, "500") }) // the others move to the second instance
+	all.Wait()
+	is.True(c.observer.Highest()["a"] <= 6)
 	is.Equal(c.request(0, "a1", "claim", map[string]string{"Idempotency-Key": "k"}).Status, http.StatusOK)
 	is.Equal(c.request(1, "a1", "claim", map[string]string{"Idempotency-Key": "k"}).Reason, "duplicate_request")
 	job := c.submit(0, "job", 10, nil)
@@ -58,6 +67,10 @@
 	c.awaitJob(1, job.ID, "succeeded")
 	is.Equal(c.publish(1, 1).Version, uint64(2))
 	c.log.SetFaults(standin.LogFaults{})
+	end := uint64(len(c.log.Records()))
+	c.await("the copies to be folded", func() bool { return c.status(0).Applied >= end })
+	audit := c.do(http.MethodGet, c.nodes[0].instance.OperatorsURL()+"/v1/audit?kind=config_publish", c.keys["o1"], nil, nil)
+	is.Equal(strings.Count(audit.Body, `"kind":"config_publish"`), 2) // a copy is no decision
 	is.Equal(c.observer.Executions("claim"), 1)
 	is.Equal(c.observer.Executions("job"), 1)
 	c.awaitSameState()
--- a/internal/failtest/peers_test.go
+++ b/internal/failtest/peers_test.go
@@ -124,7 +124,9 @@
 		is.True(line == "" || len(line) > 10)
 		is.NoErr(conn.Close())
 	}
-	is.Equal(c.request(0, "a1", "ok", nil).Status, http.StatusOK)
+	for n := range c.nodes {
+		c.requests(n, 8, "300") // more than the slots, so that the loads of the peers are looked at
+	}
 	c.awaitSameState()
 }
 
@@ -186,7 +188,11 @@
 		mu.Lock()
 		ready = append([]*node{}, c.nodes[1:]...)
 		mu.Unlock()
+		long := make(chan reply, 1)
+		go func() { long <- c.requestTo(old, "a1", "long-"+old.name, map[string]string{"Work-Ms": "3000"}) }()
+		c.await("the long request to run", func() bool { return c.observer.Executions("long-"+old.name) == 1 })
 		is.NoErr(c.stop(old))
+		is.Equal((<-long).Status, http.StatusOK) // it runs for longer than the balancer takes to notice
 	}
 	at := sent.Load()
 	c.await("more requests", func() bool { return sent.Load() > at+20 })
