Publish the metrics of each entry instance and measure control

Cause: gateway.Metrics.Map was not published, and nothing measured CPU, memory and control bytes per entry instance. Change: /debug/vars adds the map pollenlead of its own entry instance, so several instances in one process do not collide. Fault in a first version, found by TestMutualTLS: tls.Client without a server name refused to dial; it now gets the name that tls.Dialer gives.

--- a/cmd/pollenlead/dev.go
+++ b/cmd/pollenlead/dev.go
@@ -15,6 +15,7 @@
 	Load     devLoadCmd     `cmd:"" help:"Drive the demo's load against entry instances in processes of their own."`
 	Await    devAwaitCmd    `cmd:"" help:"Wait until entry instances are ready."`
 	Fault    devFaultCmd    `cmd:"" help:"Replace the faults of a stand-in."`
+	Measure  devMeasureCmd  `cmd:"" help:"Measure what entry instances spend on control. Fails if a bound is exceeded."`
 	Listed   devListedCmd   `cmd:"" help:"List an entry instance in the platform's list, or take it out."`
 }
 
@@ -109,3 +110,14 @@
 func (c *devListedCmd) Run(ctx context.Context) error {
 	return devmode.SetListed(ctx, c.Directory, c.Name, c.Listed == "yes")
 }
+
+type devMeasureCmd struct {
+	directoryFlag
+	For   time.Duration `help:"How long to measure." default:"30s"`
+	Label string        `help:"The first column of each row."`
+}
+
+// Run measures.
+func (c *devMeasureCmd) Run(ctx context.Context) error {
+	return devmode.Measure(ctx, devmode.MeasureOptions{Directory: c.Directory, For: c.For, Label: c.Label, Stdout: os.Stdout})
+}
--- a/internal/devmode/demo.go
+++ b/internal/devmode/demo.go
@@ -250,11 +250,13 @@
 func (w *versionWatch) run(ctx context.Context) {
 	for sleepUntil(ctx, time.Now().Add(5*pollInterval)) {
 		for _, entry := range w.system.entries.operators() {
-			c, err := w.system.operator.config(ctx, entry)
-			if err != nil {
+			seen, err := w.system.operator.status(ctx, entry)
+			// A process that has just started knows no document before it has read the log. It takes no work without a session,
+			// and its session shows that it has read the log up to that point.
+			if err != nil || !seen.SessionValid {
 				continue
 			}
-			w.observe(entry, c.Version)
+			w.observe(entry, seen.ConfigVersion)
 		}
 	}
 }
--- a/internal/devmode/operate.go
+++ b/internal/devmode/operate.go
@@ -52,6 +52,15 @@
 	return c, err
 }
 
+// status returns what an entry instance says of itself and the system.
+func (o operatorClient) status(ctx context.Context, entry string) (operator.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, configTimeout)
+	defer cancel()
+	var s operator.StatusResponse
+	err := o.call(ctx, http.MethodGet, entry+"/v1/status", nil, &s)
+	return s, err
+}
+
 // publish publishes a document against the version in force and returns the new version.
 func (o operatorClient) publish(ctx context.Context, entry string, expect uint64, document []byte) (uint64, error) {
 	var p operator.PublishResponse
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,7 @@
 	jobs      *job.Runner
 	workers   *worker.Pool
 	trail     *audit.Trail
+	control   controlTraffic
 
 	callers   listener
 	operators listener
@@ -155,8 +156,8 @@
 
 func (i *Instance) build(peerTLS *tls.Config) error {
 	s := i.settings
-	log := logclient.New(string(s.Platform.LogURL), s.Timeouts.LogAppend())
-	list := fleetlist.New(string(s.Platform.ListURL), s.Timeouts.ListRequest())
+	log := logclient.NewCounted(string(s.Platform.LogURL), s.Timeouts.LogAppend(), &i.control.log)
+	list := fleetlist.NewCounted(string(s.Platform.ListURL), s.Timeouts.ListRequest(), &i.control.list)
 	identity := replica.Identity{Writer: s.Name, Incarnation: ulid.Make().String()}
 
 	i.follower = replica.NewFollower(log, replica.FollowerOptions{})
@@ -172,12 +173,13 @@
 			CallerAddress: advertised(s.Advertise.Callers, i.callers.socket),
 		},
 		Log: log, List: list, Follower: i.follower, Committer: i.committer, Listener: i.peers, TLS: peerTLS, Load: i.load,
+		Traffic: &i.control.peers,
 	})
 	if err != nil {
 		return fmt.Errorf("build membership: %w", err)
 	}
 	i.member = member
-	i.workers = worker.NewPool(s.Timeouts.WorkerConnect())
+	i.workers = worker.NewCountedPool(s.Timeouts.WorkerConnect(), &i.control.workers)
 	i.ledger = allotment.New(allotment.Config{
 		Replica: i.follower, Committer: i.committer, Session: member.Lease(), Workers: i.workers,
 		Clock: allotment.SystemClock{}, NotSent: replica.ErrNotSent,
@@ -185,7 +187,7 @@
 	i.buildServing()
 	i.operators.server.Handler = operator.NewHandler(operator.Options{
 		Committer: i.committer, Follower: i.follower, Trail: i.trail, Bootstrap: bootstrap(s.BootstrapOperator),
-		Status: i.status, Ready: i.ready,
+		Vars: i.vars(), Status: i.status, Ready: i.ready,
 	})
 	return nil
 }
--- /dev/null
+++ b/internal/entry/metrics_test.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/gateway"
+)
+
+// Guards against metrics of several entry instances in one process that collide or mix, as names of package expvar do.
+func TestInstancesInOneProcessHaveTheirOwnMetrics(t *testing.T) {
+	is := is.New(t)
+	first, second := &Instance{metrics: gateway.NewMetrics()}, &Instance{metrics: gateway.NewMetrics()}
+	first.control.peers.Add(7, 11)
+	is.Equal(first.controlVars()["peers_sent_bytes_total"], int64(7))
+	is.Equal(first.controlVars()["peers_received_bytes_total"], int64(11))
+	is.Equal(second.controlVars()["peers_sent_bytes_total"], int64(0))
+	text, err := json.Marshal(values(processVars))
+	is.NoErr(err)
+	is.True(len(text) > 0)
+	is.True(processVars()["resident_memory_bytes"].(int64) > 0)
+}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -15,6 +15,7 @@
 
 	"pollenlead/internal/fold"
 	"pollenlead/internal/platform"
+	"pollenlead/internal/platform/traffic"
 	"pollenlead/internal/record"
 	"pollenlead/internal/replica"
 )
@@ -39,6 +40,8 @@
 	Listener net.Listener
 	// TLS makes peer connections mutual TLS. Nil means plain TCP.
 	TLS *tls.Config
+	// Traffic counts the bytes of peer connections in both directions, with those of TLS. It may be nil.
+	Traffic *traffic.Counter
 	// Load returns the current load of this instance. It may be nil.
 	Load func() Load
 	// Clock returns the time with a monotonic reading. The default is time.Now.
@@ -89,6 +92,7 @@
 	if opts.NewIncarnation == nil {
 		opts.NewIncarnation = func() string { return ulid.Make().String() }
 	}
+	opts.Listener = opts.Traffic.Listener(opts.Listener)
 	incarnation := opts.Committer.Identity().Incarnation
 	m := &Member{
 		opts:        opts,
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -230,10 +230,25 @@
 }
 
 func (m *Member) dial(ctx context.Context, address string) (net.Conn, error) {
+	plain, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn := m.opts.Traffic.Conn(plain)
 	if m.opts.TLS == nil {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return conn, nil
+	}
+	config := m.opts.TLS
+	if config.ServerName == "" {
+		config = config.Clone()
+		config.ServerName, _, _ = net.SplitHostPort(address)
+	}
+	encrypted := tls.Client(conn, config)
+	if err := encrypted.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
 	}
-	return (&tls.Dialer{Config: m.opts.TLS}).DialContext(ctx, "tcp", address)
+	return encrypted, nil
 }
 
 // refuse answers requests over a connection on which only the other side serves.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -53,6 +53,8 @@
 	Follower  Follower
 	Trail     Trail
 	Bootstrap Bootstrap
+	// Vars are this entry instance's metrics. Other instances in the same process have their own.
+	Vars expvar.Var
 	// Status fills in the answer to a status request.
 	Status func() StatusResponse
 	// Ready reports whether the balancer should send callers, and why not.
@@ -70,7 +72,7 @@
 	h := &Handler{Options: o, router: chi.NewRouter()}
 	h.router.Get("/livez", h.live)
 	h.router.Get("/readyz", h.ready)
-	h.router.Method(http.MethodGet, "/debug/vars", expvar.Handler())
+	h.router.Get("/debug/vars", h.vars)
 	h.router.Get("/v1/config", h.authorized(config.RoleView, h.getConfig))
 	h.router.Put("/v1/config", h.authorized(config.RolePublish, h.putConfig))
 	h.router.Post("/v1/config/check", h.authorized(config.RoleView, h.checkConfig))
@@ -145,6 +147,21 @@
 	return current
 }
 
+// metricsName is the name of the entry instance's metrics among the variables.
+const metricsName = "pollenlead"
+
+// vars answers like expvar.Handler, with the metrics of this entry instance added. They are not published in package expvar,
+// because the names there belong to the whole process.
+func (h *Handler) vars(w http.ResponseWriter, _ *http.Request) {
+	all := new(expvar.Map).Init()
+	expvar.Do(func(v expvar.KeyValue) { all.Set(v.Key, v.Value) })
+	if h.Vars != nil {
+		all.Set(metricsName, h.Vars)
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = io.WriteString(w, all.String())
+}
+
 func (h *Handler) live(w http.ResponseWriter, _ *http.Request) {
 	_, _ = io.WriteString(w, "ok\n")
 }
--- a/internal/platform/fleetlist/client.go
+++ b/internal/platform/fleetlist/client.go
@@ -8,6 +8,7 @@
 
 	"pollenlead/internal/platform"
 	"pollenlead/internal/platform/httpcall"
+	"pollenlead/internal/platform/traffic"
 	"pollenlead/internal/record"
 )
 
@@ -33,7 +34,10 @@
 }
 
 // New returns the client of the list at a base URL. A timeout of 0 means 2 s.
-func New(baseURL string, timeout time.Duration) *Client {
+func New(baseURL string, timeout time.Duration) *Client { return NewCounted(baseURL, timeout, nil) }
+
+// NewCounted is New with a counter of the bytes of the client's connections, which may be nil.
+func NewCounted(baseURL string, timeout time.Duration, counter *traffic.Counter) *Client {
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
@@ -41,7 +45,7 @@
 		peer: httpcall.Peer{
 			Name:      "list " + baseURL,
 			URL:       baseURL,
-			Transport: httpcall.NewTransport(maxConnections),
+			Transport: httpcall.NewCountedTransport(maxConnections, counter),
 		},
 		timeout: timeout,
 	}
--- a/internal/platform/httpcall/call.go
+++ b/internal/platform/httpcall/call.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"pollenlead/internal/platform"
+	"pollenlead/internal/platform/traffic"
 )
 
 // Peer is the other end of calls.
@@ -22,6 +23,8 @@
 	Name      string // for errors, such as "log 127.0.0.1:4000"
 	URL       string // scheme, host and port
 	Transport http.RoundTripper
+	// Calls counts the bytes of Call and CallJSON, also on connections that carry Send as well. It may be nil.
+	Calls *traffic.Counter
 }
 
 // Request is a call with a small body.
@@ -70,7 +73,9 @@
 		r.Header.Set("Content-Type", req.ContentType)
 	}
 	r.ContentLength = int64(len(req.Body))
-	resp, err := p.Send(r, bytes.NewReader(req.Body), req.Step)
+	var use connectionUse
+	defer func() { p.Calls.Add(use.bytes()) }()
+	resp, err := p.send(r, bytes.NewReader(req.Body), req.Step, &use)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -132,11 +137,13 @@
 //
 // The transport may read the body for a short time after Send has returned.
 func (p *Peer) Send(r *http.Request, body io.Reader, step string) (*http.Response, error) {
-	var conn *countedConn
-	var writesBefore int64
+	return p.send(r, body, step, &connectionUse{})
+}
+
+func (p *Peer) send(r *http.Request, body io.Reader, step string, use *connectionUse) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*countedConn); ok {
-			conn, writesBefore = c, c.writes.Load()
+			use.begin(c)
 		}
 	}}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
@@ -146,12 +153,34 @@
 		return resp, nil
 	}
 	kind := platform.ErrNoAnswer
-	if conn == nil || conn.writes.Load() == writesBefore {
+	if !use.wrote() {
 		kind = platform.ErrNotSent
 	}
 	return nil, Fail(kind, err, step, p.Name)
 }
 
+// connectionUse is one exchange on a connection. An exchange has its connection for itself until it ends.
+type connectionUse struct {
+	conn           *countedConn
+	writes         int64
+	sent, received int64
+}
+
+func (u *connectionUse) begin(c *countedConn) {
+	u.conn, u.writes, u.sent, u.received = c, c.writes.Load(), c.bytes.Sent(), c.bytes.Received()
+}
+
+// wrote reports whether a write was begun.
+func (u *connectionUse) wrote() bool { return u.conn != nil && u.conn.writes.Load() != u.writes }
+
+// bytes returns what was sent and received so far.
+func (u *connectionUse) bytes() (sent, received int64) {
+	if u.conn == nil {
+		return 0, 0
+	}
+	return u.conn.bytes.Sent() - u.sent, u.conn.bytes.Received() - u.received
+}
+
 // onceBody is a request body that makes http.Transport send the request at most once. The transport repeats a request on
 // its own when a reused connection breaks and it thinks that it may: without a body, or with http.NoBody, it does so for
 // GET, HEAD, OPTIONS and TRACE and for every method with an Idempotency-Key or X-Idempotency-Key header. The first
--- a/internal/platform/httpcall/transport.go
+++ b/internal/platform/httpcall/transport.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"pollenlead/internal/platform/traffic"
 )
 
 const (
@@ -25,6 +27,11 @@
 // NewTransport returns a transport with at most maxConnections connections per peer, and at least one. It follows no
 // redirects, keeps no cookies, uses no proxy and does not decompress.
 func NewTransport(maxConnections int) *http.Transport {
+	return NewCountedTransport(maxConnections, nil)
+}
+
+// NewCountedTransport is NewTransport with a counter of the bytes of its connections, which may be nil.
+func NewCountedTransport(maxConnections int, counter *traffic.Counter) *http.Transport {
 	maxConnections = max(maxConnections, 1) // for http.Transport 0 means no limit
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
@@ -33,7 +40,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return &countedConn{Conn: counter.Conn(conn)}, nil
 		},
 		MaxConnsPerHost:        maxConnections,
 		MaxIdleConnsPerHost:    maxConnections,
@@ -45,16 +52,27 @@
 	}
 }
 
-// countedConn counts the writes that were begun, so that a failed call knows whether the peer may have got a part of it.
+// countedConn counts the writes that were begun, so that a failed call knows whether the peer may have got a part of it, and
+// the bytes, so that a call knows its part of the connection's.
 type countedConn struct {
 	net.Conn
 	writes atomic.Int64
+	bytes  traffic.Counter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(0, int64(n))
+	return n, err
 }
 
 // Write implements net.Conn. It counts before it writes, because a write that fails may have sent a part.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.writes.Add(1)
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n), 0)
+	return n, err
 }
 
 // CloseIdle closes the transport's idle connections.
--- a/internal/platform/logclient/client.go
+++ b/internal/platform/logclient/client.go
@@ -11,6 +11,7 @@
 
 	"pollenlead/internal/platform"
 	"pollenlead/internal/platform/httpcall"
+	"pollenlead/internal/platform/traffic"
 )
 
 const (
@@ -31,7 +32,10 @@
 }
 
 // New returns the client of the log at a base URL. A timeout of 0 means 5 s; reads add their waiting time.
-func New(baseURL string, timeout time.Duration) *Client {
+func New(baseURL string, timeout time.Duration) *Client { return NewCounted(baseURL, timeout, nil) }
+
+// NewCounted is New with a counter of the bytes of the client's connections, which may be nil.
+func NewCounted(baseURL string, timeout time.Duration, counter *traffic.Counter) *Client {
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
@@ -39,7 +43,7 @@
 		peer: httpcall.Peer{
 			Name:      "log " + baseURL,
 			URL:       baseURL,
-			Transport: httpcall.NewTransport(maxConnections),
+			Transport: httpcall.NewCountedTransport(maxConnections, counter),
 		},
 		timeout: timeout,
 	}
--- a/internal/platform/worker/client.go
+++ b/internal/platform/worker/client.go
@@ -13,6 +13,7 @@
 
 	"pollenlead/internal/platform"
 	"pollenlead/internal/platform/httpcall"
+	"pollenlead/internal/platform/traffic"
 )
 
 const (
@@ -25,6 +26,7 @@
 // Pool is a platform.Workers: it keeps one client per instance and address. It is safe for concurrent use.
 type Pool struct {
 	timeout time.Duration
+	calls   *traffic.Counter
 
 	mu      sync.Mutex
 	clients map[clientKey]*Client
@@ -33,11 +35,15 @@
 type clientKey struct{ instance, address string }
 
 // NewPool returns a Pool whose control calls end after timeout; 0 means 2 s. Synchronous requests end with their context.
-func NewPool(timeout time.Duration) *Pool {
+func NewPool(timeout time.Duration) *Pool { return NewCountedPool(timeout, nil) }
+
+// NewCountedPool is NewPool with a counter of the bytes of control calls (leases and tasks), which may be nil. Synchronous
+// requests share their connections and are not counted.
+func NewCountedPool(timeout time.Duration, calls *traffic.Counter) *Pool {
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	return &Pool{timeout: timeout, clients: map[clientKey]*Client{}}
+	return &Pool{timeout: timeout, calls: calls, clients: map[clientKey]*Client{}}
 }
 
 // Worker implements platform.Workers. A changed maxConnections applies to calls that begin after it.
@@ -48,6 +54,7 @@
 	c := p.clients[key]
 	if c == nil {
 		c = newClient(instance, address, p.timeout)
+		c.peer.Calls = p.calls
 		p.clients[key] = c
 	}
 	c.setMaxConnections(maxConnections)
