--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -17,8 +17,6 @@
 	is.Equal(first.controlVars()["peers_sent_bytes_total"], int64(7))
 	is.Equal(first.controlVars()["peers_received_bytes_total"], int64(11))
 	is.Equal(second.controlVars()["peers_sent_bytes_total"], int64(0))
-	text, err := json.Marshal(values(processVars))
-	is.NoErr(err)
-	is.True(len(text) > 0)
+	is.True(json.Valid([]byte(values(processVars).String())))
 	is.True(processVars()["resident_memory_bytes"].(int64) > 0)
 }
