--- a/internal/failtest/log_test.go
+++ b/internal/failtest/log_test.go
@@ -70,6 +70,7 @@
 	end := uint64(len(c.log.Records()))
 	c.await("the copies to be folded", func() bool { return c.status(0).Applied >= end })
 	audit := c.do(http.MethodGet, c.nodes[0].instance.OperatorsURL()+"/v1/audit?kind=config_publish", c.keys["o1"], nil, nil)
+	t.Log(audit.Body)
 	is.Equal(strings.Count(audit.Body, `"kind":"config_publish"`), 2) // a copy is no decision
 	is.Equal(c.observer.Executions("claim"), 1)
 	is.Equal(c.observer.Executions("job"), 1)
