--- a/cmd/pollenlead/dev.go
+++ b/cmd/pollenlead/dev.go
@@ -27,13 +27,14 @@
 	Seed    uint64        `help:"Seed of the load." default:"1"`
 	Rate    float64       `help:"Mean requests per second of each service." default:"60"`
 	Entries int           `help:"Number of entry instances." default:"3"`
+	Trace   string        `help:"Write the control records of the run as a trace for pollenctl replay." type:"path" placeholder:"FILE"`
 }
 
 // Run starts the development mode.
 func (c *devRunCmd) Run(ctx context.Context) error {
 	return devmode.Run(ctx, devmode.Options{
 		Demo: c.Demo, Faults: c.Faults, For: c.For, JSON: c.Output == "json", Seed: c.Seed,
-		MeanPerSecond: c.Rate, Entries: c.Entries, Stdout: os.Stdout, Stderr: os.Stderr,
+		MeanPerSecond: c.Rate, Entries: c.Entries, Trace: c.Trace, Stdout: os.Stdout, Stderr: os.Stderr,
 	})
 }
 
--- a/internal/devmode/run.go
+++ b/internal/devmode/run.go
@@ -8,11 +8,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"pollenlead/internal/config"
+	"pollenlead/internal/replay"
 )
 
 // ErrPromiseBroken says that the demo saw a promise broken.
@@ -39,8 +41,10 @@
 	NoChanges bool
 	// NoUnknown makes each outcome that callers do not know a broken promise.
 	NoUnknown bool
-	Stdout    io.Writer
-	Stderr    io.Writer
+	// Trace names a file for the control records of the run; it may be empty.
+	Trace  string
+	Stdout io.Writer
+	Stderr io.Writer
 }
 
 // system is everything that runs in the development mode.
@@ -78,9 +82,28 @@
 	if err := s.cluster.stopAll(); err != nil {
 		return fmt.Errorf("stop the entry instances: %w", err)
 	}
+	if err := s.writeTrace(); err != nil {
+		return err
+	}
 	return finish(o, report)
 }
 
+// writeTrace writes the records of the log stand-in for a replay.
+func (s *system) writeTrace() error {
+	if s.options.Trace == "" {
+		return nil
+	}
+	var entries []replay.Entry
+	for _, r := range s.standIns.log.Records() {
+		entries = append(entries, replay.Entry{Offset: r.Offset, Data: r.Data})
+	}
+	file, err := os.Create(s.options.Trace)
+	if err != nil {
+		return fmt.Errorf("create the trace: %w", err)
+	}
+	return errors.Join(replay.Write(file, entries), file.Close())
+}
+
 // finish checks and writes the report. The error says which promises were broken.
 func finish(o Options, report Report) error {
 	report.check(o.NoUnknown)
