--- a/cmd/pollenlead/dev.go
+++ b/cmd/pollenlead/dev.go
@@ -65,6 +65,8 @@
 	Rate       float64       `help:"Mean requests per second of each service." default:"60"`
 	WorkFactor int           `help:"Multiplies the time that requests work for (20 to 120 ms)." default:"1"`
 	NoChanges  bool          `help:"Withdraw no key and roll no document out."`
+	NoWatch    bool          `help:"Do not look at the document versions in force; for measurements of control."`
+	NoJobs     bool          `help:"Submit no jobs."`
 	NoUnknown  bool          `help:"Count an outcome that the caller does not know as a broken promise."`
 }
 
@@ -72,7 +74,7 @@
 func (c *devLoadCmd) Run(ctx context.Context) error {
 	return devmode.RunLoad(ctx, c.Directory, devmode.Options{
 		For: c.For, JSON: c.Output == "json", Seed: c.Seed, MeanPerSecond: c.Rate, WorkFactor: c.WorkFactor,
-		NoChanges: c.NoChanges, NoUnknown: c.NoUnknown, Stdout: os.Stdout, Stderr: os.Stderr,
+		NoChanges: c.NoChanges, NoWatch: c.NoWatch, NoJobs: c.NoJobs, NoUnknown: c.NoUnknown, Stdout: os.Stdout, Stderr: os.Stderr,
 	})
 }
 
--- a/internal/devmode/demo.go
+++ b/internal/devmode/demo.go
@@ -38,9 +38,13 @@
 	jobs := newJobLoad(s)
 	var parts sync.WaitGroup
 	parts.Go(func() { s.newLoad(t).run(loadCtx) })
-	parts.Go(func() { jobs.run(loadCtx) })
+	if !s.options.NoJobs {
+		parts.Go(func() { jobs.run(loadCtx) })
+	}
 	watch := newVersionWatch(s)
-	parts.Go(func() { watch.run(loadCtx) })
+	if !s.options.NoWatch {
+		parts.Go(func() { watch.run(loadCtx) })
+	}
 	if s.options.Faults {
 		parts.Go(func() { report.Recoveries = s.runFaults(loadCtx) })
 	}
--- a/internal/devmode/run.go
+++ b/internal/devmode/run.go
@@ -37,6 +37,10 @@
 	WorkFactor int
 	// NoChanges leaves the document as it is.
 	NoChanges bool
+	// NoWatch leaves out the looks at the versions in force, whose cost would be measured as the entry instances' own.
+	NoWatch bool
+	// NoJobs leaves out the jobs. Each costs several records, so a measurement of control without load has none.
+	NoJobs bool
 	// NoUnknown makes each outcome that callers do not know a broken promise.
 	NoUnknown bool
 	Stdout    io.Writer
--- a/scripts/measure-control.sh
+++ b/scripts/measure-control.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures what each of 9 entry instances spends on control at three sizes, with a light load, and prints a table.
 # Exits non-zero if a bound of the design is exceeded: 1.5 % of a core, 128 MB, 28 KB/s.
-# usage: measure-control.sh [WORKERS:POOLS:TEAMS...]
+# usage: [LOAD_OPTIONS="--no-jobs"] measure-control.sh [WORKERS:POOLS:TEAMS...]
 set -uo pipefail
 # shellcheck source=scripts/common.sh
 source "$(dirname "${BASH_SOURCE[0]}")/common.sh"
@@ -19,7 +19,7 @@
 	for ((n = 1; n <= 9; n++)); do start_entry "entry-$n"; done
 	publish
 	dev await --timeout 60s || fail "the entry instances are not ready"
-	start load "$directory/bin/pollenlead" dev load --directory "$directory" --for $((seconds + 10))s --rate 0.5 --no-changes
+	start load "$directory/bin/pollenlead" dev load --directory "$directory" --for $((seconds + 10))s --rate 0.5 --no-changes --no-watch ${LOAD_OPTIONS:-}
 	sleep 5
 	dev measure --for "${seconds}s" --label "$workers / $pools / $teams" || status=1
 	ended load || fail "the light load failed"
