--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -193,7 +193,7 @@
 	i.buildServing()
 	i.operators.server.Handler = operator.NewHandler(operator.Options{
 		Committer: i.committer, Follower: i.follower, Trail: i.trail, Bootstrap: bootstrap(s.BootstrapOperator),
-		Vars: i.vars(), Status: i.status, Ready: i.ready,
+		Vars: i.vars(), Status: i.status, Ready: i.ready, Loaded: func() bool { return !i.follower.LastContact().IsZero() },
 	})
 	return nil
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -52,6 +52,8 @@
 	Bootstrap Bootstrap
 	// Vars are this entry instance's metrics. Other instances in the same process have their own.
 	Vars expvar.Var
+	// Loaded reports whether the log was read to its end once. Before that the state is older than what others have seen.
+	Loaded func() bool
 	// Status fills in the answer to a status request.
 	Status func() StatusResponse
 	// Ready reports whether the balancer should send callers, and why not.
@@ -88,6 +90,10 @@
 // authorized calls next for an operator whose role includes the needed one.
 func (h *Handler) authorized(needed config.Role, next operatorHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if !h.Loaded() {
+			writeError(w, ErrorResponse{Status: http.StatusServiceUnavailable, Reason: "starting", Detail: "the log was not read to its end yet; nothing was changed"})
+			return
+		}
 		name, role, ok := h.authenticate(r)
 		if !ok {
 			w.Header().Set("WWW-Authenticate", "Bearer")
--- a/internal/operator/waves_test.go
+++ b/internal/operator/waves_test.go
@@ -59,7 +59,7 @@
 	for _, o := range outcomes {
 		is.Equal(o.Detail, "")
 	}
-	return NewHandler(Options{Committer: m, Follower: m})
+	return NewHandler(Options{Committer: m, Follower: m, Loaded: func() bool { return true }})
 }
 
 func do(t *testing.T, h http.Handler, token, method, path, body string, answer any) int {
