--- a/internal/devmode/demo.go
+++ b/internal/devmode/demo.go
@@ -201,7 +201,7 @@
 }
 
 // publish publishes the document and waits until it is in force at every entry instance. It returns when the accepted
-// publication was sent.
+// publication was answered: during an outage of the log a publication waits, and is not accepted before its end.
 func (s *system) publish(ctx context.Context, report *Report) (time.Time, error) {
 	text, err := render(s.document)
 	if err != nil {
@@ -210,14 +210,16 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), rolloutTimeout)
 	defer cancel()
 	version, sent, err := s.publishRetry(ctx, text)
+	accepted := time.Now()
 	if err != nil {
 		return time.Time{}, err
 	}
 	if err := s.operator.awaitVersion(ctx, s.entries.operators, version); err != nil {
-		return sent, err
+		return accepted, err
 	}
-	report.ConfigSecondsMax = max(report.ConfigSecondsMax, time.Since(sent).Seconds())
-	return sent, nil
+	report.ConfigSecondsMax = max(report.ConfigSecondsMax, time.Since(accepted).Seconds())
+	report.PublishSecondsMax = max(report.PublishSecondsMax, accepted.Sub(sent).Seconds())
+	return accepted, nil
 }
 
 // publishRetry publishes against the newest version until an entry instance accepts it: during an outage of the log the
--- a/internal/devmode/tally.go
+++ b/internal/devmode/tally.go
@@ -38,12 +38,16 @@
 	JobsRefused   int `json:"jobs_refused"`
 
 	// WaveBelowBudget counts looks at a pool below its availability budget, WaveCut the executions that a reboot cut off.
+	WaveState       string  `json:"wave_state"`
+	WavePauseReason string  `json:"wave_pause_reason,omitempty"`
 	WaveReturned    int     `json:"wave_returned"`
 	WaveSeconds     float64 `json:"wave_seconds"`
 	WaveBelowBudget int     `json:"wave_below_budget"`
 	WaveCut         int     `json:"wave_cut"`
 
+	// ConfigSecondsMax counts from the answer to a publication, PublishSecondsMax from its sending to the answer.
 	ConfigSecondsMax        float64 `json:"config_seconds_max"`
+	PublishSecondsMax       float64 `json:"publish_seconds_max"`
 	KeyWithdrawalSecondsMax float64 `json:"key_withdrawal_seconds_max"`
 	LatencyP50MS            float64 `json:"latency_p50_ms"`
 	LatencyP99MS            float64 `json:"latency_p99_ms"`
