--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -1,8 +1,11 @@
 package replay
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -25,6 +28,47 @@
 	is.Equal(result.Expectations, 12)
 }
 
+// Guards against a change of the fold that gives the records of the demo under faults another outcome. The traces were
+// recorded by "pollenlead dev --demo --faults --for 14s --rate 5 --seed N --trace FILE" with the seeds 1 to 3.
+func TestTracesOfTheDemo(t *testing.T) {
+	traces, err := filepath.Glob("testdata/demo-faults-*.jsonl")
+	is.New(t).NoErr(err)
+	is.New(t).Equal(len(traces), 3)
+	for _, name := range traces {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			trace, err := os.ReadFile(name)
+			is.NoErr(err)
+			result, err := Run(bytes.NewReader(trace))
+			is.NoErr(err)
+			is.Equal(result.Difference, nil)
+			is.True(result.Records > 100)
+			is.True(result.Expectations > 100)
+		})
+	}
+}
+
+// Guards against a written trace that its own records do not fulfil.
+func TestWrittenTraceReplays(t *testing.T) {
+	is := is.New(t)
+	var entries []Entry
+	for line := range strings.Lines(handover(is)) {
+		var l struct {
+			Record *recordLine `json:"record"`
+		}
+		is.NoErr(json.Unmarshal([]byte(line), &l))
+		if l.Record != nil {
+			entries = append(entries, Entry{Offset: l.Record.Offset, Data: append(l.Record.Data, l.Record.Base64...)})
+		}
+	}
+	var written bytes.Buffer
+	is.NoErr(Write(&written, entries))
+	result, err := Run(&written)
+	is.NoErr(err)
+	is.Equal(result.Difference, nil)
+	is.Equal(result.Records, len(entries))
+}
+
 // Guards against a replay that passes although an expectation does not hold, or that reports the wrong place.
 func TestChangedExpectationIsFound(t *testing.T) {
 	for name, c := range map[string]struct {
