Collect garbage less often in an entry instance

Cause: a CPU profile of nine idle instances at 860 workers showed 17% in garbage collections of a heap of about 12 MB. Change: GC percent 400 under a memory limit of 112 MiB.

--- a/cmd/pollenlead/main.go
+++ b/cmd/pollenlead/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -31,6 +32,14 @@
 	Dev      devCmd      `cmd:"" help:"Development tools: everything in this process, or the parts of a system of separate processes."`
 }
 
+// An entry instance's live heap is about 12 MB at the target's size, so with the default garbage collection setting a sixth of its
+// processor time went into collections. With this one the heap grows to five times that, still below half of the 128 MB
+// that control may use; the limit keeps it there under load.
+const (
+	gcPercent   = 400
+	memoryLimit = 112 << 20
+)
+
 type serveCmd struct {
 	Settings string `required:"" help:"The settings file (YAML)." type:"path" placeholder:"FILE"`
 }
@@ -46,6 +55,8 @@
 		return fmt.Errorf("settings: log_level: %w", err)
 	}
 	logger := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("entry_instance", s.Name).Logger()
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	instance, err := entry.New(*s, logger)
 	if err != nil {
 		return err
