--- a/internal/failtest/cluster_test.go
+++ b/internal/failtest/cluster_test.go
@@ -176,7 +176,7 @@
 	return &config.Document{
 		Schema: config.DocumentSchema, Limits: limits, Maintenance: config.DefaultMaintenance(),
 		Pools:    []config.Pool{{Name: "main", Members: []string{"w-"}}, {Name: "spare", Spare: true}},
-		Services: []config.Service{{Name: "work", Pool: "main", TimeoutSeconds: 40}},
+		Services: []config.Service{{Name: "orders", Pool: "main", TimeoutSeconds: 40}},
 		Teams: []config.Team{
 			{Name: "a", Share: 1, UpperLimit: limit, Keys: []config.Key{key("a1"), key("a2")}},
 			{Name: "b", Share: 1, UpperLimit: 20, Keys: []config.Key{key("b1")}},
@@ -322,7 +322,7 @@
 	for name, value := range extra {
 		header[name] = value
 	}
-	return c.do(http.MethodPost, n.instance.CallersURL()+"/v1/services/work/requests/x", c.keys[key], header, []byte("body"))
+	return c.do(http.MethodPost, n.instance.CallersURL()+"/v1/services/orders/requests/x", c.keys[key], header, []byte("body"))
 }
 
 // requests sends requests of team a at once and fails unless all are answered.
@@ -341,7 +341,7 @@
 // submit submits a job of team a.
 func (c *cluster) submit(n int, id string, workMS int, header map[string]string) reply {
 	body := fmt.Sprintf(`{"work_ms":%d,"caller_request_id":%q,"team":"a"}`, workMS, id)
-	return c.do(http.MethodPost, c.nodes[n].instance.CallersURL()+"/v1/services/work/jobs", c.keys["a1"], header, []byte(body))
+	return c.do(http.MethodPost, c.nodes[n].instance.CallersURL()+"/v1/services/orders/jobs", c.keys["a1"], header, []byte(body))
 }
 
 // job asks about a job.
--- a/internal/platform/fleetlist/client.go
+++ b/internal/platform/fleetlist/client.go
@@ -54,11 +54,7 @@
 		timeout = defaultTimeout
 	}
 	return &Client{
-		peer: httpcall.Peer{
-			Name:      "list " + baseURL,
-			URL:       baseURL,
-			Transport: httpcall.NewCountedTransport(maxConnections, counter),
-		},
+		peer:    httpcall.NewPeer("list", baseURL, maxConnections, counter),
 		timeout: timeout,
 	}
 }
--- a/internal/platform/httpcall/call.go
+++ b/internal/platform/httpcall/call.go
@@ -27,6 +27,11 @@
 	Calls *traffic.Counter
 }
 
+// NewPeer returns the service with the given name at a base URL. counter counts the bytes of its connections and may be nil.
+func NewPeer(name, baseURL string, maxConnections int, counter *traffic.Counter) Peer {
+	return Peer{Name: name + " " + baseURL, URL: baseURL, Transport: NewCountedTransport(maxConnections, counter)}
+}
+
 // Request is a call with a small body.
 type Request struct {
 	Step        string // for errors, such as "append"
--- a/internal/platform/logclient/client.go
+++ b/internal/platform/logclient/client.go
@@ -40,11 +40,7 @@
 		timeout = defaultTimeout
 	}
 	return &Client{
-		peer: httpcall.Peer{
-			Name:      "log " + baseURL,
-			URL:       baseURL,
-			Transport: httpcall.NewCountedTransport(maxConnections, counter),
-		},
+		peer:    httpcall.NewPeer("log", baseURL, maxConnections, counter),
 		timeout: timeout,
 	}
 }
