--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -154,7 +154,7 @@
 		return appended, read, err
 	}
 	defer stop()
-	client := logclient.New(listener.Addr().String(), 0)
+	client := logclient.New("http://"+listener.Addr().String(), 0)
 	defer client.Close()
 	appended, err = measureCalls(listener, rounds, n, func(int) error {
 		_, err := client.Append(ctx, make([]byte, size))
@@ -209,7 +209,7 @@
 		return CallCost{}, err
 	}
 	defer stop()
-	client := fleetlist.New(listener.Addr().String(), 0)
+	client := fleetlist.New("http://"+listener.Addr().String(), 0)
 	defer client.Close()
 	return measureCalls(listener, rounds, n, func(int) error {
 		var listing platform.Listing
--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -12,13 +12,15 @@
 	"pollenlead/internal/settings"
 )
 
-// reloadInterval is the shortest time between two looks at the certificate files.
+// reloadInterval is the time within which renewed certificate files are in use.
 const reloadInterval = 10 * time.Second
 
 // certificates holds the certificate and the CA pool of one listener and reads them again when the files change, so that
 // certificates are renewed without a restart.
 type certificates struct {
 	files settings.TLSFiles
+	// interval is the shortest time between two looks at the files.
+	interval time.Duration
 
 	mu      sync.Mutex
 	checked time.Time
@@ -29,7 +31,7 @@
 
 // newCertificates reads the files once, so that a process with unusable files does not start.
 func newCertificates(files settings.TLSFiles) (*certificates, error) {
-	c := &certificates{files: files}
+	c := &certificates{files: files, interval: reloadInterval}
 	if err := c.load(); err != nil {
 		return nil, err
 	}
@@ -40,7 +42,7 @@
 func (c *certificates) current() (*tls.Certificate, *x509.CertPool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.checked) >= reloadInterval {
+	if time.Since(c.checked) >= c.interval {
 		c.checked = time.Now()
 		if c.changed() {
 			_ = c.loadLocked()
