Keep the leader's knowledge whole over a change, and end stop orders with their run

Ruled out: the cost of decisions (0.1 ms over 400 waiting jobs, BenchmarkPlaceBacklog) and the store's append time.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -43,6 +43,8 @@
 	entry *fleet.WorkerEntry // nil if the worker is not listed
 	runs  map[runKey]*workload.Run
 	used  fleet.Resources
+	// fillers and servers are the numbers of filler runs and of serving runs.
+	fillers, servers int
 	// contacted means that the worker has answered in this term, and so refuses earlier terms.
 	contacted bool
 	// incarnation is the one that the worker last named; 0 if it named none.
@@ -80,6 +82,24 @@
 	return a
 }
 
+// count adds a run to or takes it from the numbers of special runs. Callers hold mu.
+func (a *agent) count(r *workload.Run, sign int) {
+	spec := r.Task.Step.Spec
+	if spec.Filler {
+		a.fillers += sign
+	}
+	if spec.LatencyTarget > 0 {
+		a.servers += sign
+	}
+}
+
+// mark notes that a decision may be possible in the worker's pool. Callers hold mu.
+func (d *Dispatcher) mark(a *agent) {
+	if a.entry != nil {
+		d.dirty[a.entry.Pool] = true
+	}
+}
+
 // nudge wakes the renewing goroutine. Callers hold mu.
 func (a *agent) nudge() {
 	select {
@@ -155,7 +175,7 @@
 	a.entry = e
 	if old == nil || old.Draining != e.Draining {
 		d.Log.Info().Str("event", "worker").Str("worker", e.ID).Str("pool", e.Pool).Bool("draining", e.Draining).Int64("sequence", e.Sequence).Msg("worker's state changed")
-		d.dirty = true
+		d.mark(a)
 		d.signal()
 	}
 	if e.Incarnation != 0 && a.incarnation != 0 && e.Incarnation > a.incarnation {
@@ -182,7 +202,6 @@
 	d.Log.Info().Str("event", "worker_gone").Str("worker", id).Int("runs", len(a.runs)).Bool("draining", a.entry.Draining).Msg("worker's entry was removed")
 	a.entry = nil
 	a.halt()
-	d.dirty = true
 }
 
 // halt ends the renewing goroutine. Callers hold mu.
@@ -361,13 +380,13 @@
 	if first {
 		// An earlier leader may have renewed the lease until just now.
 		a.deadline = max(a.deadline, r.ClockMillis+min(leaseDuration, d.Bounds.MaxLease).Milliseconds()+leaseMargin.Milliseconds())
-		d.dirty = true
+		d.mark(a)
 		d.signal()
 	}
 	if a.silentSince != 0 {
 		d.Log.Info().Str("event", "worker_answers").Str("worker", a.id).Dur("silent", bootclock.Now()-a.silentSince).Msg("worker answers again")
 		a.silentSince = 0
-		d.dirty = true
+		d.mark(a)
 	}
 	for _, e := range r.Ended {
 		d.ended(a, e)
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -16,6 +16,8 @@
 	producerName  = "dispatcher"
 	appendTimeout = 1200 * time.Millisecond
 	appendRetry   = 30 * time.Millisecond
+	// slowAppend is the time after which an append is logged.
+	slowAppend = 250 * time.Millisecond
 	// maxBatchRecords bounds one append well below the store's limit of bytes.
 	maxBatchRecords = 500
 )
@@ -59,8 +61,12 @@
 // append repeats one append until its outcome is known.
 func (c *committer) append(ctx context.Context, records []store.Record) error {
 	c.sequence++
-	for ctx.Err() == nil {
+	began := bootclock.Now()
+	for tries := 1; ctx.Err() == nil; tries++ {
 		err := c.try(ctx, records)
+		if took := bootclock.Now() - began; took > slowAppend {
+			c.d.Log.Info().Str("event", "append_slow").Int("try", tries).Dur("took", took).Int("records", len(records)).AnErr("outcome", err).Msg("the store takes long to append progress")
+		}
 		var unexpected *store.SequenceError
 		switch {
 		case err == nil:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -91,14 +91,17 @@
 	running map[string]fleet.Resources
 	sending map[*workload.Run]bool // runs with an order on its way
 	advice  map[string]*advice     // by step
-	dirty   bool                   // a decision may be possible
+	dirty   map[string]bool        // pools in which a decision may be possible
+	// tailFresh is the boot clock of a moment before which all accepted jobs are known.
+	tailFresh time.Duration
 	// lastStored is the boot clock of the last append that succeeded.
-	lastStored time.Duration
-	begunAt    time.Duration
-	wall       time.Time // the time of day at begunAt
-	estimates  estimates
-	counters   *counters
-	waves      *waveDriver
+	lastStored  time.Duration
+	begunAt     time.Duration
+	poolsLogged time.Duration // boot clock
+	wall        time.Time     // the time of day at begunAt
+	estimates   estimates
+	counters    *counters
+	waves       *waveDriver
 }
 
 type cancellation struct{ team string }
@@ -108,7 +111,7 @@
 	d := &Dispatcher{
 		Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, active: map[string]map[string]*job{},
 		changed: map[string]*job{}, pending: map[string]cancellation{}, agents: map[string]*agent{},
-		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, advice: map[string]*advice{},
+		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		counters: sharedCounters, estimates: newEstimates(),
 	}
 	d.waves = newWaveDriver(d)
@@ -132,7 +135,6 @@
 	if !commit.fence(ctx) {
 		return
 	}
-	tasks.Go(func() { d.followWorkers(ctx) })
 	tail := d.jobTail()
 	end, newest, ok := d.load(ctx, tail)
 	if !ok {
@@ -144,6 +146,8 @@
 			tail.Run(ctx)
 		}
 	})
+	// What a worker reports means nothing before the jobs are known: its runs would be stopped as strangers.
+	tasks.Go(func() { d.followWorkers(ctx) })
 	tasks.Go(func() { d.waves.run(ctx) })
 	defer d.stopAgents()
 	d.decide(ctx, commit)
@@ -181,7 +185,7 @@
 func (d *Dispatcher) touch(j *job) {
 	j.changed = true
 	d.changed[j.ID] = j
-	d.dirty = true
+	d.dirty[j.Pool] = true
 	if j.State.Ended() {
 		delete(d.active[j.Pool], j.ID)
 	}
@@ -202,7 +206,10 @@
 		}
 	}
 	d.forget(now)
-	d.dirty = true
+	d.logPools(now)
+	for pool := range d.active {
+		d.dirty[pool] = true
+	}
 }
 
 // timeOfDay is the clock by which the occurrences of a job are due.
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -11,15 +11,24 @@
 
 const (
 	// jobReadWait is how long one read waits for the next accepted job.
-	jobReadWait = 2 * time.Second
+	jobReadWait = 900 * time.Millisecond
 	loadRetry   = 100 * time.Millisecond
+	// maxPending bounds the cancellations of jobs that are not known.
+	maxPending = 10_000
 	// forgetBatch bounds the ended jobs that one append drops.
 	forgetBatch = 100
 )
 
 // jobTail follows the records of jobs. Progress is read only when the term begins, as this dispatcher writes it.
 func (d *Dispatcher) jobTail() *store.Tail {
-	return &store.Tail{Store: d.Store, Topic: d.JobTopic, Wait: jobReadWait, Apply: d.apply, Log: d.Log}
+	return &store.Tail{Store: d.Store, Topic: d.JobTopic, Wait: jobReadWait, Apply: d.apply, Contact: d.tailContact, Log: d.Log}
+}
+
+// tailContact notes that all jobs accepted before that moment of the boot clock are known.
+func (d *Dispatcher) tailContact(at time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tailFresh = max(d.tailFresh, at)
 }
 
 // load reads all jobs. It reports false when ctx is done.
@@ -74,7 +83,6 @@
 		d.adopt(j)
 	}
 	d.loaded = true
-	d.dirty = true
 	d.signal()
 }
 
@@ -89,6 +97,9 @@
 	j.EachTask(func(t *workload.Task) {
 		for _, r := range t.Runs {
 			d.attach(r)
+			if j.State.Ended() || t.Done {
+				defer d.stopRun(r)
+			}
 		}
 	})
 }
@@ -98,6 +109,7 @@
 	a := d.agent(r.Worker)
 	a.runs[runKey{r.Task.Name(), r.Number}] = r
 	a.used = a.used.Add(r.Task.Step.Spec.Charge())
+	a.count(r, +1)
 	d.charge(r.Task.Step.Job.Team, r.Task.Step.Spec.Need, +1)
 }
 
@@ -109,8 +121,9 @@
 	}
 	delete(a.runs, key)
 	a.used = a.used.Sub(r.Task.Step.Spec.Charge())
+	a.count(r, -1)
 	d.charge(r.Task.Step.Job.Team, r.Task.Step.Spec.Need, -1)
-	d.dirty = true
+	d.mark(a)
 }
 
 // apply applies a record of a job that an entry instance has written.
@@ -155,25 +168,27 @@
 	}
 	d.active[w.Pool][id] = j
 	d.counters.accepted.Add(1)
+	if c, ok := d.pending[id]; ok {
+		delete(d.pending, id)
+		defer d.cancelled(id, c.team)
+	}
 	if !d.loaded {
 		return
 	}
 	j.Advance(d.timeOfDay(j), d.Bounds.Early/2)
 	d.Log.Info().Str("event", "job_seen").Str("job", id).Str("queue", w.Queue).Str("team", w.Team).Str("pool", w.Pool).
 		Int("steps", len(w.Spec.Steps)).Int64("offset", r.Offset).Dur("age", time.Since(w.Submitted)).Msg("job taken over from the store")
-	d.dirty = true
+	d.dirty[j.Pool] = true
 	d.signal()
-	if c, ok := d.pending[id]; ok {
-		delete(d.pending, id)
-		d.cancelled(id, c.team)
-	}
 }
 
 // cancelled cancels a job for a team. Callers hold mu.
 func (d *Dispatcher) cancelled(id, team string) {
 	j := d.jobs[id]
 	if j == nil {
-		d.pending[id] = cancellation{team}
+		if len(d.pending) < maxPending {
+			d.pending[id] = cancellation{team}
+		}
 		return
 	}
 	if j.Team != team || j.State.Ended() {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -65,17 +65,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.sending, r)
-	if r.Phase == workload.RunStopping && r.StopAckedAt.IsZero() {
+	if r.Phase == workload.RunStopping && r.StopAckedAt.IsZero() && d.at(r) {
 		d.stopRun(r)
 	}
 }
 
+// at reports whether the run still counts at its worker. Callers hold mu.
+func (d *Dispatcher) at(r *workload.Run) bool {
+	a := d.agents[r.Worker]
+	return a != nil && a.runs[runKey{r.Task.Name(), r.Number}] == r
+}
+
 // nextStart prepares one try. It reports false if the run is not to be started any more.
 func (d *Dispatcher) nextStart(a *agent, r *workload.Run, tried bool) (worker.Address, worker.Start, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := r.Task
-	if r.Phase != workload.RunAssigned || a.runs[runKey{t.Name(), r.Number}] != r {
+	if r.Phase != workload.RunAssigned || !d.at(r) {
 		return worker.Address{}, worker.Start{}, false
 	}
 	deadline := d.lease(a)
@@ -170,7 +176,7 @@
 	name := r.Task.Name()
 	for d.ctx.Err() == nil {
 		d.mu.Lock()
-		gone := a.runs[runKey{name, r.Number}] != r
+		gone := !d.at(r)
 		to := a.address()
 		d.mu.Unlock()
 		if gone {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -19,27 +19,24 @@
 	adviceMargin  = 300 * time.Millisecond
 	adviceTimeout = 5 * time.Second
 	adviceRetry   = 500 * time.Millisecond
-	// departureMargin is kept free before a draining worker leaves.
-	departureMargin = 500 * time.Millisecond
 )
 
-// place assigns waiting tasks to workers in every pool.
+// place assigns waiting tasks to workers in the pools where something has changed.
 func (d *Dispatcher) place() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.loaded || !d.dirty {
+	if !d.loaded || len(d.dirty) == 0 {
 		return
 	}
-	d.dirty = false
 	now := d.now()
 	byPool := d.usableWorkers(now)
 	limits := d.limits()
-	for pool, jobs := range d.active {
+	for pool := range d.dirty {
 		workers := byPool[pool]
 		if len(workers) == 0 {
 			continue
 		}
-		wants := d.wants(jobs, workers, now)
+		wants := d.wants(d.active[pool], workers, now)
 		if len(wants) == 0 {
 			continue
 		}
@@ -47,36 +44,33 @@
 			d.assign(p, now)
 		}
 	}
+	clear(d.dirty)
 }
 
-// usableWorkers returns the workers that may get tasks, by pool. Callers hold mu.
+// usableWorkers returns the workers of the changed pools that may get tasks, by pool. Callers hold mu.
 func (d *Dispatcher) usableWorkers(now time.Time) map[string][]*scheduling.Worker {
 	byPool := map[string][]*scheduling.Worker{}
 	boot := bootclock.Now()
 	for _, a := range d.agents {
-		if a.entry == nil || a.entry.Draining || a.cordoned || !a.contacted || a.silentSince != 0 || !a.health.usable(now) {
+		if a.entry == nil || !d.dirty[a.entry.Pool] || !d.usable(a, now, boot) {
 			continue
 		}
-		if boot-a.clockAt > holdWait+holdTimeout+holdRetry {
-			continue // its renewal is overdue
-		}
-		w := &scheduling.Worker{
+		byPool[a.entry.Pool] = append(byPool[a.entry.Pool], &scheduling.Worker{
 			ID: a.id, Rack: a.entry.Rack, Labels: a.entry.Labels, Capacity: a.entry.Capacity, Free: a.entry.Capacity.Sub(a.used),
-			Probe: a.health.probing(), Runs: len(a.runs), Slowdown: 1,
-		}
-		for _, r := range a.runs {
-			if r.Task.Step.Spec.Filler {
-				w.Fillers++
-			}
-			if r.Task.Step.Spec.LatencyTarget > 0 {
-				w.Servers++
-			}
-		}
-		byPool[a.entry.Pool] = append(byPool[a.entry.Pool], w)
+			Probe: a.health.probing(), Runs: len(a.runs), Slowdown: 1, Fillers: a.fillers, Servers: a.servers,
+		})
 	}
 	return byPool
 }
 
+// usable reports whether a listed worker may get tasks. Callers hold mu.
+func (d *Dispatcher) usable(a *agent, now time.Time, boot time.Duration) bool {
+	if a.entry.Draining || a.cordoned || !a.contacted || a.silentSince != 0 || !a.health.usable(now) {
+		return false
+	}
+	return boot-a.clockAt <= holdWait+holdTimeout+holdRetry // otherwise its renewal is overdue
+}
+
 // limits returns what each team may still start. Callers hold mu.
 func (d *Dispatcher) limits() scheduling.Limits {
 	limits := scheduling.Limits{}
@@ -105,11 +99,16 @@
 // wants collects the ready steps with waiting tasks. Callers hold mu.
 func (d *Dispatcher) wants(jobs map[string]*job, workers []*scheduling.Worker, now time.Time) []scheduling.Want {
 	var wants []scheduling.Want
+	room := scheduling.LargestRoom(workers)
 	for _, j := range jobs {
 		q := d.queue(j.Queue)
 		for _, o := range j.Occurrences {
 			var rank *scheduling.Rank
 			for _, s := range o.Steps {
+				// Most steps of a full pool fit nowhere: they are passed over before anything is built for them.
+				if s.Open == 0 || !s.Spec.Charge().Fits(room) || !s.Ready() {
+					continue
+				}
 				waiting := waitingTasks(s)
 				if len(waiting) == 0 {
 					continue
@@ -120,7 +119,7 @@
 				}
 				w := scheduling.Want{Step: s, Tasks: waiting, Rank: *rank}
 				if q.Advice != nil {
-					if w.Tickets = d.tickets(s, q, workers); len(w.Tickets) == 0 {
+					if w.Tickets = d.tickets(s, workers); len(w.Tickets) == 0 {
 						continue
 					}
 				}
@@ -133,9 +132,6 @@
 
 // waitingTasks returns the tasks of a ready step that need a run.
 func waitingTasks(s *workload.Step) []*workload.Task {
-	if s.Open == 0 || !s.Ready() {
-		return nil
-	}
 	var waiting []*workload.Task
 	for _, t := range s.Tasks {
 		if t.Waiting() {
@@ -195,7 +191,7 @@
 }
 
 // tickets returns the valid tickets of a step, and asks for new ones if there are none. Callers hold mu.
-func (d *Dispatcher) tickets(s *workload.Step, q *fleet.Queue, workers []*scheduling.Worker) map[string]string {
+func (d *Dispatcher) tickets(s *workload.Step, workers []*scheduling.Worker) map[string]string {
 	name := stepName(s)
 	a := d.advice[name]
 	if a == nil {
@@ -216,12 +212,12 @@
 			ids = append(ids, w.ID)
 		}
 	}
-	go d.ask(name, a, ids, q)
+	go d.ask(name, s.Job.Pool, a, ids)
 	return nil
 }
 
 // ask asks the advice service about a step.
-func (d *Dispatcher) ask(name string, a *advice, ids []string, _ *fleet.Queue) {
+func (d *Dispatcher) ask(name, pool string, a *advice, ids []string) {
 	ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
 	defer cancel()
 	sent := bootclock.Now()
@@ -237,6 +233,6 @@
 		return
 	}
 	a.tickets, a.until = got.Tickets, sent+got.Validity-adviceMargin
-	d.dirty = true
+	d.dirty[pool] = true
 	d.signal()
 }
--- /dev/null
+++ b/internal/dispatch/poollog.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"time"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
+)
+
+// poolLogInterval is the least time between two log lines on one pool's backlog.
+const poolLogInterval = time.Second
+
+// logPools logs the state of each pool in which work waits. Callers hold mu.
+func (d *Dispatcher) logPools(now time.Time) {
+	boot := bootclock.Now()
+	if boot-d.poolsLogged < poolLogInterval {
+		return
+	}
+	d.poolsLogged = boot
+	for pool, jobs := range d.active {
+		waiting := 0
+		for _, j := range jobs {
+			for _, o := range j.Occurrences {
+				for _, s := range o.Steps {
+					if s.Open > 0 && s.Ready() {
+						waiting += len(waitingTasks(s))
+					}
+				}
+			}
+		}
+		if waiting > 0 {
+			d.logPool(pool, len(jobs), waiting, now, boot)
+		}
+	}
+}
+
+func (d *Dispatcher) logPool(pool string, jobs, waiting int, now time.Time, boot time.Duration) {
+	var used, usable, capacity fleet.Resources
+	listed, ready, runs := 0, 0, 0
+	for _, a := range d.agents {
+		if a.entry == nil || a.entry.Pool != pool {
+			continue
+		}
+		listed++
+		runs += len(a.runs)
+		used = used.Add(a.used)
+		capacity = capacity.Add(a.entry.Capacity)
+		if d.usable(a, now, boot) {
+			ready++
+			usable = usable.Add(a.entry.Capacity)
+		}
+	}
+	d.Log.Info().Str("event", "pool").Str("pool", pool).Int("jobs", jobs).Int("tasks_waiting", waiting).Int("runs", runs).
+		Int("workers", listed).Int("usable", ready).Int64("cpu_milli", capacity.CPUMilli).Int64("cpu_used", used.CPUMilli).
+		Int64("cpu_usable", usable.CPUMilli).Int64("memory_mb", capacity.MemoryMB).Int64("memory_used", used.MemoryMB).Msg("work waits in a pool")
+}
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -2,10 +2,15 @@
 
 import (
 	"errors"
+	"time"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/workload"
 )
 
+// unknownAfter is the age of what the leader knows of the store beyond which it says of no job that it does not exist.
+const unknownAfter = 2 * time.Second
+
 // ErrNotLoaded means that the leader has not read the jobs yet.
 var ErrNotLoaded = errors.New("dispatch: the jobs have not been read yet")
 
@@ -20,6 +25,9 @@
 		return "", ErrNotLoaded
 	}
 	j := d.jobs[id]
+	if j == nil && bootclock.Now()-d.tailFresh > unknownAfter {
+		return "", ErrNotLoaded // the job may have been accepted meanwhile
+	}
 	if j == nil || j.Queue != queue || j.Team != team {
 		return "", ErrNoJob
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -160,14 +160,19 @@
 	}
 }
 
+// vacant reports whether nobody leads for certain: no record, a released term, or a term of an earlier start of this process.
+func (e *Election) vacant() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known.Holder == "" || e.released || e.known.Peer == e.peer && e.known.Holder != e.holder
+}
+
 // mayClaim reports whether the leader has been silent for long enough.
 func (e *Election) mayClaim() bool {
 	if !e.read || e.isResigning() {
 		return false
 	}
-	e.mu.Lock()
-	none := e.known.Holder == "" || e.released
-	e.mu.Unlock()
+	none := e.vacant()
 	silent := bootclock.Now() - e.lastSeen
 	if none {
 		return silent >= e.delay/2
@@ -200,9 +205,7 @@
 
 // wait is how long the next read may wait: until a claim would be possible.
 func (e *Election) wait() time.Duration {
-	e.mu.Lock()
-	none := e.known.Holder == "" || e.released
-	e.mu.Unlock()
+	none := e.vacant()
 	limit := claimAfter + e.delay
 	if none {
 		limit = e.delay / 2
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -89,20 +89,43 @@
 // Limits holds what each team may still start; a missing team has no limit.
 type Limits map[string]*fleet.Resources
 
+// LargestRoom returns the most that is free in each dimension at any worker. What does not fit there fits nowhere.
+func LargestRoom(workers []*Worker) fleet.Resources {
+	var room fleet.Resources
+	for _, w := range workers {
+		room.CPUMilli = max(room.CPUMilli, w.Free.CPUMilli)
+		room.MemoryMB = max(room.MemoryMB, w.Free.MemoryMB)
+		room.GPU = max(room.GPU, w.Free.GPU)
+	}
+	return room
+}
+
 // Plan places waiting tasks in the order of their ranks. It lowers the Free of workers and the limits of teams accordingly.
 func Plan(workers []*Worker, wants []Want, limits Limits) []Placement {
-	slices.SortStableFunc(wants, func(a, b Want) int { return a.Rank.compare(b.Rank) })
+	slices.SortFunc(wants, func(a, b Want) int { return a.Rank.compare(b.Rank) })
 	var placed []Placement
+	room := LargestRoom(workers)
 	for _, w := range wants {
-		if w.Step.Spec.Gang {
-			placed = append(placed, placeGang(workers, w, limits)...)
+		if !w.Step.Spec.Charge().Fits(room) {
 			continue
 		}
-		placed = append(placed, placeEach(workers, w, limits)...)
+		before := len(placed)
+		placed = append(placed, place(workers, w, limits)...)
+		if len(placed) > before {
+			room = LargestRoom(workers)
+		}
 	}
 	return placed
 }
 
+// place places the tasks of one want.
+func place(workers []*Worker, w Want, limits Limits) []Placement {
+	if w.Step.Spec.Gang {
+		return placeGang(workers, w, limits)
+	}
+	return placeEach(workers, w, limits)
+}
+
 func placeEach(workers []*Worker, w Want, limits Limits) []Placement {
 	var placed []Placement
 	use := newSpread(w.Step)
