Drive maintenance waves on the platform

Change: scheduling.NextForMaintenance (uses the budget of internal/disruption), dispatch.waveDriver, progress stored before orders.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -67,6 +67,8 @@
 	stray   map[runKey]time.Duration
 	// cordoned means that the instance is to be maintained or moved, so that nothing starts there.
 	cordoned bool
+	// leaving means that the instance will be maintained soon, so that work that lasts had better run elsewhere.
+	leaving bool
 }
 
 // agent returns the agent with that ID. Callers hold mu.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -102,6 +102,8 @@
 	estimates   estimates
 	counters    *counters
 	waves       *waveDriver
+	// waveRecords is the progress of waves that an earlier leader stored.
+	waveRecords map[int64]*waveRecord
 }
 
 type cancellation struct{ team string }
@@ -111,7 +113,7 @@
 	d := &Dispatcher{
 		Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, active: map[string]map[string]*job{},
 		changed: map[string]*job{}, pending: map[string]cancellation{}, agents: map[string]*agent{},
-		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, advice: map[string]*advice{}, dirty: map[string]bool{},
+		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, waveRecords: map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		counters: sharedCounters, estimates: newEstimates(),
 	}
 	d.waves = newWaveDriver(d)
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"pollenlead/internal/store"
@@ -144,9 +145,25 @@
 			return
 		}
 		d.cancelled(id, c.Team)
+	case workload.KeyWave:
+		d.waveStored(id, r.Value)
 	}
 }
 
+// waveStored keeps the stored progress of a wave. Callers hold mu.
+func (d *Dispatcher) waveStored(number string, value []byte) {
+	n, err := strconv.ParseInt(number, 10, 64)
+	var w waveRecord
+	if err == nil {
+		err = json.Unmarshal(value, &w)
+	}
+	if err != nil {
+		d.Log.Warn().Err(err).Str("event", "bad_record").Str("wave", number).Msg("progress of a wave cannot be read")
+		return
+	}
+	d.waveRecords[n] = &w
+}
+
 // submitted adds a job. A repeat of a known job changes nothing. Callers hold mu.
 func (d *Dispatcher) submitted(id string, r store.Record) {
 	if d.jobs[id] != nil {
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -1,10 +1,381 @@
 package dispatch
 
-import "context"
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sort"
+	"time"
 
-// waveDriver takes instances through the waves that the operator asks for.
-type waveDriver struct{ d *Dispatcher }
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/disruption"
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/follow"
+	"pollenlead/internal/instances"
+	"pollenlead/internal/scheduling"
+	"pollenlead/internal/store"
+	"pollenlead/internal/workload"
+)
 
-func newWaveDriver(d *Dispatcher) *waveDriver { return &waveDriver{d: d} }
+const (
+	// waveInterval is the time between two looks at the waves.
+	waveInterval = 250 * time.Millisecond
+	// listInterval is the time between two lists of the instances while a wave is open.
+	listInterval = 600 * time.Millisecond
+	// instanceTimeout bounds a call to the instances service.
+	instanceTimeout = time.Second
+	// drainTime is how long an instance is expected to drain.
+	drainTime = 2 * time.Second
+	// waveBudgetPercent is the part of a pool that stays available during a wave that is not late.
+	waveBudgetPercent = 60
+	// orderAgainAfter is how long an order without effect in the list is waited for before it is given again.
+	orderAgainAfter = 1500 * time.Millisecond
+)
 
-func (w *waveDriver) run(ctx context.Context) { <-ctx.Done() }
+// waveDriver takes instances through the waves that the operator asks for. Only its own goroutine uses its fields.
+type waveDriver struct {
+	d     *Dispatcher
+	waves map[int64]*wave
+	// listed is the newest list of instances, read at the boot clock listedAt.
+	listed   map[string]fleet.Instance
+	listedAt time.Duration
+}
+
+// wave is the progress of one wave.
+type wave struct {
+	request   fleet.WaveRequest
+	finishAt  time.Duration // boot clock
+	instances map[string]*waveInstance
+	reported  bool // the operator knows that it runs
+	done      bool // the operator knows that it is done
+}
+
+// waveInstance is the progress of one instance.
+type waveInstance struct {
+	phase scheduling.MaintenancePhase
+	// worker is the one that the instance had when the order was given; another one means that the order took effect.
+	worker    string
+	orderedAt time.Duration // boot clock
+	missing   int           // lists in a row without the instance
+}
+
+// waveRecord is the stored progress of a wave.
+type waveRecord struct {
+	// SeenMillis is the Unix time at which the wave was first seen, in milliseconds.
+	SeenMillis int64 `json:"seen_ms"`
+	// Ordered maps instances whose order was given to the worker that they had; Done lists those that are back.
+	Ordered map[string]string `json:"ordered,omitempty"`
+	Done    []string          `json:"done,omitempty"`
+	Closed  bool              `json:"closed,omitempty"`
+}
+
+func newWaveDriver(d *Dispatcher) *waveDriver { return &waveDriver{d: d, waves: map[int64]*wave{}} }
+
+// run drives the waves until ctx is done.
+func (w *waveDriver) run(ctx context.Context) {
+	if w.d.Instances == nil {
+		return
+	}
+	// Another holder's last order has to lie back for longer than its lease.
+	pause(ctx, w.d.Bounds.InstanceLease)
+	for ctx.Err() == nil {
+		if w.open() {
+			w.step(ctx)
+		}
+		pause(ctx, waveInterval)
+	}
+}
+
+// open takes up new requests and reports whether a wave is under way.
+func (w *waveDriver) open() bool {
+	open := false
+	for _, r := range w.d.Follower.Waves() {
+		if w.waves[r.Number] == nil {
+			w.waves[r.Number] = w.begin(r)
+		}
+		open = open || !w.waves[r.Number].done
+	}
+	return open
+}
+
+// begin restores a wave's stored progress, or begins it.
+func (w *waveDriver) begin(r follow.Wave) *wave {
+	x := &wave{request: r.WaveRequest, finishAt: r.SeenAt + r.FinishBy, instances: map[string]*waveInstance{}}
+	for _, id := range r.Instances {
+		x.instances[id] = &waveInstance{phase: scheduling.MaintenancePending}
+	}
+	w.d.mu.Lock()
+	stored := w.d.waveRecords[r.Number]
+	w.d.mu.Unlock()
+	if stored == nil {
+		return x
+	}
+	age := time.Since(time.UnixMilli(stored.SeenMillis))
+	x.finishAt = bootclock.Now() - age + r.FinishBy
+	x.done, x.reported = stored.Closed, true
+	for id, worker := range stored.Ordered {
+		if i := x.instances[id]; i != nil {
+			*i = waveInstance{phase: scheduling.MaintenanceOrdered, worker: worker}
+		}
+	}
+	for _, id := range stored.Done {
+		if i := x.instances[id]; i != nil {
+			i.phase = scheduling.MaintenanceDone
+		}
+	}
+	return x
+}
+
+// step looks at the instances and takes each wave one step on.
+func (w *waveDriver) step(ctx context.Context) {
+	if bootclock.Now()-w.listedAt >= listInterval && !w.list(ctx) {
+		return
+	}
+	numbers := make([]int64, 0, len(w.waves))
+	for n, x := range w.waves {
+		if !x.done {
+			numbers = append(numbers, n)
+		}
+	}
+	sort.Slice(numbers, func(a, b int) bool { return numbers[a] < numbers[b] })
+	for _, n := range numbers {
+		w.advance(ctx, w.waves[n])
+	}
+}
+
+// list reads the instances.
+func (w *waveDriver) list(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
+	defer cancel()
+	sent := bootclock.Now()
+	all, err := w.d.Instances.List(ctx)
+	if err != nil {
+		w.d.Log.Info().Str("event", "instances_unlisted").Err(err).Msg("instances could not be listed")
+		return false
+	}
+	w.listed = make(map[string]fleet.Instance, len(all))
+	for _, i := range all {
+		w.listed[i.ID] = i
+	}
+	w.listedAt = sent
+	return true
+}
+
+// advance takes one wave one step on.
+func (w *waveDriver) advance(ctx context.Context, x *wave) {
+	if !x.reported {
+		if !w.store(ctx, x) || !w.report(ctx, x, false) {
+			return
+		}
+		x.reported = true
+	}
+	changed := w.observe(x)
+	w.choose(x)
+	w.drain(ctx, x)
+	if changed {
+		w.store(ctx, x)
+	}
+	for _, i := range x.instances {
+		if i.phase != scheduling.MaintenanceDone {
+			return
+		}
+	}
+	if w.report(ctx, x, true) {
+		x.done = true
+		w.store(ctx, x)
+		w.d.Log.Info().Str("event", "wave_done").Int64("wave", x.request.Number).Dur("left", x.finishAt-bootclock.Now()).Msg("all instances of the wave have been maintained")
+	}
+}
+
+// observe compares the ordered instances with the list. It reports whether a phase changed.
+func (w *waveDriver) observe(x *wave) (changed bool) {
+	for id, i := range x.instances {
+		listed, ok := w.listed[id]
+		if !ok {
+			i.missing++
+			if i.missing >= 3 && i.phase != scheduling.MaintenanceDone { // the instance has left for good
+				w.release(id, i)
+				i.phase = scheduling.MaintenanceDone
+				changed = true
+			}
+			continue
+		}
+		i.missing = 0
+		if i.phase != scheduling.MaintenanceOrdered || w.listedAt <= i.orderedAt {
+			continue
+		}
+		if listed.Phase == fleet.InstanceUp && listed.Worker != i.worker && listed.Worker != "" {
+			i.phase = scheduling.MaintenanceDone
+			changed = true
+		}
+	}
+	return changed
+}
+
+// choose picks the next instances and keeps new tasks away from them.
+func (w *waveDriver) choose(x *wave) {
+	d := w.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	view := scheduling.WaveView{
+		MaxDown: x.request.MaxDown, Left: x.finishAt - bootclock.Now(), EachTakes: drainTime + d.Bounds.Maintenance,
+		Pools: w.pools(x),
+	}
+	for id, i := range x.instances {
+		listed := w.listed[id]
+		v := scheduling.WaveInstance{ID: id, Pool: listed.Pool, Phase: i.phase, Load: w.load(listed.Pool)}
+		if a := d.agents[listed.Worker]; a != nil {
+			a.leaving = i.phase == scheduling.MaintenancePending || i.phase == scheduling.MaintenanceDraining
+			v.Runs = len(a.runs)
+			v.Up = listed.Phase == fleet.InstanceUp && a.entry != nil && !a.entry.Draining && a.contacted
+		}
+		view.Instances = append(view.Instances, v)
+	}
+	for _, id := range scheduling.NextForMaintenance(view) {
+		i := x.instances[id]
+		i.phase, i.worker = scheduling.MaintenanceDraining, w.listed[id].Worker
+		d.agent(i.worker).cordoned = true
+		d.Log.Info().Str("event", "maintenance_drain").Int64("wave", x.request.Number).Str("instance", id).Str("worker", i.worker).
+			Int("runs", len(d.agent(i.worker).runs)).Dur("left", view.Left).Msg("instance gets no more tasks before its maintenance")
+	}
+}
+
+// pools returns the pools of a wave for the availability budget. Callers hold the dispatcher's mu.
+func (w *waveDriver) pools(x *wave) map[string]*disruption.Pool {
+	pools := map[string]*disruption.Pool{}
+	for id, listed := range w.listed {
+		p := pools[listed.Pool]
+		if p == nil {
+			p = &disruption.Pool{Name: listed.Pool, MinAvailablePercent: waveBudgetPercent}
+			pools[listed.Pool] = p
+		}
+		i := disruption.Instance{ID: id, Live: listed.Phase == fleet.InstanceUp, Moving: listed.Phase == fleet.InstanceMoving}
+		if n := len(listed.Labels); n > 0 {
+			i.Rack = listed.Labels[n-1]
+		}
+		if m := x.instances[id]; m != nil {
+			i.Down = m.phase == scheduling.MaintenanceDraining || m.phase == scheduling.MaintenanceOrdered
+		}
+		p.Instances = append(p.Instances, i)
+	}
+	return pools
+}
+
+// load returns the used part of a pool's processors. Callers hold the dispatcher's mu.
+func (w *waveDriver) load(pool string) float64 {
+	var used, capacity int64
+	for _, a := range w.d.agents {
+		if a.entry != nil && a.entry.Pool == pool {
+			used += a.used.CPUMilli
+			capacity += a.entry.Capacity.CPUMilli
+		}
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return float64(used) / float64(capacity)
+}
+
+// drain moves long-running tasks away from draining instances, and orders the maintenance of those where nothing runs.
+func (w *waveDriver) drain(ctx context.Context, x *wave) {
+	for id, i := range x.instances {
+		switch i.phase {
+		case scheduling.MaintenanceDraining:
+			if w.empty(i) {
+				w.order(ctx, x, id, i)
+			}
+		case scheduling.MaintenanceOrdered:
+			if bootclock.Now()-i.orderedAt > orderAgainAfter && w.listed[id].Worker == i.worker && w.listedAt > i.orderedAt {
+				w.order(ctx, x, id, i)
+			}
+		}
+	}
+}
+
+// empty stops what may be stopped at a draining instance, and reports whether nothing runs there.
+func (w *waveDriver) empty(i *waveInstance) bool {
+	d := w.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.agent(i.worker)
+	for _, r := range a.runs {
+		spec := r.Task.Step.Spec
+		if r.Phase != workload.RunActive || spec.Gang {
+			continue
+		}
+		if spec.LongRunning && scheduling.MayStop(r.Task) || spec.Checkpoints {
+			r.Planned = spec.LongRunning
+			d.stopRun(r)
+		}
+	}
+	return len(a.runs) == 0
+}
+
+// order gives the order to maintain an instance. That the order is on its way is stored before it is sent.
+func (w *waveDriver) order(ctx context.Context, x *wave, id string, i *waveInstance) {
+	first := i.phase != scheduling.MaintenanceOrdered
+	i.phase = scheduling.MaintenanceOrdered
+	if first && !w.store(ctx, x) {
+		i.phase = scheduling.MaintenanceDraining
+		return
+	}
+	i.orderedAt = bootclock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, instanceTimeout)
+	defer cancel()
+	err := w.d.Instances.Maintain(callCtx, id, x.request.Number, w.d.Token)
+	var refused *instances.RefusedError
+	if errors.As(err, &refused) && refused.Reason == instances.RefusedFence {
+		w.d.mu.Lock()
+		defer w.d.mu.Unlock()
+		w.d.Log.Info().Str("event", "outranked").Str("instance", id).Int64("token", w.d.Token).Msg("an instance has seen a higher fencing token")
+		w.d.stop()
+		return
+	}
+	w.d.Log.Info().Str("event", "maintenance_ordered").Int64("wave", x.request.Number).Str("instance", id).Str("worker", i.worker).Err(err).Msg("maintenance of an instance ordered")
+}
+
+// release lets tasks start again at an instance that is not maintained after all.
+func (w *waveDriver) release(id string, i *waveInstance) {
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	if a := w.d.agents[i.worker]; a != nil {
+		a.cordoned = false
+	}
+	w.d.Log.Info().Str("event", "instance_gone").Str("instance", id).Msg("an instance of the wave has left")
+}
+
+// store keeps the wave's progress for the next leader.
+func (w *waveDriver) store(ctx context.Context, x *wave) bool {
+	left := x.finishAt - bootclock.Now()
+	r := waveRecord{SeenMillis: time.Now().Add(left - x.request.FinishBy).UnixMilli(), Ordered: map[string]string{}, Closed: x.done}
+	for id, i := range x.instances {
+		switch i.phase {
+		case scheduling.MaintenanceOrdered:
+			r.Ordered[id] = i.worker
+		case scheduling.MaintenanceDone:
+			r.Done = append(r.Done, id)
+		}
+	}
+	value, err := json.Marshal(r)
+	if err != nil {
+		w.d.Log.Error().Err(err).Str("event", "bad_wave").Msg("progress of a wave cannot be encoded")
+		return false
+	}
+	return w.append(ctx, w.d.JobTopic, store.Record{Key: workload.WaveKey(x.request.Number), Value: value})
+}
+
+// report tells the operator how far the wave is.
+func (w *waveDriver) report(ctx context.Context, x *wave, done bool) bool {
+	key, value := w.d.WaveStatus(x.request.Number, done)
+	return w.append(ctx, w.d.StatusTopic, store.Record{Key: key, Value: value})
+}
+
+func (w *waveDriver) append(ctx context.Context, topic string, r store.Record) bool {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := w.d.Store.Append(ctx, store.Append{Topic: topic, Records: []store.Record{r}}); err != nil {
+		w.d.Log.Info().Str("event", "wave_not_stored").Str("key", r.Key).Err(err).Msg("a record of a wave could not be stored")
+		return false
+	}
+	return true
+}
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -24,6 +24,8 @@
 	Runs int
 	// Fillers and Servers are the numbers of filler runs and of serving runs at the worker.
 	Fillers, Servers int
+	// Leaving means that the worker will be stopped soon by a planned action.
+	Leaving bool
 	// Slowdown is how many times longer than usual tasks take there; 1 is usual.
 	Slowdown float64
 }
@@ -232,6 +234,8 @@
 	costProbe        = 3
 	// costNeighbor keeps filler away from serving tasks, which it disturbs.
 	costNeighbor = 1
+	// costLeaving keeps work that lasts away from workers that it would soon have to leave.
+	costLeaving = 3
 	// costSlowdown is for each time that a worker is slower than usual.
 	costSlowdown = 2
 )
@@ -259,6 +263,9 @@
 	if s.LatencyTarget > 0 {
 		cost += costNeighbor * float64(c.Fillers)
 	}
+	if s.LongRunning && c.Leaving {
+		cost += costLeaving
+	}
 	if c.Slowdown > 1 {
 		cost += costSlowdown * (c.Slowdown - 1)
 	}
--- /dev/null
+++ b/internal/scheduling/wave.go
@@ -0,0 +1,143 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"pollenlead/internal/disruption"
+	"pollenlead/internal/workload"
+)
+
+// MaintenancePhase is how far an instance of a wave is.
+type MaintenancePhase string
+
+// The phases of an instance in a wave.
+const (
+	// MaintenancePending instances have not been taken yet.
+	MaintenancePending MaintenancePhase = "pending"
+	// MaintenanceDraining instances get no new tasks.
+	MaintenanceDraining MaintenancePhase = "draining"
+	// MaintenanceOrdered instances may be down.
+	MaintenanceOrdered MaintenancePhase = "ordered"
+	// MaintenanceDone instances are back.
+	MaintenanceDone MaintenancePhase = "done"
+)
+
+// WaveInstance is what the choice of the next instances needs to know of one instance of a wave.
+type WaveInstance struct {
+	ID    string
+	Pool  string
+	Phase MaintenancePhase
+	// Up means that the instance has a worker that could be drained.
+	Up bool
+	// Runs is the number of runs at the instance's worker.
+	Runs int
+	// Load is the used part of the processors of the instance's pool.
+	Load float64
+}
+
+// WaveView is a wave at one moment.
+type WaveView struct {
+	Instances []WaveInstance
+	// MaxDown bounds the instances that drain or are down at once.
+	MaxDown int
+	// Left is the time until the wave has to be finished.
+	Left time.Duration
+	// EachTakes is the time that an instance takes from the choice to its return.
+	EachTakes time.Duration
+	// Pools are the pools of the instances, for the availability budget.
+	Pools map[string]*disruption.Pool
+}
+
+const (
+	// calmLoad is the load of a pool up to which instances are taken while the wave has time.
+	calmLoad = 0.6
+	// urgencyReserve is how many times the time that the rest of the wave takes has to be left, or else load no longer matters.
+	urgencyReserve = 1.6
+)
+
+// Urgent reports whether the wave would be late if it waited for a calmer moment.
+func (v *WaveView) Urgent() bool {
+	pending := 0
+	for _, i := range v.Instances {
+		if i.Phase == MaintenancePending {
+			pending++
+		}
+	}
+	rounds := (pending + v.MaxDown - 1) / max(v.MaxDown, 1)
+	return float64(v.Left) < urgencyReserve*float64(rounds)*float64(v.EachTakes)
+}
+
+// NextForMaintenance returns the instances to drain next: those of the calmest pools and with the fewest runs first, as far as
+// the wave's bound and the availability budgets of the pools allow.
+func NextForMaintenance(v WaveView) []string {
+	taken := 0
+	var pending []WaveInstance
+	for _, i := range v.Instances {
+		switch i.Phase {
+		case MaintenanceDraining, MaintenanceOrdered:
+			taken++
+		case MaintenancePending:
+			if i.Up {
+				pending = append(pending, i)
+			}
+		}
+	}
+	slices.SortFunc(pending, func(a, b WaveInstance) int {
+		switch {
+		case a.Load < b.Load:
+			return -1
+		case a.Load > b.Load:
+			return 1
+		default:
+			return a.Runs - b.Runs
+		}
+	})
+	urgent := v.Urgent()
+	var next []string
+	for _, i := range pending {
+		if taken >= v.MaxDown {
+			break
+		}
+		if !urgent && i.Load > calmLoad {
+			continue
+		}
+		pool := v.Pools[i.Pool]
+		if pool == nil || !urgent && !disruption.Allowed(*pool, i.ID).Allowed() {
+			continue
+		}
+		markDown(pool, i.ID)
+		next = append(next, i.ID)
+		taken++
+	}
+	return next
+}
+
+func markDown(p *disruption.Pool, id string) {
+	for n := range p.Instances {
+		if p.Instances[n].ID == id {
+			p.Instances[n].Down = true
+		}
+	}
+}
+
+// MayStop reports whether a long-running task at work may be stopped for the sake of an instance: only while fewer of the
+// other tasks of its step are away than may be.
+func MayStop(t *workload.Task) bool {
+	away := 0
+	for _, other := range t.Step.Tasks {
+		if other != t && !atWork(other) {
+			away++
+		}
+	}
+	return away < max(t.Step.Spec.MayMiss, 1)
+}
+
+func atWork(t *workload.Task) bool {
+	for _, r := range t.Runs {
+		if r.AtWork() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
 	"pollenlead/internal/fleet"
@@ -170,6 +171,7 @@
 	submissionPrefix = "j/"
 	cancelPrefix     = "c/"
 	progressPrefix   = "p/"
+	wavePrefix       = "w/"
 )
 
 // KeyKind says what a record of a job holds.
@@ -181,6 +183,7 @@
 	KeySubmission
 	KeyCancel
 	KeyProgress
+	KeyWave
 )
 
 // SubmissionKey returns the key of a job's submission.
@@ -192,7 +195,10 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id string) string { return progressPrefix + id }
 
-// ParseKey returns the kind of a record and its job.
+// WaveKey returns the key of a wave's progress.
+func WaveKey(number int64) string { return wavePrefix + strconv.FormatInt(number, 10) }
+
+// ParseKey returns the kind of a record and its job or wave.
 func ParseKey(key string) (KeyKind, string) {
 	if len(key) < 3 {
 		return KeyUnknown, ""
@@ -204,6 +210,8 @@
 		return KeyCancel, key[2:]
 	case progressPrefix:
 		return KeyProgress, key[2:]
+	case wavePrefix:
+		return KeyWave, key[2:]
 	}
 	return KeyUnknown, ""
 }
