--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -277,10 +277,12 @@
 	default:
 	}
 	h := worker.Hold{FencingToken: d.Token, Acknowledged: a.storedEnd, Wait: holdWait}
-	if len(a.runs) > 0 {
+	// A worker that does not answer gets no longer lease: each call without an answer may still be carried out, and would
+	// put off the moment at which its runs count as lost.
+	if len(a.runs) > 0 && a.silentSince == 0 {
 		h.DeadlineMillis = d.lease(a)
 	}
-	if !a.contacted || a.seenEnd > a.storedEnd {
+	if !a.contacted || a.silentSince != 0 || a.seenEnd > a.storedEnd {
 		h.Wait = 0
 	}
 	return a.address(), h, true
@@ -437,7 +439,7 @@
 		d.stopRuns(j)
 	} else if t.Done {
 		for _, other := range t.Runs {
-			d.stopRun(other)
+			d.stopRun(other, "another run is done")
 		}
 	}
 }
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -99,7 +99,7 @@
 		for _, r := range t.Runs {
 			d.attach(r)
 			if j.State.Ended() || t.Done {
-				defer d.stopRun(r)
+				defer d.stopRun(r, "its task no longer runs")
 			}
 		}
 	})
@@ -224,7 +224,7 @@
 func (d *Dispatcher) stopRuns(j *job) {
 	j.EachTask(func(t *workload.Task) {
 		for _, r := range t.Runs {
-			d.stopRun(r)
+			d.stopRun(r, "its job has ended")
 		}
 	})
 }
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -66,7 +66,7 @@
 	defer d.mu.Unlock()
 	delete(d.sending, r)
 	if r.Phase == workload.RunStopping && r.StopAckedAt.IsZero() && d.at(r) {
-		d.stopRun(r)
+		d.stopRun(r, "its order has ended")
 	}
 }
 
@@ -151,18 +151,22 @@
 		d.dropRun(a, r)
 		return
 	}
-	d.stopRun(r)
+	d.stopRun(r, "its start is withdrawn")
 }
 
 // stopRun stops a run, or bars its start. The run goes when the worker lists its end, has acknowledged the stop and does not
 // list the run, or when the lease has expired. Callers hold mu.
-func (d *Dispatcher) stopRun(r *workload.Run) {
+func (d *Dispatcher) stopRun(r *workload.Run, why string) {
 	a := d.agent(r.Worker)
 	if !r.Stored {
 		d.dropRun(a, r) // the start has not been let out
 		return
 	}
-	r.Phase = workload.RunStopping
+	if r.Phase != workload.RunStopping {
+		r.Phase = workload.RunStopping
+		d.Log.Info().Str("event", "run_stopping").Str("task", r.Task.Name()).Int("run", r.Number).Str("worker", r.Worker).Str("why", why).
+			Bool("at_work", r.Percent >= 100).Msg("a run is being stopped")
+	}
 	if d.sending[r] || !r.StopAckedAt.IsZero() || d.ctx == nil {
 		return // the order under way ends first
 	}
@@ -237,7 +241,7 @@
 	for _, r := range a.runs {
 		spec := r.Task.Step.Spec
 		if r.Phase == workload.RunActive && (spec.LongRunning || spec.Checkpoints) && !spec.Gang {
-			d.stopRun(r)
+			d.stopRun(r, "its worker is leaving")
 		}
 	}
 }
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -47,7 +47,7 @@
 	run := j.Task(0, 0, 0).Runs[0]
 	run.Stored, run.Phase = true, workload.RunActive
 	d.mu.Lock()
-	d.stopRun(run)
+	d.stopRun(run, "test")
 	d.lose(d.agent("w0"), "its lease has expired")
 	d.mu.Unlock()
 	deadline := time.Now().Add(5 * time.Second)
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -303,9 +303,9 @@
 		if r.Phase != workload.RunActive || spec.Gang {
 			continue
 		}
-		if spec.LongRunning && scheduling.MayStop(r.Task) || spec.Checkpoints {
+		if spec.LongRunning && scheduling.MayStop(r.Task, d.now()) || spec.Checkpoints {
 			r.Planned = spec.LongRunning
-			d.stopRun(r)
+			d.stopRun(r, "its instance is to be maintained")
 		}
 	}
 	return len(a.runs) == 0
--- a/internal/scheduling/wave.go
+++ b/internal/scheduling/wave.go
@@ -121,21 +121,24 @@
 	}
 }
 
+// reportAge is the age up to which a worker's report counts. A run at a worker that has fallen silent may be gone.
+const reportAge = 2 * time.Second
+
 // MayStop reports whether a long-running task at work may be stopped for the sake of an instance: only while fewer of the
 // other tasks of its step are away than may be.
-func MayStop(t *workload.Task) bool {
+func MayStop(t *workload.Task, now time.Time) bool {
 	away := 0
 	for _, other := range t.Step.Tasks {
-		if other != t && !atWork(other) {
+		if other != t && !atWork(other, now) {
 			away++
 		}
 	}
 	return away < max(t.Step.Spec.MayMiss, 1)
 }
 
-func atWork(t *workload.Task) bool {
+func atWork(t *workload.Task, now time.Time) bool {
 	for _, r := range t.Runs {
-		if r.AtWork() {
+		if r.AtWork() && now.Sub(r.SeenAt) <= reportAge {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/scheduling/wave_test.go
@@ -0,0 +1,86 @@
+package scheduling
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/disruption"
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/workload"
+)
+
+var moment = time.UnixMilli(1_000_000)
+
+// lasting returns a long-running step whose tasks are all at work.
+func lasting(count, mayMiss int) *workload.Job {
+	j := workload.NewJob("id", "q", "pool", "", &fleet.JobSpec{Steps: []fleet.Step{{Count: count, LongRunning: true, MayMiss: mayMiss}}}, moment)
+	j.Advance(moment, 0)
+	for i := range count {
+		r := j.Task(0, 0, i).Assign(fmt.Sprintf("w%d", i), 1, moment)
+		r.Phase, r.Percent, r.SeenAt = workload.RunActive, 100, moment
+	}
+	return j
+}
+
+// TestMayStopCountsSilentWorkers guards against a planned stop while another task of the step is on a worker that has fallen
+// silent: its last report still says that it is at work.
+func TestMayStopCountsSilentWorkers(t *testing.T) {
+	is := is.New(t)
+	j := lasting(3, 1)
+	is.True(MayStop(j.Task(0, 0, 0), moment))
+	now := moment.Add(reportAge + time.Millisecond)
+	j.Task(0, 0, 0).Runs[0].SeenAt = now
+	j.Task(0, 0, 1).Runs[0].SeenAt = now
+	is.True(!MayStop(j.Task(0, 0, 0), now)) // task 2 may be gone
+}
+
+// TestMayStopOneAtATime guards against a second planned stop before the first task is at work again.
+func TestMayStopOneAtATime(t *testing.T) {
+	is := is.New(t)
+	j := lasting(3, 1)
+	j.Task(0, 0, 1).Runs[0].Phase = workload.RunStopping
+	is.True(!MayStop(j.Task(0, 0, 0), moment))
+	j = lasting(3, 2)
+	j.Task(0, 0, 1).Runs[0].Percent = 30
+	is.True(MayStop(j.Task(0, 0, 0), moment))
+}
+
+func view(pending, ordered int) WaveView {
+	v := WaveView{MaxDown: 2, Left: time.Minute, EachTakes: 4 * time.Second, Pools: map[string]*disruption.Pool{}}
+	pool := &disruption.Pool{Name: "pool", MinAvailablePercent: 60}
+	v.Pools["pool"] = pool
+	for i := range pending + ordered {
+		id := fmt.Sprintf("m%d", i)
+		phase := MaintenancePending
+		if i >= pending {
+			phase = MaintenanceOrdered
+		}
+		v.Instances = append(v.Instances, WaveInstance{ID: id, Pool: "pool", Phase: phase, Up: true, Load: 0.2})
+		pool.Instances = append(pool.Instances, disruption.Instance{ID: id, Rack: "r1", Live: true, Down: phase == MaintenanceOrdered})
+	}
+	return v
+}
+
+// TestNextForMaintenanceKeepsTheBound guards against more instances down than the wave allows.
+func TestNextForMaintenanceKeepsTheBound(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(NextForMaintenance(view(8, 0))), 2)
+	is.Equal(len(NextForMaintenance(view(8, 1))), 1)
+	is.Equal(len(NextForMaintenance(view(8, 2))), 0)
+}
+
+// TestNextForMaintenanceWaitsForCalm guards against taking instances from a busy pool while the wave has time, and against a late
+// wave when it has not.
+func TestNextForMaintenanceWaitsForCalm(t *testing.T) {
+	is := is.New(t)
+	v := view(8, 0)
+	for i := range v.Instances {
+		v.Instances[i].Load = 0.95
+	}
+	is.Equal(len(NextForMaintenance(v)), 0)
+	v.Left = 10 * time.Second
+	is.Equal(len(NextForMaintenance(v)), 2)
+}
