Lend instances between pools and pack tasks

Cause: each queue asks 1.4 times what its pool holds in its turn, while the other pools and the standby pool rest. Ruled out: spreading tasks (fragments room and leaves no idle instance to lend). Change: scheduling.Balance (pure) and its driver; the fullest worker that fits is taken first; entries are read every 100 ms, as a moved instance comes with a new worker.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -24,7 +24,7 @@
 	// holdRetry is the pause after a failed renewal.
 	holdRetry = 150 * time.Millisecond
 	// entryPause is the time between two reads of the workers' entries.
-	entryPause = 300 * time.Millisecond
+	entryPause = 100 * time.Millisecond
 	// startsAtOnce bounds the orders that are on their way to one worker.
 	startsAtOnce = 4
 	// endsPerAnswer is the most ends that one answer lists.
@@ -59,12 +59,13 @@
 	// silentSince is the boot clock of the first renewal without an answer after the last answer; 0 while it answers.
 	silentSince time.Duration
 	// probeUntil is set after failures: until then the worker gets no task, and after it one at a time until one succeeds.
-	health  health
-	running bool // the renewing goroutine runs
-	stop    context.CancelFunc
-	notify  chan struct{}
-	orders  chan struct{} // semaphore of startsAtOnce
-	stray   map[runKey]time.Duration
+	health    health
+	idleSince time.Time // when the last run went; zero if none ever was there
+	running   bool      // the renewing goroutine runs
+	stop      context.CancelFunc
+	notify    chan struct{}
+	orders    chan struct{} // semaphore of startsAtOnce
+	stray     map[runKey]time.Duration
 	// cordoned means that the instance is to be maintained or moved, so that nothing starts there.
 	cordoned bool
 	// leaving means that the instance will be maintained soon, so that work that lasts had better run elsewhere.
@@ -175,6 +176,9 @@
 	a := d.agent(e.ID)
 	old := a.entry
 	a.entry = e
+	if a.idleSince.IsZero() {
+		a.idleSince = d.now()
+	}
 	if old == nil || old.Draining != e.Draining {
 		d.Log.Info().Str("event", "worker").Str("worker", e.ID).Str("pool", e.Pool).Bool("draining", e.Draining).Int64("sequence", e.Sequence).Msg("worker's state changed")
 		d.mark(a)
--- /dev/null
+++ b/internal/dispatch/balance.go
@@ -0,0 +1,223 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/instances"
+	"pollenlead/internal/scheduling"
+	"pollenlead/internal/store"
+	"pollenlead/internal/workload"
+)
+
+// arrivalTime is how long an instance on its way is expected in its new pool, beyond the time of the move.
+const arrivalTime = 3 * time.Second
+
+// arrival is an instance on its way to a pool.
+type arrival struct {
+	to    string
+	until time.Duration // boot clock
+}
+
+// balance moves instances between pools.
+func (w *instanceDriver) balance(ctx context.Context) {
+	pools, workers := w.balancePools()
+	if len(pools) == 0 {
+		return
+	}
+	for _, m := range scheduling.Balance(pools, scheduling.DefaultBalance) {
+		w.cordon(workers[m.Instance])
+		w.arrivals[m.Instance] = arrival{to: m.To, until: bootclock.Now() + w.d.Bounds.Move + arrivalTime}
+		go w.move(ctx, m, workers[m.Instance])
+	}
+}
+
+// cordon keeps new tasks away from a worker.
+func (w *instanceDriver) cordon(id string) {
+	if id == "" {
+		return
+	}
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	w.d.agent(id).cordoned = true
+}
+
+// move gives the order to move an instance.
+func (w *instanceDriver) move(ctx context.Context, m scheduling.Move, worker string) {
+	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
+	defer cancel()
+	err := w.d.Instances.Move(ctx, m.Instance, m.To, w.d.Token)
+	w.d.counters.moves.Add(1)
+	w.d.Log.Info().Str("event", "move").Str("instance", m.Instance).Str("worker", worker).Str("from", m.From).Str("to", m.To).Err(err).Msg("instance moved to another pool")
+	var refused *instances.RefusedError
+	if errors.As(err, &refused) && refused.Reason == instances.RefusedFence {
+		w.d.stop()
+		return
+	}
+	if worker == "" || err != nil && !errors.As(err, &refused) && !errors.Is(err, instances.ErrBusy) {
+		return // without an answer the move may still come: the worker stays cordoned until the list tells
+	}
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	a := w.d.agents[worker]
+	if a == nil {
+		return
+	}
+	if err != nil {
+		a.cordoned = false
+		return
+	}
+	w.d.lose(a, "its instance was moved")
+}
+
+// balancePools builds the view of the pools, and the worker of each instance that could go.
+func (w *instanceDriver) balancePools() ([]*scheduling.BalancePool, map[string]string) {
+	d := w.d
+	config := d.Follower.Config()
+	if config == nil {
+		return nil, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, boot := d.now(), bootclock.Now()
+	byName := map[string]*scheduling.BalancePool{}
+	var pools []*scheduling.BalancePool
+	for i := range config.Pools {
+		p := &scheduling.BalancePool{Name: config.Pools[i].Name, Standby: config.Pools[i].Standby, Home: w.home[config.Pools[i].Name]}
+		byName[p.Name] = p
+		pools = append(pools, p)
+	}
+	workers := map[string]string{}
+	for id, x := range w.listed {
+		p := byName[x.Pool]
+		if p == nil || x.Phase != fleet.InstanceUp {
+			continue
+		}
+		p.InstanceCPU = max(p.InstanceCPU, x.Capacity.CPUMilli)
+		if a, ok := w.arrivals[id]; ok && boot < a.until && x.Pool != a.to {
+			continue // it is on its way and the list does not show it yet
+		}
+		w.count(p, id, x, workers, now, boot)
+	}
+	for id, a := range w.arrivals {
+		if p := byName[a.to]; p != nil && w.coming(id, a, boot) {
+			p.Arriving++
+			p.Size++
+		}
+	}
+	for name, p := range byName {
+		if p.InstanceCPU == 0 && !p.Standby {
+			p.InstanceCPU = w.instanceCPU()
+		}
+		p.Waiting = d.waitingCPU(name)
+	}
+	return pools, workers
+}
+
+// count adds a listed instance to its pool. Callers hold the dispatcher's mu.
+func (w *instanceDriver) count(p *scheduling.BalancePool, id string, x fleet.Instance, workers map[string]string, now time.Time, boot time.Duration) {
+	kind := ""
+	if len(x.Labels) > 0 {
+		kind = x.Labels[0]
+	}
+	if p.Standby {
+		p.Size++
+		if _, moving := w.arrivals[id]; !moving && w.free(id) {
+			p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind})
+		}
+		return
+	}
+	a := w.d.agents[x.Worker]
+	if a == nil || a.entry == nil || a.entry.Draining || a.entry.Pool != p.Name || a.silentSince != 0 {
+		return
+	}
+	p.Size++
+	p.Capacity += a.entry.Capacity.CPUMilli
+	p.Used += a.used.CPUMilli
+	if len(a.runs) == 0 && !a.cordoned && w.free(id) && w.d.usable(a, now, boot) {
+		workers[id] = x.Worker
+		p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind, IdleFor: now.Sub(a.idleSince)})
+	}
+}
+
+// free reports whether no wave holds the instance.
+func (w *instanceDriver) free(id string) bool {
+	for _, x := range w.waves {
+		if i := x.instances[id]; i != nil && (i.phase == scheduling.MaintenanceDraining || i.phase == scheduling.MaintenanceOrdered) {
+			return false
+		}
+	}
+	return true
+}
+
+// coming reports whether an instance is still on its way, and forgets it when it is not. Callers hold the dispatcher's mu.
+func (w *instanceDriver) coming(id string, a arrival, boot time.Duration) bool {
+	x := w.listed[id]
+	agent := w.d.agents[x.Worker]
+	arrived := x.Pool == a.to && x.Phase == fleet.InstanceUp && (x.Worker == "" || agent != nil && agent.entry != nil && agent.contacted)
+	if boot >= a.until || arrived {
+		delete(w.arrivals, id)
+		return false
+	}
+	return x.Pool != a.to || x.Phase != fleet.InstanceUp // otherwise it is counted as listed
+}
+
+func (w *instanceDriver) instanceCPU() int64 {
+	most := int64(0)
+	for _, x := range w.listed {
+		most = max(most, x.Capacity.CPUMilli)
+	}
+	return most
+}
+
+// waitingCPU returns the processor need of the tasks of a pool that could start now. Callers hold mu.
+func (d *Dispatcher) waitingCPU(pool string) int64 {
+	sum := int64(0)
+	for _, j := range d.active[pool] {
+		for _, o := range j.Occurrences {
+			for _, s := range o.Steps {
+				if s.Open == 0 || !s.Ready() {
+					continue
+				}
+				sum += s.Spec.Charge().CPUMilli * int64(waitingCount(s))
+			}
+		}
+	}
+	return sum
+}
+
+func waitingCount(s *workload.Step) int {
+	n := 0
+	for _, t := range s.Tasks {
+		if t.Waiting() {
+			n++
+		}
+	}
+	return n
+}
+
+// settle finds out the home size of each pool: the stored one, or the present one, which is then stored.
+func (w *instanceDriver) settle(ctx context.Context) bool {
+	w.d.mu.Lock()
+	home := w.d.homeSizes
+	w.d.mu.Unlock()
+	if home == nil {
+		home = map[string]int{}
+		for _, x := range w.listed {
+			home[x.Pool]++
+		}
+		value, err := json.Marshal(home)
+		if err != nil || len(home) == 0 {
+			return false
+		}
+		if !w.append(ctx, w.d.JobTopic, store.Record{Key: workload.HomeKey, Value: value}) {
+			return false
+		}
+	}
+	w.home = home
+	return true
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -101,9 +101,11 @@
 	wall        time.Time     // the time of day at begunAt
 	estimates   estimates
 	counters    *counters
-	waves       *waveDriver
+	driver      *instanceDriver
 	// waveRecords is the progress of waves that an earlier leader stored.
 	waveRecords map[int64]*waveRecord
+	// homeSizes is the stored number of instances of each pool, nil if none is stored.
+	homeSizes map[string]int
 }
 
 type cancellation struct{ team string }
@@ -116,10 +118,17 @@
 		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, waveRecords: map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		counters: sharedCounters, estimates: newEstimates(),
 	}
-	d.waves = newWaveDriver(d)
+	d.driver = newInstanceDriver(d)
 	return d
 }
 
+// inherited reports whether an earlier leader has worked.
+func (d *Dispatcher) inherited() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.homeSizes != nil
+}
+
 // now returns the time of day at the term's beginning plus the time since. Callers may hold mu.
 func (d *Dispatcher) now() time.Time { return d.wall.Add(bootclock.Now() - d.begunAt) }
 
@@ -150,7 +159,7 @@
 	})
 	// What a worker reports means nothing before the jobs are known: its runs would be stopped as strangers.
 	tasks.Go(func() { d.followWorkers(ctx) })
-	tasks.Go(func() { d.waves.run(ctx) })
+	tasks.Go(func() { d.driver.run(ctx) })
 	defer d.stopAgents()
 	d.decide(ctx, commit)
 }
--- /dev/null
+++ b/internal/dispatch/instances.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
+)
+
+const (
+	// instanceInterval is the time between two decisions on instances.
+	instanceInterval = 150 * time.Millisecond
+	// listInterval is the time between two lists of the instances.
+	listInterval = 500 * time.Millisecond
+	// instanceTimeout bounds a call to the instances service.
+	instanceTimeout = time.Second
+)
+
+// instanceDriver takes instances through waves of maintenance and moves them between pools. Only its own goroutine uses its
+// fields.
+type instanceDriver struct {
+	d     *Dispatcher
+	waves map[int64]*wave
+	// listed is the newest list of instances, read at the boot clock listedAt.
+	listed   map[string]fleet.Instance
+	listedAt time.Duration
+	// home is the number of instances that each pool had when it was first seen.
+	home     map[string]int
+	arrivals map[string]arrival // by instance
+}
+
+func newInstanceDriver(d *Dispatcher) *instanceDriver {
+	return &instanceDriver{d: d, waves: map[int64]*wave{}, arrivals: map[string]arrival{}}
+}
+
+// run drives the instances until ctx is done.
+func (w *instanceDriver) run(ctx context.Context) {
+	if w.d.Instances == nil {
+		return
+	}
+	if w.d.inherited() {
+		// Another holder's last order has to lie back for longer than its lease.
+		pause(ctx, w.d.Bounds.InstanceLease)
+	}
+	for ctx.Err() == nil {
+		w.step(ctx)
+		pause(ctx, instanceInterval)
+	}
+}
+
+// step looks at the instances and takes each matter one step on.
+func (w *instanceDriver) step(ctx context.Context) {
+	w.takeUp()
+	if bootclock.Now()-w.listedAt >= listInterval && !w.list(ctx) {
+		return
+	}
+	if w.home == nil && !w.settle(ctx) {
+		return
+	}
+	w.stepWaves(ctx)
+	w.balance(ctx)
+}
+
+// list reads the instances.
+func (w *instanceDriver) list(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
+	defer cancel()
+	sent := bootclock.Now()
+	all, err := w.d.Instances.List(ctx)
+	if err != nil {
+		w.d.Log.Info().Str("event", "instances_unlisted").Err(err).Msg("instances could not be listed")
+		return false
+	}
+	w.listed = make(map[string]fleet.Instance, len(all))
+	for _, i := range all {
+		w.listed[i.ID] = i
+	}
+	w.listedAt = sent
+	return true
+}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -124,6 +124,9 @@
 	a.used = a.used.Sub(r.Task.Step.Spec.Charge())
 	a.count(r, -1)
 	d.charge(r.Task.Step.Job.Team, r.Task.Step.Spec.Need, -1)
+	if len(a.runs) == 0 {
+		a.idleSince = d.now()
+	}
 	d.mark(a)
 }
 
@@ -147,6 +150,10 @@
 		d.cancelled(id, c.Team)
 	case workload.KeyWave:
 		d.waveStored(id, r.Value)
+	case workload.KeyHome:
+		if err := json.Unmarshal(r.Value, &d.homeSizes); err != nil {
+			d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("home sizes of the pools cannot be read")
+		}
 	}
 }
 
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -18,12 +18,6 @@
 )
 
 const (
-	// waveInterval is the time between two looks at the waves.
-	waveInterval = 250 * time.Millisecond
-	// listInterval is the time between two lists of the instances while a wave is open.
-	listInterval = 600 * time.Millisecond
-	// instanceTimeout bounds a call to the instances service.
-	instanceTimeout = time.Second
 	// drainTime is how long an instance is expected to drain.
 	drainTime = 2 * time.Second
 	// waveBudgetPercent is the part of a pool that stays available during a wave that is not late.
@@ -32,15 +26,6 @@
 	orderAgainAfter = 1500 * time.Millisecond
 )
 
-// waveDriver takes instances through the waves that the operator asks for. Only its own goroutine uses its fields.
-type waveDriver struct {
-	d     *Dispatcher
-	waves map[int64]*wave
-	// listed is the newest list of instances, read at the boot clock listedAt.
-	listed   map[string]fleet.Instance
-	listedAt time.Duration
-}
-
 // wave is the progress of one wave.
 type wave struct {
 	request   fleet.WaveRequest
@@ -69,37 +54,17 @@
 	Closed  bool              `json:"closed,omitempty"`
 }
 
-func newWaveDriver(d *Dispatcher) *waveDriver { return &waveDriver{d: d, waves: map[int64]*wave{}} }
-
-// run drives the waves until ctx is done.
-func (w *waveDriver) run(ctx context.Context) {
-	if w.d.Instances == nil {
-		return
-	}
-	// Another holder's last order has to lie back for longer than its lease.
-	pause(ctx, w.d.Bounds.InstanceLease)
-	for ctx.Err() == nil {
-		if w.open() {
-			w.step(ctx)
-		}
-		pause(ctx, waveInterval)
-	}
-}
-
-// open takes up new requests and reports whether a wave is under way.
-func (w *waveDriver) open() bool {
-	open := false
+// takeUp begins the waves that were asked for meanwhile.
+func (w *instanceDriver) takeUp() {
 	for _, r := range w.d.Follower.Waves() {
 		if w.waves[r.Number] == nil {
 			w.waves[r.Number] = w.begin(r)
 		}
-		open = open || !w.waves[r.Number].done
 	}
-	return open
 }
 
 // begin restores a wave's stored progress, or begins it.
-func (w *waveDriver) begin(r follow.Wave) *wave {
+func (w *instanceDriver) begin(r follow.Wave) *wave {
 	x := &wave{request: r.WaveRequest, finishAt: r.SeenAt + r.FinishBy, instances: map[string]*waveInstance{}}
 	for _, id := range r.Instances {
 		x.instances[id] = &waveInstance{phase: scheduling.MaintenancePending}
@@ -126,11 +91,8 @@
 	return x
 }
 
-// step looks at the instances and takes each wave one step on.
-func (w *waveDriver) step(ctx context.Context) {
-	if bootclock.Now()-w.listedAt >= listInterval && !w.list(ctx) {
-		return
-	}
+// stepWaves takes each open wave one step on.
+func (w *instanceDriver) stepWaves(ctx context.Context) {
 	numbers := make([]int64, 0, len(w.waves))
 	for n, x := range w.waves {
 		if !x.done {
@@ -143,26 +105,8 @@
 	}
 }
 
-// list reads the instances.
-func (w *waveDriver) list(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
-	defer cancel()
-	sent := bootclock.Now()
-	all, err := w.d.Instances.List(ctx)
-	if err != nil {
-		w.d.Log.Info().Str("event", "instances_unlisted").Err(err).Msg("instances could not be listed")
-		return false
-	}
-	w.listed = make(map[string]fleet.Instance, len(all))
-	for _, i := range all {
-		w.listed[i.ID] = i
-	}
-	w.listedAt = sent
-	return true
-}
-
 // advance takes one wave one step on.
-func (w *waveDriver) advance(ctx context.Context, x *wave) {
+func (w *instanceDriver) advance(ctx context.Context, x *wave) {
 	if !x.reported {
 		if !w.store(ctx, x) || !w.report(ctx, x, false) {
 			return
@@ -188,7 +132,7 @@
 }
 
 // observe compares the ordered instances with the list. It reports whether a phase changed.
-func (w *waveDriver) observe(x *wave) (changed bool) {
+func (w *instanceDriver) observe(x *wave) (changed bool) {
 	for id, i := range x.instances {
 		listed, ok := w.listed[id]
 		if !ok {
@@ -213,7 +157,7 @@
 }
 
 // choose picks the next instances and keeps new tasks away from them.
-func (w *waveDriver) choose(x *wave) {
+func (w *instanceDriver) choose(x *wave) {
 	d := w.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -241,7 +185,7 @@
 }
 
 // pools returns the pools of a wave for the availability budget. Callers hold the dispatcher's mu.
-func (w *waveDriver) pools(x *wave) map[string]*disruption.Pool {
+func (w *instanceDriver) pools(x *wave) map[string]*disruption.Pool {
 	pools := map[string]*disruption.Pool{}
 	for id, listed := range w.listed {
 		p := pools[listed.Pool]
@@ -262,7 +206,7 @@
 }
 
 // load returns the used part of a pool's processors. Callers hold the dispatcher's mu.
-func (w *waveDriver) load(pool string) float64 {
+func (w *instanceDriver) load(pool string) float64 {
 	var used, capacity int64
 	for _, a := range w.d.agents {
 		if a.entry != nil && a.entry.Pool == pool {
@@ -277,7 +221,7 @@
 }
 
 // drain moves long-running tasks away from draining instances, and orders the maintenance of those where nothing runs.
-func (w *waveDriver) drain(ctx context.Context, x *wave) {
+func (w *instanceDriver) drain(ctx context.Context, x *wave) {
 	for id, i := range x.instances {
 		switch i.phase {
 		case scheduling.MaintenanceDraining:
@@ -293,7 +237,7 @@
 }
 
 // empty stops what may be stopped at a draining instance, and reports whether nothing runs there.
-func (w *waveDriver) empty(i *waveInstance) bool {
+func (w *instanceDriver) empty(i *waveInstance) bool {
 	d := w.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -312,7 +256,7 @@
 }
 
 // order gives the order to maintain an instance. That the order is on its way is stored before it is sent.
-func (w *waveDriver) order(ctx context.Context, x *wave, id string, i *waveInstance) {
+func (w *instanceDriver) order(ctx context.Context, x *wave, id string, i *waveInstance) {
 	first := i.phase != scheduling.MaintenanceOrdered
 	i.phase = scheduling.MaintenanceOrdered
 	if first && !w.store(ctx, x) {
@@ -335,7 +279,7 @@
 }
 
 // release lets tasks start again at an instance that is not maintained after all.
-func (w *waveDriver) release(id string, i *waveInstance) {
+func (w *instanceDriver) release(id string, i *waveInstance) {
 	w.d.mu.Lock()
 	defer w.d.mu.Unlock()
 	if a := w.d.agents[i.worker]; a != nil {
@@ -345,7 +289,7 @@
 }
 
 // store keeps the wave's progress for the next leader.
-func (w *waveDriver) store(ctx context.Context, x *wave) bool {
+func (w *instanceDriver) store(ctx context.Context, x *wave) bool {
 	left := x.finishAt - bootclock.Now()
 	r := waveRecord{SeenMillis: time.Now().Add(left - x.request.FinishBy).UnixMilli(), Ordered: map[string]string{}, Closed: x.done}
 	for id, i := range x.instances {
@@ -365,12 +309,12 @@
 }
 
 // report tells the operator how far the wave is.
-func (w *waveDriver) report(ctx context.Context, x *wave, done bool) bool {
+func (w *instanceDriver) report(ctx context.Context, x *wave, done bool) bool {
 	key, value := w.d.WaveStatus(x.request.Number, done)
 	return w.append(ctx, w.d.StatusTopic, store.Record{Key: key, Value: value})
 }
 
-func (w *waveDriver) append(ctx context.Context, topic string, r store.Record) bool {
+func (w *instanceDriver) append(ctx context.Context, topic string, r store.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := w.d.Store.Append(ctx, store.Append{Topic: topic, Records: []store.Record{r}}); err != nil {
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -240,13 +240,13 @@
 	costSlowdown = 2
 )
 
-// cost rates a worker for a task; lower is better. The least loaded worker is the cheapest: it ends tasks soonest when they
-// disturb each other, and it spreads the loss of a worker.
+// cost rates a worker for a task; lower is better. The fullest worker is the cheapest, so that large tasks find whole workers
+// and idle instances can be lent.
 func cost(c *Worker, step *workload.Step, _ *workload.Task, use *spread) float64 {
 	s := step.Spec
 	cost := 0.0
 	if c.Capacity.CPUMilli > 0 {
-		cost += 1 - float64(c.Free.CPUMilli)/float64(c.Capacity.CPUMilli)
+		cost += float64(c.Free.CPUMilli) / float64(c.Capacity.CPUMilli)
 	}
 	if s.DataRack != "" && s.DataRack != c.Rack {
 		cost += costAwayFromData
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -174,6 +174,9 @@
 	wavePrefix       = "w/"
 )
 
+// HomeKey is the key of the record with the number of instances that each pool had at first.
+const HomeKey = "h/home"
+
 // KeyKind says what a record of a job holds.
 type KeyKind uint8
 
@@ -184,6 +187,7 @@
 	KeyCancel
 	KeyProgress
 	KeyWave
+	KeyHome
 )
 
 // SubmissionKey returns the key of a job's submission.
@@ -200,6 +204,9 @@
 
 // ParseKey returns the kind of a record and its job or wave.
 func ParseKey(key string) (KeyKind, string) {
+	if key == HomeKey {
+		return KeyHome, ""
+	}
 	if len(key) < 3 {
 		return KeyUnknown, ""
 	}
