--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -66,6 +66,8 @@
 	notify    chan struct{}
 	orders    chan struct{} // semaphore of startsAtOnce
 	stray     map[runKey]time.Duration
+	// unsettled means that an earlier leader may have started runs there that are not stored, and the worker has not been asked.
+	unsettled bool
 	// cordoned means that the instance is to be maintained or moved, so that nothing starts there.
 	cordoned bool
 	// leaving means that the instance will be maintained soon, so that work that lasts had better run elsewhere.
@@ -103,6 +105,10 @@
 	}
 }
 
+// vacant reports whether the worker may go: nothing runs there, and every end that it has listed is stored. An end that is not
+// stored would be lost with the worker. Callers hold mu.
+func (a *agent) vacant() bool { return len(a.runs) == 0 && a.seenEnd == a.storedEnd }
+
 // nudge wakes the renewing goroutine. Callers hold mu.
 func (a *agent) nudge() {
 	select {
@@ -322,7 +328,7 @@
 	d.lose(a, "the worker has started again")
 	a.incarnation = incarnation
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
-	a.clockAt, a.contacted = 0, false
+	a.clockAt, a.contacted, a.unsettled = 0, false, false
 }
 
 // lose takes all runs away from a worker where none of them is at work any more. Callers hold mu.
@@ -350,8 +356,12 @@
 func (d *Dispatcher) expireLeases() {
 	now := bootclock.Now()
 	for id, a := range d.agents {
+		if a.unsettled && d.leaseExpired(a, now) {
+			a.unsettled = false
+			d.markAll()
+		}
 		if len(a.runs) == 0 {
-			if a.entry == nil && !a.running {
+			if a.entry == nil && !a.running && !a.unsettled {
 				delete(d.agents, id)
 			}
 			continue
@@ -362,7 +372,11 @@
 	}
 }
 
+// leaseExpired reports whether nothing can run at a worker any more. Of a worker that answers its reports tell what runs.
 func (d *Dispatcher) leaseExpired(a *agent, now time.Duration) bool {
+	if a.contacted && a.entry != nil && a.silentSince == 0 {
+		return false
+	}
 	if a.contacted && a.clockAt != 0 {
 		least := a.clock + int64(float64((now-a.clockAt).Milliseconds())*(1-clockDrift))
 		return least > a.deadline+leaseMargin.Milliseconds()
@@ -383,10 +397,11 @@
 		a.incarnation = r.Incarnation
 	}
 	first := !a.contacted
-	a.contacted = true
+	a.contacted, a.unsettled = true, false
 	a.clock, a.clockAt = r.ClockMillis, bootclock.Now()
 	if first {
 		// An earlier leader may have renewed the lease until just now.
+		d.markAll()
 		a.deadline = max(a.deadline, r.ClockMillis+min(leaseDuration, d.Bounds.MaxLease).Milliseconds()+leaseMargin.Milliseconds())
 		d.mark(a)
 		d.signal()
@@ -431,6 +446,7 @@
 		return
 	}
 	now := d.now()
+	t.LastRun = max(t.LastRun, e.Run)
 	if run != nil {
 		d.learn(a, run, e.Kind, now)
 	}
@@ -457,6 +473,9 @@
 		key := runKey{x.Task, x.Run}
 		listed[key] = true
 		run := a.runs[key]
+		if run == nil {
+			run = d.adoptRun(a, x)
+		}
 		if run == nil {
 			d.stopStray(a, key)
 			continue
@@ -475,7 +494,7 @@
 
 // observe applies what a worker says of a run. Callers hold mu.
 func (d *Dispatcher) observe(run *workload.Run, x *worker.Running, now time.Time) {
-	if run.Phase == workload.RunAssigned && run.Stored {
+	if run.Phase == workload.RunAssigned && run.Released {
 		run.Phase = workload.RunActive
 		run.ActiveSince = now
 	}
@@ -503,7 +522,7 @@
 	switch run.Phase {
 	case workload.RunAssigned:
 		// An earlier leader stored the assignment. The same run is started again, which the worker takes as one start.
-		if run.Stored && !d.sending[run] {
+		if run.Released && !d.sending[run] {
 			d.send(run)
 		}
 	case workload.RunActive:
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -138,7 +138,7 @@
 	p.Size++
 	p.Capacity += a.entry.Capacity.CPUMilli
 	p.Used += a.used.CPUMilli
-	if len(a.runs) == 0 && !a.cordoned && w.free(id) && w.d.usable(a, now, boot) {
+	if a.vacant() && !a.cordoned && w.free(id) && w.d.usable(a, now, boot) {
 		workers[id] = x.Worker
 		p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind, IdleFor: now.Sub(a.idleSince)})
 	}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -15,7 +15,12 @@
 	// producerName identifies the leader's appends; their epoch is the term's fencing token.
 	producerName  = "dispatcher"
 	appendTimeout = 1200 * time.Millisecond
-	appendRetry   = 30 * time.Millisecond
+	// appendRetry is the pause after the first append without success; it grows with each up to maxAppendRetry, as refused
+	// calls are priced too.
+	appendRetry    = 30 * time.Millisecond
+	maxAppendRetry = 150 * time.Millisecond
+	// confirmInterval is the time without an append after which an empty one asks whether the term still holds.
+	confirmInterval = time.Second
 	// slowAppend is the time after which an append is logged.
 	slowAppend = 250 * time.Millisecond
 	// maxBatchRecords bounds one append well below the store's limit of bytes.
@@ -26,6 +31,8 @@
 type committer struct {
 	d        *Dispatcher
 	sequence int64
+	// slow means that the append under way has been logged as slow.
+	slow bool
 }
 
 func newCommitter(d *Dispatcher) *committer { return &committer{d: d} }
@@ -36,6 +43,10 @@
 	states  map[*job]workload.State
 	starts  []*workload.Run
 	ends    map[*agent]int64
+	// workers is the set of workers that the batch stores, nil if it has not changed.
+	workers map[string]string
+	// confirm asks for an append even without records.
+	confirm bool
 }
 
 // fence makes the store refuse the appends of all earlier terms. It reports false if this term is over already.
@@ -43,13 +54,23 @@
 	return c.append(ctx, nil) == nil
 }
 
-// run stores what has changed and then lets starts and acknowledgements go out. An error means that the term is over.
-func (c *committer) run(ctx context.Context) error {
-	b := c.d.gather()
-	if b == nil {
-		return nil
+// next returns what has to be stored now, or nil. An empty batch makes sure from time to time that no other leader has begun, as
+// leases are renewed only for a while without that.
+func (c *committer) next() *batch {
+	if b := c.d.gather(); b != nil {
+		return b
+	}
+	c.d.mu.Lock()
+	defer c.d.mu.Unlock()
+	if bootclock.Now()-c.d.lastStored > confirmInterval {
+		return &batch{confirm: true}
 	}
-	if len(b.records) > 0 {
+	return nil
+}
+
+// run stores a batch and then lets starts and acknowledgements go out. An error means that the term is over.
+func (c *committer) run(ctx context.Context, b *batch) error {
+	if len(b.records) > 0 || b.confirm {
 		if err := c.append(ctx, b.records); err != nil {
 			return err
 		}
@@ -64,9 +85,7 @@
 	began := bootclock.Now()
 	for tries := 1; ctx.Err() == nil; tries++ {
 		err := c.try(ctx, records)
-		if took := bootclock.Now() - began; took > slowAppend {
-			c.d.Log.Info().Str("event", "append_slow").Int("try", tries).Dur("took", took).Int("records", len(records)).AnErr("outcome", err).Msg("the store takes long to append progress")
-		}
+		c.watch(tries, len(records), bootclock.Now()-began, err)
 		var unexpected *store.SequenceError
 		switch {
 		case err == nil:
@@ -83,11 +102,21 @@
 			c.d.Log.Error().Err(err).Str("event", "append_failed").Int("records", len(records)).Msg("progress cannot be stored")
 		}
 		c.d.counters.appendRetries.Add(1)
-		pause(ctx, appendRetry)
+		pause(ctx, min(appendRetry*time.Duration(tries), maxAppendRetry))
 	}
 	return ctx.Err()
 }
 
+// watch logs when appends begin to take long and when they no longer do.
+func (c *committer) watch(tries, records int, took time.Duration, outcome error) {
+	slow := took > slowAppend
+	if slow == c.slow && !(slow && outcome == nil) {
+		return
+	}
+	c.slow = slow && outcome != nil
+	c.d.Log.Info().Str("event", "append_slow").Int("try", tries).Dur("took", took).Int("records", records).AnErr("outcome", outcome).Msg("the store takes long to append progress")
+}
+
 func (c *committer) try(ctx context.Context, records []store.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
@@ -123,6 +152,7 @@
 			d.Log.Error().Err(err).Str("event", "bad_progress").Str("job", id).Msg("progress cannot be encoded")
 		}
 	}
+	d.addWorkers(b)
 	if len(d.changed) > 0 {
 		d.signal()
 	} else {
@@ -168,11 +198,16 @@
 func (d *Dispatcher) committed(b *batch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if b.workers != nil {
+		d.storedWorkers = b.workers
+	}
 	for j, state := range b.states {
+		delete(d.unshown, j)
 		d.show(j, state)
 	}
 	for _, r := range b.starts {
 		r.Stored = true
+		delete(d.unreleased, r)
 		if r.Phase == workload.RunAssigned {
 			d.send(r)
 		}
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -10,9 +10,9 @@
 
 // counters are the leader's metrics. They belong to the process, as a process may lead several terms.
 type counters struct {
-	accepted, starts, startsRefused, runsLost, strays, badEntries, appendRetries, moves expvar.Int
-	ends                                                                                expvar.Map
-	jobs                                                                                expvar.Map
+	accepted, starts, startsRefused, runsLost, strays, badEntries, appendRetries, moves, unstoredStarts expvar.Int
+	ends                                                                                                expvar.Map
+	jobs                                                                                                expvar.Map
 	// jobMillis sums the time from acceptance to the end of jobs that were done.
 	jobMillis expvar.Int
 }
@@ -29,6 +29,7 @@
 	m.Set("stray_runs_total", &c.strays)
 	m.Set("bad_worker_entries_total", &c.badEntries)
 	m.Set("append_retries_total", &c.appendRetries)
+	m.Set("unstored_starts_total", &c.unstoredStarts)
 	m.Set("instance_moves_total", &c.moves)
 	m.Set("runs_ended_total", c.ends.Init())
 	m.Set("jobs_ended_total", c.jobs.Init())
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -94,6 +94,11 @@
 	dirty   map[string]bool        // pools in which a decision may be possible
 	// tailFresh is the boot clock of a moment before which all accepted jobs are known.
 	tailFresh time.Duration
+	// unreleased are the assigned runs whose starts wait for the store, and unshown the jobs whose end does.
+	unreleased map[*workload.Run]bool
+	unshown    map[*job]bool
+	// storedWorkers is the stored set of workers with their pools.
+	storedWorkers map[string]string
 	// lastStored is the boot clock of the last append that succeeded.
 	lastStored  time.Duration
 	begunAt     time.Duration
@@ -115,7 +120,8 @@
 	d := &Dispatcher{
 		Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, active: map[string]map[string]*job{},
 		changed: map[string]*job{}, pending: map[string]cancellation{}, agents: map[string]*agent{},
-		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, waveRecords: map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
+		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{}, unshown: map[*job]bool{},
+		storedWorkers: map[string]string{}, waveRecords: map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		counters: sharedCounters, estimates: newEstimates(),
 	}
 	d.driver = newInstanceDriver(d)
@@ -168,18 +174,34 @@
 func (d *Dispatcher) decide(ctx context.Context, commit *committer) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	outcome := make(chan error, 1)
+	appending := false
+	var began time.Duration
 	for {
 		select {
 		case <-ctx.Done():
+			if appending {
+				<-outcome
+			}
 			return
+		case err := <-outcome:
+			appending = false
+			if err != nil {
+				d.Log.Info().Err(err).Str("event", "term_lost").Int64("token", d.Token).Msg("the term is over")
+				return
+			}
 		case <-d.wake:
 		case <-tick.C:
 			d.tick()
 		}
 		d.place()
-		if err := commit.run(ctx); err != nil {
-			d.Log.Info().Err(err).Str("event", "term_lost").Int64("token", d.Token).Msg("the term is over")
-			return
+		if appending {
+			d.releaseUnstored(began)
+			continue
+		}
+		if b := commit.next(); b != nil {
+			appending, began = true, bootclock.Now()
+			go func() { outcome <- commit.run(ctx, b) }()
 		}
 	}
 }
@@ -199,6 +221,9 @@
 	d.dirty[j.Pool] = true
 	if j.State.Ended() {
 		delete(d.active[j.Pool], j.ID)
+		if !j.visible.Ended() {
+			d.unshown[j] = true
+		}
 	}
 	d.signal()
 }
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -15,6 +15,8 @@
 	// each failure in a row.
 	avoidFirst = time.Second
 	avoidMost  = 8 * time.Second
+	// probeTime is how long after that a worker gets only one task at a time.
+	probeTime = 3 * time.Second
 )
 
 // health is what the ends of runs tell of a worker.
@@ -34,8 +36,11 @@
 // usable reports whether the worker may get tasks.
 func (h *health) usable(now time.Time) bool { return !now.Before(h.until) }
 
-// probing reports whether the worker has to show with one task that it is sound.
-func (h *health) probing() bool { return h.failures > 0 }
+// probing reports whether the worker has to show with one task that it is sound. That ends by itself, as a pool in which no other
+// task waits would never show it.
+func (h *health) probing(now time.Time) bool {
+	return h.failures > 0 && now.Before(h.until.Add(probeTime))
+}
 
 func (h *health) done() { *h = health{} }
 
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -80,6 +80,7 @@
 			j.visible = fresh.State
 		}
 	}
+	d.restoreWorkers()
 	for _, j := range d.jobs {
 		d.adopt(j)
 	}
@@ -121,6 +122,7 @@
 		return
 	}
 	delete(a.runs, key)
+	delete(d.unreleased, r)
 	a.used = a.used.Sub(r.Task.Step.Spec.Charge())
 	a.count(r, -1)
 	d.charge(r.Task.Step.Job.Team, r.Task.Step.Spec.Need, -1)
@@ -150,6 +152,13 @@
 		d.cancelled(id, c.Team)
 	case workload.KeyWave:
 		d.waveStored(id, r.Value)
+	case workload.KeyWorkers:
+		if d.loaded {
+			return // this term's own record
+		}
+		if err := json.Unmarshal(r.Value, &d.storedWorkers); err != nil {
+			d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("the set of workers cannot be read")
+		}
 	case workload.KeyHome:
 		if err := json.Unmarshal(r.Value, &d.homeSizes); err != nil {
 			d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("home sizes of the pools cannot be read")
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -21,9 +21,10 @@
 	strayPause = 500 * time.Millisecond
 )
 
-// send starts a stored run at its worker. Callers hold mu.
+// send starts a run at its worker. Callers hold mu.
 func (d *Dispatcher) send(r *workload.Run) {
 	a := d.agent(r.Worker)
+	r.Released = true
 	if d.sending[r] {
 		return
 	}
@@ -158,8 +159,8 @@
 // list the run, or when the lease has expired. Callers hold mu.
 func (d *Dispatcher) stopRun(r *workload.Run, why string) {
 	a := d.agent(r.Worker)
-	if !r.Stored {
-		d.dropRun(a, r) // the start has not been let out
+	if !r.Released {
+		d.dropRun(a, r)
 		return
 	}
 	if r.Phase != workload.RunStopping {
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -45,7 +45,7 @@
 	j := d.addJob("0011223344556677", fleet.Step{Count: 1, Need: fleet.Resources{CPUMilli: 1000}})
 	d.place()
 	run := j.Task(0, 0, 0).Runs[0]
-	run.Stored, run.Phase = true, workload.RunActive
+	run.Stored, run.Released, run.Phase = true, true, workload.RunActive
 	d.mu.Lock()
 	d.stopRun(run, "test")
 	d.lose(d.agent("w0"), "its lease has expired")
@@ -68,3 +68,56 @@
 	d.mu.Unlock()
 	is.Equal(workers.calls.Load(), calls)
 }
+
+// TestIdleLeaderKeepsLeases guards against leases that lapse because the leader has had nothing to store for a while: on a calm day
+// all tasks that last ended 6 s after the last job.
+func TestIdleLeaderKeepsLeases(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	c := newCommitter(d)
+	d.agent("w0").clockAt = d.begunAt
+	d.lastStored -= renewWithoutStore + time.Second
+	is.Equal(d.lease(d.agent("w0")), int64(0))
+	is.NoErr(c.run(d.ctx, c.next()))
+	is.True(d.lease(d.agent("w0")) > 0)
+}
+
+// TestAnsweringWorkerKeepsItsRuns guards against runs that are dropped from a sound worker because its last lease, from before it
+// was idle, is over.
+func TestAnsweringWorkerKeepsItsRuns(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	a.clockAt = d.begunAt
+	a.clock, a.deadline = 60_000, 1_000
+	j := d.addJob("0011223344556677", fleet.Step{Count: 1, Need: fleet.Resources{CPUMilli: 1000}})
+	d.place()
+	d.expireLeases()
+	is.Equal(len(j.Task(0, 0, 0).Runs), 1)
+	a.silentSince = 1
+	d.expireLeases()
+	is.Equal(len(j.Task(0, 0, 0).Runs), 0)
+}
+
+// TestProbingEnds guards against a task that waits for ever because every worker of an idle pool has failed something.
+func TestProbingEnds(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(3)
+	defer d.stop()
+	j := d.addJob("0011223344556677", fleet.Step{Count: 1, Need: fleet.Resources{CPUMilli: 1000}})
+	task := j.Task(0, 0, 0)
+	task.Failures, task.FailedOn = 1, "w0"
+	now := d.now()
+	for _, a := range d.agents {
+		a.health.failed(now)
+	}
+	d.place()
+	is.Equal(len(task.Runs), 0)
+	d.wall = d.wall.Add(avoidMost + probeTime)
+	d.dirty["pool"] = true
+	d.place()
+	is.Equal(len(task.Runs), 1)
+	is.True(task.Runs[0].Worker != "w0")
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -36,7 +36,7 @@
 		if len(workers) == 0 {
 			continue
 		}
-		wants := d.wants(d.active[pool], workers, now)
+		wants := d.wants(pool, workers, now)
 		if len(wants) == 0 {
 			continue
 		}
@@ -57,7 +57,7 @@
 		}
 		byPool[a.entry.Pool] = append(byPool[a.entry.Pool], &scheduling.Worker{
 			ID: a.id, Rack: a.entry.Rack, Labels: a.entry.Labels, Capacity: a.entry.Capacity, Free: a.entry.Capacity.Sub(a.used),
-			Probe: a.health.probing(), Runs: len(a.runs), Slowdown: 1, Fillers: a.fillers, Servers: a.servers, Leaving: a.leaving,
+			Probe: a.health.probing(now), Runs: len(a.runs), Slowdown: 1, Fillers: a.fillers, Servers: a.servers, Leaving: a.leaving,
 		})
 	}
 	return byPool
@@ -97,10 +97,14 @@
 }
 
 // wants collects the ready steps with waiting tasks. Callers hold mu.
-func (d *Dispatcher) wants(jobs map[string]*job, workers []*scheduling.Worker, now time.Time) []scheduling.Want {
+func (d *Dispatcher) wants(pool string, workers []*scheduling.Worker, now time.Time) []scheduling.Want {
 	var wants []scheduling.Want
 	room := scheduling.LargestRoom(workers)
-	for _, j := range jobs {
+	asking := d.unsettled(pool)
+	for _, j := range d.active[pool] {
+		if asking && j.held {
+			continue // a worker that has not been asked yet may run its tasks
+		}
 		q := d.queue(j.Queue)
 		for _, o := range j.Occurrences {
 			var rank *scheduling.Rank
@@ -174,6 +178,7 @@
 	r := t.Assign(p.Worker.ID, number, now)
 	r.Ticket = p.Ticket
 	d.attach(r)
+	d.unreleased[r] = true
 	d.touch(d.jobs[t.Step.Job.ID])
 	d.Log.Debug().Str("event", "assigned").Str("task", t.Name()).Int("run", number).Str("worker", p.Worker.ID).Msg("task assigned")
 }
--- /dev/null
+++ b/internal/dispatch/unstored.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"maps"
+	"time"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/store"
+	"pollenlead/internal/worker"
+	"pollenlead/internal/workload"
+)
+
+// While the store does not answer, accepted jobs go on: starts are sent before their assignments are stored, and only to workers whose
+// names are stored. A new leader holds back the waiting tasks of older jobs until it has asked those workers, or until no lease
+// there can last any longer. So it finds every run that is at work, also those of which the store knows nothing.
+
+// unstoredAfter is the time after which an append under way no longer holds back starts.
+const unstoredAfter = 300 * time.Millisecond
+
+// releaseUnstored lets out the starts that wait for an append under way since began.
+func (d *Dispatcher) releaseUnstored(began time.Duration) {
+	if bootclock.Now()-began < unstoredAfter {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if bootclock.Now()-d.lastStored > renewWithoutStore {
+		return
+	}
+	released := 0
+	for r := range d.unreleased {
+		a := d.agents[r.Worker]
+		if a == nil || d.storedWorkers[a.id] == "" || r.Phase != workload.RunAssigned || !d.at(r) {
+			continue
+		}
+		delete(d.unreleased, r)
+		d.send(r)
+		released++
+	}
+	for j := range d.unshown {
+		d.show(j, j.State)
+		delete(d.unshown, j)
+	}
+	if released > 0 {
+		d.counters.unstoredStarts.Add(int64(released))
+		d.Log.Info().Str("event", "unstored_starts").Int("starts", released).Dur("store_silent", bootclock.Now()-began).Msg("tasks start before their assignments are stored")
+	}
+}
+
+// workerSet returns the workers in service with their pools. Callers hold mu.
+func (d *Dispatcher) workerSet() map[string]string {
+	set := make(map[string]string, len(d.agents))
+	for id, a := range d.agents {
+		switch {
+		case a.entry != nil && a.contacted:
+			set[id] = a.entry.Pool
+		case a.unsettled || len(a.runs) > 0:
+			set[id] = d.storedWorkers[id]
+		}
+	}
+	return set
+}
+
+// addWorkers adds the set of workers to a batch if it has changed. Callers hold mu.
+func (d *Dispatcher) addWorkers(b *batch) {
+	set := d.workerSet()
+	if maps.Equal(set, d.storedWorkers) {
+		return
+	}
+	value, err := json.Marshal(set)
+	if err != nil {
+		d.Log.Error().Err(err).Str("event", "bad_workers").Msg("the set of workers cannot be encoded")
+		return
+	}
+	b.records = append(b.records, store.Record{Key: workload.WorkersKey, Value: value})
+	b.workers = set
+}
+
+// restoreWorkers marks the workers that an earlier leader may have used. Callers hold mu.
+func (d *Dispatcher) restoreWorkers() {
+	for id := range d.storedWorkers {
+		d.agent(id).unsettled = true
+	}
+}
+
+// unsettled reports whether a worker of the pool has to be asked before older jobs go on there. Callers hold mu.
+func (d *Dispatcher) unsettled(pool string) bool {
+	for id, a := range d.agents {
+		if a.unsettled && d.storedWorkers[id] == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// adoptRun takes over a run that an earlier leader started without storing it, or returns nil if the run is a stranger. Callers hold mu.
+func (d *Dispatcher) adoptRun(a *agent, x *worker.Running) *workload.Run {
+	id, k, step, index, err := workload.ParseTaskName(x.Task)
+	if err != nil {
+		return nil
+	}
+	j := d.jobs[id]
+	if j == nil || !j.held || j.State.Ended() {
+		return nil
+	}
+	t := j.Task(k, step, index)
+	if t == nil || t.Done || x.Run <= t.LastRun {
+		return nil
+	}
+	// A stored run with a lower number has ended, or there would be none with a higher one: its worker still lists the end.
+	for _, r := range t.Runs {
+		if !r.Inherited {
+			return nil
+		}
+	}
+	r := t.Assign(a.id, x.Run, d.now())
+	r.Released, r.Inherited = true, true
+	d.attach(r)
+	d.touch(j)
+	d.Log.Info().Str("event", "run_adopted").Str("task", x.Task).Int("run", x.Run).Str("worker", a.id).Msg("a run that was not stored is taken over")
+	return r
+}
+
+// markAll notes that a decision may be possible in every pool. Callers hold mu.
+func (d *Dispatcher) markAll() {
+	for pool := range d.active {
+		d.dirty[pool] = true
+	}
+}
--- /dev/null
+++ b/internal/dispatch/unstored_test.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/worker"
+	"pollenlead/internal/workload"
+)
+
+var oneTask = fleet.Step{Count: 1, Need: fleet.Resources{CPUMilli: 1000}}
+
+// TestUnstoredStartsNeedStoredWorkers guards against an unstored start at a worker that the next leader would not ask.
+func TestUnstoredStartsNeedStoredWorkers(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	d.Workers = &deadWorkers{}
+	defer d.stop()
+	run := func(j *job) *workload.Run { return j.Task(0, 0, 0).Runs[0] }
+	j := d.addJob("0011223344556677", oneTask)
+	d.place()
+	long := bootclock.Now() - unstoredAfter - time.Millisecond
+	d.releaseUnstored(bootclock.Now())
+	is.True(!run(j).Released) // the append may still succeed
+	d.releaseUnstored(long)
+	is.True(!run(j).Released) // the worker is not stored
+	d.storedWorkers["w0"] = "pool"
+	d.releaseUnstored(long)
+	is.True(run(j).Released)
+}
+
+// TestOlderJobsWaitForTheWorkers guards against a task that a new leader starts again while it runs at a worker that has not been
+// asked yet, without the store's knowledge.
+func TestOlderJobsWaitForTheWorkers(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	defer d.stop()
+	older := d.addJob("0011223344556677", oneTask)
+	older.held = true
+	newer := d.addJob("7766554433221100", oneTask)
+	silent := d.agent("w1")
+	silent.unsettled, silent.contacted = true, false
+	d.storedWorkers["w1"] = "pool"
+	d.place()
+	is.Equal(len(older.Task(0, 0, 0).Runs), 0)
+	is.Equal(len(newer.Task(0, 0, 0).Runs), 1)
+
+	d.reported(silent, worker.Report{ClockMillis: 1, Running: []worker.Running{{Task: older.Task(0, 0, 0).Name(), Run: 1}}}, bootclock.Now())
+	is.Equal(len(older.Task(0, 0, 0).Runs), 1) // taken over, not stopped
+	is.Equal(older.Task(0, 0, 0).Runs[0].Worker, "w1")
+	is.Equal(older.Task(0, 0, 0).Runs[0].Phase, workload.RunActive)
+	d.place()
+	is.Equal(len(older.Task(0, 0, 0).Runs), 1)
+}
+
+// TestOlderJobsGoOnAfterTheLease guards against jobs that wait for ever for a worker that is gone.
+func TestOlderJobsGoOnAfterTheLease(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	defer d.stop()
+	d.Bounds.MaxLease = leaseDuration
+	older := d.addJob("0011223344556677", oneTask)
+	older.held = true
+	gone := d.agent("w1")
+	gone.unsettled, gone.contacted, gone.entry = true, false, nil
+	d.storedWorkers["w1"] = "pool"
+	d.expireLeases()
+	d.place()
+	is.Equal(len(older.Task(0, 0, 0).Runs), 0)
+	d.begunAt -= renewWithoutStore + 2*leaseDuration
+	d.expireLeases()
+	d.place()
+	is.Equal(len(older.Task(0, 0, 0).Runs), 1)
+}
+
+// TestStrangerIsStopped guards against the adoption of a run whose task is done.
+func TestStrangerIsStopped(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	d.Workers = &deadWorkers{}
+	defer d.stop()
+	j := d.addJob("0011223344556677", fleet.Step{Count: 2})
+	j.held = true
+	task := j.Task(0, 0, 0)
+	j.End(task, task.Assign("w0", 1, d.now()), worker.EndDone, "", 2, d.now())
+	d.reported(d.agent("w0"), worker.Report{ClockMillis: 1, Running: []worker.Running{{Task: task.Name(), Run: 2}}}, bootclock.Now())
+	is.Equal(len(task.Runs), 0)
+	is.Equal(len(d.agent("w0").stray), 1)
+}
+
+// TestLaterRunIsAdopted guards against stopping a run that followed a stored one while the store was away.
+func TestLaterRunIsAdopted(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	d.Workers = &deadWorkers{}
+	defer d.stop()
+	j := d.addJob("0011223344556677", fleet.Step{Count: 1, LongRunning: true})
+	j.held = true
+	task := j.Task(0, 0, 0)
+	first := task.Assign("w0", 1, d.now())
+	first.Stored, first.Released, first.Inherited = true, true, true
+	d.attach(first)
+	d.reported(d.agent("w1"), worker.Report{ClockMillis: 1, Running: []worker.Running{{Task: task.Name(), Run: 2, Percent: 100}}}, bootclock.Now())
+	is.Equal(len(task.Runs), 2)
+	d.reported(d.agent("w0"), worker.Report{ClockMillis: 1, Ended: []worker.End{{Number: 1, Task: task.Name(), Run: 1, Kind: worker.EndStopped}}}, bootclock.Now())
+	is.Equal(len(task.Runs), 1)
+	is.Equal(task.Runs[0].Worker, "w1")
+}
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -38,8 +38,10 @@
 // waveInstance is the progress of one instance.
 type waveInstance struct {
 	phase scheduling.MaintenancePhase
-	// worker is the one that the instance had when the order was given; another one means that the order took effect.
-	worker    string
+	// worker is the one that the instance had when it was drained.
+	worker string
+	// confirmed means that the order was answered: the maintenance has begun, or had been done before.
+	confirmed bool
 	orderedAt time.Duration // boot clock
 	missing   int           // lists in a row without the instance
 }
@@ -145,10 +147,7 @@
 			continue
 		}
 		i.missing = 0
-		if i.phase != scheduling.MaintenanceOrdered || w.listedAt <= i.orderedAt {
-			continue
-		}
-		if listed.Phase == fleet.InstanceUp && listed.Worker != i.worker && listed.Worker != "" {
+		if i.phase == scheduling.MaintenanceOrdered && w.returned(i, listed) {
 			i.phase = scheduling.MaintenanceDone
 			changed = true
 		}
@@ -156,6 +155,18 @@
 	return changed
 }
 
+// returned reports whether an ordered instance is back. A new worker alone does not show it: the instance may have been moved.
+func (w *instanceDriver) returned(i *waveInstance, listed fleet.Instance) bool {
+	if !i.confirmed || listed.Phase != fleet.InstanceUp || listed.Worker == "" || w.listedAt <= i.orderedAt {
+		return false
+	}
+	if listed.Worker != i.worker {
+		return true
+	}
+	// The order found the maintenance done already, and nothing went down.
+	return w.listedAt > i.orderedAt+w.d.Bounds.Maintenance+orderAgainAfter
+}
+
 // choose picks the next instances and keeps new tasks away from them.
 func (w *instanceDriver) choose(x *wave) {
 	d := w.d
@@ -171,7 +182,8 @@
 		if a := d.agents[listed.Worker]; a != nil {
 			a.leaving = i.phase == scheduling.MaintenancePending || i.phase == scheduling.MaintenanceDraining
 			v.Runs = len(a.runs)
-			v.Up = listed.Phase == fleet.InstanceUp && a.entry != nil && !a.entry.Draining && a.contacted
+			_, moving := w.arrivals[id]
+			v.Up = !moving && listed.Phase == fleet.InstanceUp && a.entry != nil && !a.entry.Draining && a.contacted
 		}
 		view.Instances = append(view.Instances, v)
 	}
@@ -229,13 +241,23 @@
 				w.order(ctx, x, id, i)
 			}
 		case scheduling.MaintenanceOrdered:
-			if bootclock.Now()-i.orderedAt > orderAgainAfter && w.listed[id].Worker == i.worker && w.listedAt > i.orderedAt {
-				w.order(ctx, x, id, i)
-			}
+			w.repeat(id, i)
 		}
 	}
 }
 
+// repeat drains an instance again whose order was not answered: what runs there now must not end by a repeated order.
+func (w *instanceDriver) repeat(id string, i *waveInstance) {
+	listed := w.listed[id]
+	if i.confirmed || bootclock.Now()-i.orderedAt <= orderAgainAfter || w.listedAt <= i.orderedAt || listed.Phase != fleet.InstanceUp || listed.Worker == "" {
+		return
+	}
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	i.phase, i.worker = scheduling.MaintenanceDraining, listed.Worker
+	w.d.agent(i.worker).cordoned = true
+}
+
 // empty stops what may be stopped at a draining instance, and reports whether nothing runs there.
 func (w *instanceDriver) empty(i *waveInstance) bool {
 	d := w.d
@@ -252,14 +274,13 @@
 			d.stopRun(r, "its instance is to be maintained")
 		}
 	}
-	return len(a.runs) == 0
+	return a.vacant()
 }
 
 // order gives the order to maintain an instance. That the order is on its way is stored before it is sent.
 func (w *instanceDriver) order(ctx context.Context, x *wave, id string, i *waveInstance) {
-	first := i.phase != scheduling.MaintenanceOrdered
 	i.phase = scheduling.MaintenanceOrdered
-	if first && !w.store(ctx, x) {
+	if !w.store(ctx, x) {
 		i.phase = scheduling.MaintenanceDraining
 		return
 	}
@@ -275,6 +296,7 @@
 		w.d.stop()
 		return
 	}
+	i.confirmed = err == nil
 	w.d.Log.Info().Str("event", "maintenance_ordered").Int64("wave", x.request.Number).Str("instance", id).Str("worker", i.worker).Err(err).Msg("maintenance of an instance ordered")
 }
 
--- /dev/null
+++ b/internal/dispatch/wave_test.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/scheduling"
+	"pollenlead/internal/worker"
+)
+
+// TestMovedInstanceIsNotMaintained guards against a wave that counts an instance as maintained because a move has given it a new
+// worker.
+func TestMovedInstanceIsNotMaintained(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	w := newInstanceDriver(d)
+	now := bootclock.Now()
+	i := &waveInstance{phase: scheduling.MaintenanceOrdered, worker: "w0", orderedAt: now - 2*time.Second}
+	x := &wave{instances: map[string]*waveInstance{"m0": i}}
+	w.listed = map[string]fleet.Instance{"m0": {ID: "m0", Phase: fleet.InstanceUp, Worker: "w1"}}
+	w.listedAt = now
+	w.observe(x)
+	is.Equal(i.phase, scheduling.MaintenanceOrdered) // the order was not answered
+	w.repeat("m0", i)
+	is.Equal(i.phase, scheduling.MaintenanceDraining)
+	is.Equal(i.worker, "w1")
+	is.True(d.agent("w1").cordoned)
+
+	i.phase, i.worker, i.confirmed = scheduling.MaintenanceOrdered, "w0", true
+	w.observe(x)
+	is.Equal(i.phase, scheduling.MaintenanceDone)
+}
+
+// TestWorkerWithUnstoredEndsStays guards against moving an instance whose worker has listed ends that are not stored: with it went
+// the only trace of tasks that were shown as done.
+func TestWorkerWithUnstoredEndsStays(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	is.True(a.vacant())
+	d.reported(a, worker.Report{ClockMillis: 1, Ended: []worker.End{{Number: 3, Task: "0011223344556677.0.0.0", Run: 1, Kind: worker.EndDone}}}, bootclock.Now())
+	is.True(!a.vacant())
+	a.storedEnd = 3
+	is.True(a.vacant())
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -15,7 +15,7 @@
 
 // readWait is how long one read waits for a change. Each answer without a change also proves that the configuration is fresh, so
 // the wait stays well below the time after which a withdrawn key must not work.
-const readWait = 900 * time.Millisecond
+const readWait = 400 * time.Millisecond
 
 // Decoder decodes the operator's records. The adapter provides it.
 type Decoder struct {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,9 @@
 const (
 	// keyContact is the part of the time of a key's withdrawal after which the configuration counts as out of date.
 	keyContact = 0.56
+	// storeSilence is the time without contact after which the store counts as away: a job is then refused at once, before an append
+	// makes its outcome unknown.
+	storeSilence = time.Second
 	// defaultDeadline is how long a caller waits that does not say it.
 	defaultDeadline = 3 * time.Second
 	// answerMargin is the part of the deadline that is kept for the answer's way.
@@ -177,6 +180,10 @@
 // submit stores a job and accepts it.
 func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request) {
 	received := time.Now()
+	if age, _ := h.Config.Age(); age > storeSilence {
+		h.refuse(w, r, q, &refusal{http.StatusServiceUnavailable, fmt.Sprintf("no contact to the store for %d ms", age.Milliseconds()), retrySeconds})
+		return
+	}
 	body, err := h.body(r)
 	if err != nil {
 		h.refuse(w, r, q, &refusal{status: http.StatusRequestEntityTooLarge, reason: err.Error()})
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -181,7 +181,7 @@
 	var best *Worker
 	var bestCost float64
 	for _, c := range workers {
-		if !allowed(c, w, t, use) {
+		if !allowed(c, w, t, use) || t.FailedOn == c.ID && len(workers) > 1 {
 			continue
 		}
 		if cost := cost(c, w.Step, t, use); best == nil || cost < bestCost {
@@ -221,10 +221,7 @@
 	if s.MaxPerWorker > 0 && use.byWorker[c.ID] >= s.MaxPerWorker {
 		return false
 	}
-	if w.Tickets != nil && w.Tickets[c.ID] == "" {
-		return false
-	}
-	return t.Failures == 0 || t.FailedOn != c.ID
+	return w.Tickets == nil || w.Tickets[c.ID] != ""
 }
 
 // Weights of the cost of a placement. The unit is the share of a worker's processor.
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -124,8 +124,10 @@
 	Ticket string
 	// Inherited means that an earlier leader assigned the run, so that its start may be on its way already.
 	Inherited bool
-	// Stored means that the assignment is in the store, so that the start may be sent.
+	// Stored means that the assignment is in the store.
 	Stored bool
+	// Released means that the start may have been sent.
+	Released bool
 }
 
 // AtWork reports whether a long-running task is at work.
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -159,7 +159,7 @@
 		t.LastRun, t.Failures, t.FailedOn, t.Checkpoint, t.Moved = tp.LastRun, tp.Failures, tp.FailedOn, tp.Checkpoint, tp.Moved
 		for _, rp := range tp.Runs {
 			t.Runs = append(t.Runs, &Run{
-				Task: t, Number: rp.Number, Worker: rp.Worker, Since: now, MovedAt: now, Pace: 100, Stored: true, Inherited: true,
+				Task: t, Number: rp.Number, Worker: rp.Worker, Since: now, MovedAt: now, Pace: 100, Stored: true, Released: true, Inherited: true,
 			})
 		}
 	}
@@ -177,6 +177,9 @@
 // HomeKey is the key of the record with the number of instances that each pool had at first.
 const HomeKey = "h/home"
 
+// WorkersKey is the key of the record with the workers at which runs may be at work that are not stored.
+const WorkersKey = "k/workers"
+
 // KeyKind says what a record of a job holds.
 type KeyKind uint8
 
@@ -188,6 +191,7 @@
 	KeyProgress
 	KeyWave
 	KeyHome
+	KeyWorkers
 )
 
 // SubmissionKey returns the key of a job's submission.
@@ -204,8 +208,11 @@
 
 // ParseKey returns the kind of a record and its job or wave.
 func ParseKey(key string) (KeyKind, string) {
-	if key == HomeKey {
+	switch key {
+	case HomeKey:
 		return KeyHome, ""
+	case WorkersKey:
+		return KeyWorkers, ""
 	}
 	if len(key) < 3 {
 		return KeyUnknown, ""
