--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -41,8 +41,10 @@
 type agent struct {
 	id    string
 	entry *fleet.WorkerEntry // nil if the worker is not listed
-	runs  map[runKey]*workload.Run
-	used  fleet.Resources
+	// firstSeen is the boot clock at which the worker became known.
+	firstSeen time.Duration
+	runs      map[runKey]*workload.Run
+	used      fleet.Resources
 	// fillers and servers are the numbers of filler runs and of serving runs.
 	fillers, servers int
 	// contacted means that the worker has answered in this term, and so refuses earlier terms.
@@ -79,7 +81,7 @@
 	a := d.agents[id]
 	if a == nil {
 		a = &agent{
-			id: id, runs: map[runKey]*workload.Run{}, notify: make(chan struct{}, 1),
+			id: id, firstSeen: bootclock.Now(), runs: map[runKey]*workload.Run{}, notify: make(chan struct{}, 1),
 			orders: make(chan struct{}, startsAtOnce), stray: map[runKey]time.Duration{},
 		}
 		d.agents[id] = a
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -200,8 +200,8 @@
 	return n
 }
 
-// settle finds out the home size of each pool: the stored one, or the present one, which is then stored.
-func (w *instanceDriver) settle(ctx context.Context) bool {
+// settleHome finds out the home size of each pool: the stored one, or the present one, which is then stored.
+func (w *instanceDriver) settleHome(ctx context.Context) bool {
 	w.d.mu.Lock()
 	home := w.d.homeSizes
 	w.d.mu.Unlock()
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -39,6 +39,7 @@
 	if w.d.Instances == nil {
 		return
 	}
+	w.list(ctx)
 	if w.d.inherited() {
 		// Another holder's last order has to lie back for longer than its lease.
 		pause(ctx, w.d.Bounds.InstanceLease)
@@ -55,7 +56,7 @@
 	if bootclock.Now()-w.listedAt >= listInterval && !w.list(ctx) {
 		return
 	}
-	if w.home == nil && !w.settle(ctx) {
+	if w.home == nil && !w.settleHome(ctx) {
 		return
 	}
 	w.stepWaves(ctx)
@@ -72,10 +73,36 @@
 		w.d.Log.Info().Str("event", "instances_unlisted").Err(err).Msg("instances could not be listed")
 		return false
 	}
-	w.listed = make(map[string]fleet.Instance, len(all))
+	listed := make(map[string]fleet.Instance, len(all))
 	for _, i := range all {
-		w.listed[i.ID] = i
+		listed[i.ID] = i
+		if old, known := w.listed[i.ID]; known && (old.Phase != i.Phase || old.Worker != i.Worker) {
+			w.d.Log.Info().Str("event", "instance").Str("instance", i.ID).Str("pool", i.Pool).Str("phase", string(i.Phase)).
+				Str("worker", i.Worker).Str("worker_before", old.Worker).Msg("instance changed")
+		}
 	}
-	w.listedAt = sent
+	w.listed, w.listedAt = listed, sent
+	w.settle()
 	return true
 }
+
+// settle draws from the list which workers are gone: a worker is one life of an instance, and nothing of an earlier life runs on.
+func (w *instanceDriver) settle() {
+	current := make(map[string]bool, len(w.listed))
+	for _, i := range w.listed {
+		if i.Worker != "" {
+			current[i.Worker] = true
+		}
+	}
+	d := w.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, a := range d.agents {
+		if current[id] || a.firstSeen >= w.listedAt || !a.unsettled && len(a.runs) == 0 {
+			continue
+		}
+		a.unsettled = false
+		d.lose(a, "its instance has another worker or none")
+		d.markAll()
+	}
+}
--- a/internal/scheduling/balance.go
+++ b/internal/scheduling/balance.go
@@ -114,11 +114,11 @@
 // fetch brings one instance to a pool: a borrowed one that is idle, one that is switched off, or one of a calm pool.
 func (b *balance) fetch(to *BalancePool) bool {
 	sources := []func(*BalancePool) bool{
-		func(p *BalancePool) bool { return !p.Standby && p.Size > p.Home && p.Waiting == 0 },
+		func(p *BalancePool) bool { return !p.Standby && p.Size > p.Home && p.lacking() <= 0 },
 		func(p *BalancePool) bool { return p.Standby },
 		func(p *BalancePool) bool {
 			keep := int(b.policy.KeepPart*float64(p.Home) + 0.5)
-			return p.Waiting == 0 && p.load() <= b.policy.CalmLoad && p.Size > keep
+			return p.lacking() <= 0 && p.load() <= b.policy.CalmLoad && p.Size > keep
 		},
 	}
 	for _, may := range sources {
@@ -187,7 +187,7 @@
 		}
 	}
 	for _, p := range b.pools {
-		if p.Standby || p.Waiting > 0 {
+		if p.Standby || p.lacking() > 0 {
 			continue
 		}
 		keep := int(b.policy.RestPart*float64(p.Home) + 0.5)
