Append submissions by partition and in groups; let new leaders order seasoned instances at once

After each change of the leader no instance was moved for 3 s. Change: jobs in all partitions of their topic by hash, progress in a topic of its own, one append at a time and partition from each entry instance; pages of newest records are repeated singly; an instance whose worker has outlived the lease may be ordered at once; old submissions are dropped before their progress.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -126,7 +126,7 @@
 	}
 	if p.Standby {
 		p.Size++
-		if _, moving := w.arrivals[id]; !moving && w.free(id) {
+		if _, moving := w.arrivals[id]; !moving && w.free(id) && w.orderable(x) {
 			p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind})
 		}
 		return
@@ -138,7 +138,7 @@
 	p.Size++
 	p.Capacity += a.entry.Capacity.CPUMilli
 	p.Used += a.used.CPUMilli
-	if a.vacant() && !a.cordoned && w.free(id) && w.d.usable(a, now, boot) {
+	if a.vacant() && !a.cordoned && w.free(id) && w.orderable(x) && w.d.usable(a, now, boot) {
 		workers[id] = x.Worker
 		p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind, IdleFor: now.Sub(a.idleSince)})
 	}
@@ -214,7 +214,7 @@
 		if err != nil || len(home) == 0 {
 			return false
 		}
-		if !w.append(ctx, w.d.JobTopic, store.Record{Key: workload.HomeKey, Value: value}) {
+		if !w.append(ctx, w.d.ProgressTopic, store.Record{Key: workload.HomeKey, Value: value}) {
 			return false
 		}
 	}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	_, err := c.d.Store.Append(ctx, store.Append{
-		Topic: c.d.JobTopic, Records: records,
+		Topic: c.d.ProgressTopic, Records: records,
 		Producer: &store.Producer{Name: producerName, Epoch: c.d.Token, Sequence: c.sequence},
 	})
 	return err
@@ -187,11 +187,9 @@
 	return nil
 }
 
-// drop removes all records of a job.
+// drop removes the progress of a job whose submission has been dropped.
 func (b *batch) drop(id string) {
-	for _, key := range []string{workload.SubmissionKey(id), workload.CancelKey(id), workload.ProgressKey(id)} {
-		b.records = append(b.records, store.Record{Key: key})
-	}
+	b.records = append(b.records, store.Record{Key: workload.ProgressKey(id)})
 }
 
 // committed lets out what a stored batch allows.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,8 +50,11 @@
 	Instances instances.Service
 	Follower  *follow.Follower
 	Bounds    fleet.Bounds
-	// JobTopic and WorkerTopic hold the records of jobs and of workers.
-	JobTopic, WorkerTopic string
+	// JobTopic holds submissions and cancellations, in JobPartitions partitions.
+	JobTopic      string
+	JobPartitions int
+	// ProgressTopic holds what the leader writes, and WorkerTopic the workers' entries.
+	ProgressTopic, WorkerTopic string
 	// StatusTopic takes the operator's view of waves.
 	StatusTopic string
 	DecodeEntry func(id string, value []byte) (*fleet.WorkerEntry, error)
@@ -92,11 +95,13 @@
 	sending map[*workload.Run]bool // runs with an order on its way
 	advice  map[string]*advice     // by step
 	dirty   map[string]bool        // pools in which a decision may be possible
-	// tailFresh is the boot clock of a moment before which all accepted jobs are known.
-	tailFresh time.Duration
+	// tailFresh is the boot clock of a moment before which all accepted jobs are known, by partition.
+	tailFresh []time.Duration
 	// unreleased are the assigned runs whose starts wait for the store, and unshown the jobs whose end does.
 	unreleased map[*workload.Run]bool
 	unshown    map[*job]bool
+	// forgetting means that old jobs are being dropped.
+	forgetting bool
 	// storedWorkers is the stored set of workers with their pools.
 	storedWorkers map[string]string
 	// lastStored is the boot clock of the last append that succeeded.
@@ -152,17 +157,13 @@
 	if !commit.fence(ctx) {
 		return
 	}
-	tail := d.jobTail()
-	end, newest, ok := d.load(ctx, tail)
+	tails, ok := d.load(ctx)
 	if !ok {
 		return
 	}
-	tasks.Go(func() {
-		tail.Follow(ctx, end, newest)
-		for ctx.Err() == nil { // trimmed history: read the newest again
-			tail.Run(ctx)
-		}
-	})
+	for _, t := range tails {
+		tasks.Go(func() { t.follow(ctx) })
+	}
 	// What a worker reports means nothing before the jobs are known: its runs would be stopped as strangers.
 	tasks.Go(func() { d.followWorkers(ctx) })
 	tasks.Go(func() { d.driver.run(ctx) })
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -28,6 +28,9 @@
 	// home is the number of instances that each pool had when it was first seen.
 	home     map[string]int
 	arrivals map[string]arrival // by instance
+	// quietUntil is the boot clock until which an instance may have had an order of an earlier leader so lately that another holder
+	// must not give one.
+	quietUntil time.Duration
 }
 
 func newInstanceDriver(d *Dispatcher) *instanceDriver {
@@ -39,10 +42,8 @@
 	if w.d.Instances == nil {
 		return
 	}
-	w.list(ctx)
 	if w.d.inherited() {
-		// Another holder's last order has to lie back for longer than its lease.
-		pause(ctx, w.d.Bounds.InstanceLease)
+		w.quietUntil = bootclock.Now() + w.d.Bounds.InstanceLease
 	}
 	for ctx.Err() == nil {
 		w.step(ctx)
@@ -63,6 +64,22 @@
 	w.balance(ctx)
 }
 
+// clockSkew is how much the clocks of instances and entry instances may differ.
+const clockSkew = time.Second
+
+// orderable reports whether an instance may get an order now. An order ends the instance's worker, so one whose worker has lived for
+// longer than the lease has had none within it. Callers hold the dispatcher's mu.
+func (w *instanceDriver) orderable(x fleet.Instance) bool {
+	if bootclock.Now() >= w.quietUntil {
+		return true
+	}
+	a := w.d.agents[x.Worker]
+	if x.Worker == "" || a == nil || a.incarnation == 0 {
+		return false
+	}
+	return time.Since(time.UnixMilli(a.incarnation)) > w.d.Bounds.InstanceLease+clockSkew
+}
+
 // list reads the instances.
 func (w *instanceDriver) list(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strconv"
+	"sync"
 	"time"
 
 	"pollenlead/internal/store"
@@ -20,40 +22,105 @@
 	forgetBatch = 100
 )
 
-// jobTail follows the records of jobs. Progress is read only when the term begins, as this dispatcher writes it.
-func (d *Dispatcher) jobTail() *store.Tail {
-	return &store.Tail{Store: d.Store, Topic: d.JobTopic, Wait: jobReadWait, Apply: d.apply, Contact: d.tailContact, Log: d.Log}
+// jobTail follows one partition of the jobs.
+type jobTail struct {
+	store.Tail
+	end    int64
+	newest map[string]int64
 }
 
-// tailContact notes that all jobs accepted before that moment of the boot clock are known.
-func (d *Dispatcher) tailContact(at time.Duration) {
+// follow applies records from where the newest ones were read.
+func (t *jobTail) follow(ctx context.Context) {
+	t.Follow(ctx, t.end, t.newest)
+	for ctx.Err() == nil { // trimmed history: read the newest again
+		t.Run(ctx)
+	}
+}
+
+func (d *Dispatcher) jobTail(partition int) *jobTail {
+	return &jobTail{Tail: store.Tail{
+		Store: d.Store, Topic: d.JobTopic, Partition: partition, Wait: jobReadWait, Apply: d.apply, Log: d.Log,
+		Contact: func(at time.Duration) { d.tailContact(partition, at) },
+	}}
+}
+
+// tailContact notes that all jobs of a partition that were accepted before that moment of the boot clock are known.
+func (d *Dispatcher) tailContact(partition int, at time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.tailFresh = max(d.tailFresh, at)
+	d.tailFresh[partition] = max(d.tailFresh[partition], at)
 }
 
-// load reads all jobs. It reports false when ctx is done.
-func (d *Dispatcher) load(ctx context.Context, tail *store.Tail) (end int64, newest map[string]int64, ok bool) {
+// load reads all jobs and their progress. It reports false when ctx is done.
+func (d *Dispatcher) load(ctx context.Context) ([]*jobTail, bool) {
 	began := d.now()
+	d.tailFresh = make([]time.Duration, d.JobPartitions)
+	tails := make([]*jobTail, d.JobPartitions)
+	var reading sync.WaitGroup
+	for i := range tails {
+		tails[i] = d.jobTail(i)
+		reading.Go(func() { tails[i].end, tails[i].newest = catchUp(ctx, &tails[i].Tail) })
+	}
 	progress := map[string][]byte{}
-	loading := *tail
-	loading.Apply = func(r store.Record) {
-		if kind, id := workload.ParseKey(r.Key); kind == workload.KeyProgress {
-			progress[id] = r.Value
-			return
-		}
-		d.apply(r)
+	own := store.Tail{Store: d.Store, Topic: d.ProgressTopic, Log: d.Log, Apply: func(r store.Record) { d.applyOwn(r, progress) }}
+	catchUp(ctx, &own)
+	reading.Wait()
+	if ctx.Err() != nil {
+		return nil, false
 	}
+	d.restore(progress)
+	d.Log.Info().Str("event", "jobs_loaded").Int("jobs", len(d.jobs)).Dur("took", d.now().Sub(began)).Msg("jobs read from the store")
+	return tails, true
+}
+
+// catchUp reads the newest records until that succeeds or ctx is done.
+func catchUp(ctx context.Context, t *store.Tail) (end int64, newest map[string]int64) {
 	for ctx.Err() == nil {
-		var err error
-		if end, newest, err = loading.CatchUp(ctx); err == nil {
-			d.restore(progress)
-			d.Log.Info().Str("event", "jobs_loaded").Int("jobs", len(d.jobs)).Dur("took", d.now().Sub(began)).Msg("jobs read from the store")
-			return end, newest, true
+		end, newest, err := t.CatchUp(ctx)
+		if err == nil {
+			return end, newest
 		}
 		pause(ctx, loadRetry)
 	}
-	return 0, nil, false
+	return 0, nil
+}
+
+// applyOwn applies a record that an earlier leader wrote.
+func (d *Dispatcher) applyOwn(r store.Record, progress map[string][]byte) {
+	kind, id := workload.ParseKey(r.Key)
+	if len(r.Value) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var err error
+	switch kind {
+	case workload.KeyProgress:
+		progress[id] = r.Value
+	case workload.KeyWave:
+		err = d.waveStored(id, r.Value)
+	case workload.KeyWorkers:
+		err = json.Unmarshal(r.Value, &d.storedWorkers)
+	case workload.KeyHome:
+		err = json.Unmarshal(r.Value, &d.homeSizes)
+	}
+	if err != nil {
+		d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("a record of an earlier leader cannot be read")
+	}
+}
+
+// waveStored keeps the stored progress of a wave. Callers hold mu.
+func (d *Dispatcher) waveStored(number string, value []byte) error {
+	n, err := strconv.ParseInt(number, 10, 64)
+	if err != nil {
+		return err
+	}
+	var w waveRecord
+	if err := json.Unmarshal(value, &w); err != nil {
+		return err
+	}
+	d.waveRecords[n] = &w
+	return nil
 }
 
 // restore applies the stored progress to the jobs that were read.
@@ -63,7 +130,8 @@
 	now := d.now()
 	for id, value := range progress {
 		j := d.jobs[id]
-		if j == nil || len(value) == 0 {
+		if j == nil { // its submission was dropped, but an earlier leader did not get to its progress
+			d.changed[id] = nil
 			continue
 		}
 		fresh := workload.NewJob(j.ID, j.Queue, j.Pool, j.Team, j.Spec, j.Submitted)
@@ -150,36 +218,9 @@
 			return
 		}
 		d.cancelled(id, c.Team)
-	case workload.KeyWave:
-		d.waveStored(id, r.Value)
-	case workload.KeyWorkers:
-		if d.loaded {
-			return // this term's own record
-		}
-		if err := json.Unmarshal(r.Value, &d.storedWorkers); err != nil {
-			d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("the set of workers cannot be read")
-		}
-	case workload.KeyHome:
-		if err := json.Unmarshal(r.Value, &d.homeSizes); err != nil {
-			d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("home sizes of the pools cannot be read")
-		}
 	}
 }
 
-// waveStored keeps the stored progress of a wave. Callers hold mu.
-func (d *Dispatcher) waveStored(number string, value []byte) {
-	n, err := strconv.ParseInt(number, 10, 64)
-	var w waveRecord
-	if err == nil {
-		err = json.Unmarshal(value, &w)
-	}
-	if err != nil {
-		d.Log.Warn().Err(err).Str("event", "bad_record").Str("wave", number).Msg("progress of a wave cannot be read")
-		return
-	}
-	d.waveRecords[n] = &w
-}
-
 // submitted adds a job. A repeat of a known job changes nothing. Callers hold mu.
 func (d *Dispatcher) submitted(id string, r store.Record) {
 	if d.jobs[id] != nil {
@@ -247,18 +288,47 @@
 
 // forget drops jobs whose state has been known for long enough. Callers hold mu.
 func (d *Dispatcher) forget(now time.Time) {
-	if !d.loaded || d.Bounds.StatusKept == 0 {
+	if !d.loaded || d.Bounds.StatusKept == 0 || d.forgetting {
 		return
 	}
-	n := 0
+	var old []string
 	for id, j := range d.jobs {
-		if !j.State.Ended() || j.changed || now.Sub(j.EndedAt) < d.Bounds.StatusKept+endedKeptMore || n == forgetBatch {
-			continue
+		if j.State.Ended() && !j.changed && now.Sub(j.EndedAt) >= d.Bounds.StatusKept+endedKeptMore && len(old) < forgetBatch {
+			old = append(old, id)
 		}
-		n++
+	}
+	if len(old) > 0 {
+		d.forgetting = true
+		go d.dropSubmissions(old)
+	}
+}
+
+// dropSubmissions drops the submissions of jobs, and then their progress. In the other order a job could be taken for a new one.
+func (d *Dispatcher) dropSubmissions(ids []string) {
+	byPartition := map[int][]store.Record{}
+	for _, id := range ids {
+		n := workload.Partition(id, d.JobPartitions)
+		byPartition[n] = append(byPartition[n], store.Record{Key: workload.SubmissionKey(id)}, store.Record{Key: workload.CancelKey(id)})
+	}
+	var failed error
+	for n, records := range byPartition {
+		ctx, cancel := context.WithTimeout(d.ctx, appendTimeout)
+		_, err := d.Store.Append(ctx, store.Append{Topic: d.JobTopic, Partition: n, Records: records})
+		cancel()
+		failed = errors.Join(failed, err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forgetting = false
+	if failed != nil {
+		d.Log.Info().Err(failed).Str("event", "forget_failed").Int("jobs", len(ids)).Msg("old jobs could not be dropped yet")
+		return
+	}
+	for _, id := range ids {
 		delete(d.jobs, id)
 		d.changed[id] = nil // a nil job is dropped from the store
 	}
+	d.signal()
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -25,7 +25,7 @@
 		return "", ErrNotLoaded
 	}
 	j := d.jobs[id]
-	if j == nil && bootclock.Now()-d.tailFresh > unknownAfter {
+	if j == nil && bootclock.Now()-d.tailFresh[workload.Partition(id, d.JobPartitions)] > unknownAfter {
 		return "", ErrNotLoaded // the job may have been accepted meanwhile
 	}
 	if j == nil || j.Queue != queue || j.Team != team {
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -183,7 +183,7 @@
 			a.leaving = i.phase == scheduling.MaintenancePending || i.phase == scheduling.MaintenanceDraining
 			v.Runs = len(a.runs)
 			_, moving := w.arrivals[id]
-			v.Up = !moving && listed.Phase == fleet.InstanceUp && a.entry != nil && !a.entry.Draining && a.contacted
+			v.Up = !moving && w.orderable(listed) && listed.Phase == fleet.InstanceUp && a.entry != nil && !a.entry.Draining && a.contacted
 		}
 		view.Instances = append(view.Instances, v)
 	}
@@ -237,7 +237,7 @@
 	for id, i := range x.instances {
 		switch i.phase {
 		case scheduling.MaintenanceDraining:
-			if w.empty(i) {
+			if w.empty(i) && w.mayOrder(id) {
 				w.order(ctx, x, id, i)
 			}
 		case scheduling.MaintenanceOrdered:
@@ -246,6 +246,13 @@
 	}
 }
 
+// mayOrder reports whether an instance of a wave may get an order now.
+func (w *instanceDriver) mayOrder(id string) bool {
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	return w.orderable(w.listed[id])
+}
+
 // repeat drains an instance again whose order was not answered: what runs there now must not end by a repeated order.
 func (w *instanceDriver) repeat(id string, i *waveInstance) {
 	listed := w.listed[id]
@@ -327,7 +334,7 @@
 		w.d.Log.Error().Err(err).Str("event", "bad_wave").Msg("progress of a wave cannot be encoded")
 		return false
 	}
-	return w.append(ctx, w.d.JobTopic, store.Record{Key: workload.WaveKey(x.request.Number), Value: value})
+	return w.append(ctx, w.d.ProgressTopic, store.Record{Key: workload.WaveKey(x.request.Number), Value: value})
 }
 
 // report tells the operator how far the wave is.
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -49,3 +49,21 @@
 	a.storedEnd = 3
 	is.True(a.vacant())
 }
+
+// TestNewLeaderLeavesFreshInstances guards against an order for an instance that an earlier leader has ordered within its lease, and
+// against a new leader that gives no orders at all for so long.
+func TestNewLeaderLeavesFreshInstances(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	defer d.stop()
+	d.Bounds.InstanceLease = 3 * time.Second
+	d.agent("w0").incarnation = time.Now().Add(-time.Minute).UnixMilli()
+	d.agent("w1").incarnation = time.Now().Add(-time.Second).UnixMilli()
+	w := newInstanceDriver(d)
+	w.quietUntil = bootclock.Now() + time.Minute
+	is.True(w.orderable(fleet.Instance{Worker: "w0"}))
+	is.True(!w.orderable(fleet.Instance{Worker: "w1"}))
+	is.True(!w.orderable(fleet.Instance{})) // switched off, perhaps just now
+	w.quietUntil = 0
+	is.True(w.orderable(fleet.Instance{Worker: "w1"}))
+}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -52,11 +52,11 @@
 	Advisor   dispatch.Advisor
 	Operator  follow.Decoder
 	Codec     front.Codec
-	// JobTopic and LeaderTopic are topics of our own that keep the newest record of each key.
-	JobTopic, LeaderTopic    string
-	WorkerTopic, StatusTopic string
-	DecodeEntry              func(id string, value []byte) (*fleet.WorkerEntry, error)
-	WaveStatus               func(wave int64, done bool) (key string, value []byte)
+	// JobTopic, ProgressTopic and LeaderTopic are topics of our own that keep the newest record of each key.
+	JobTopic, ProgressTopic, LeaderTopic string
+	WorkerTopic, StatusTopic             string
+	DecodeEntry                          func(id string, value []byte) (*fleet.WorkerEntry, error)
+	WaveStatus                           func(wave int64, done bool) (key string, value []byte)
 }
 
 // Node is one entry instance.
@@ -85,7 +85,8 @@
 func (n *Node) lead(ctx context.Context, token int64) {
 	d := dispatch.New(dispatch.Options{
 		Store: n.platform.Store, Workers: n.platform.Workers, Advisor: n.platform.Advisor, Instances: n.platform.Instances,
-		Follower: n.follower, Bounds: n.settings.Bounds, JobTopic: n.platform.JobTopic, WorkerTopic: n.platform.WorkerTopic,
+		Follower: n.follower, Bounds: n.settings.Bounds, JobTopic: n.platform.JobTopic,
+		JobPartitions: n.settings.StorePartitions, ProgressTopic: n.platform.ProgressTopic, WorkerTopic: n.platform.WorkerTopic,
 		StatusTopic: n.platform.StatusTopic, DecodeEntry: n.platform.DecodeEntry, WaveStatus: n.platform.WaveStatus,
 		Token: token, Log: n.log,
 	})
@@ -144,7 +145,7 @@
 // listen opens the listeners and starts serving.
 func (n *Node) listen(ctx context.Context) (*http.Server, error) {
 	handler := &front.Handler{
-		Config: n.follower, Store: n.platform.Store, JobTopic: n.platform.JobTopic, Codec: n.platform.Codec,
+		Config: n.follower, Jobs: n.jobGroups(ctx), Codec: n.platform.Codec,
 		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
 	}
@@ -175,6 +176,15 @@
 	return callers, nil
 }
 
+// jobGroups returns one group of appends for each partition of the jobs.
+func (n *Node) jobGroups(ctx context.Context) []*store.Group {
+	groups := make([]*store.Group, n.settings.StorePartitions)
+	for i := range groups {
+		groups[i] = store.NewGroup(ctx, n.platform.Store, n.platform.JobTopic, i)
+	}
+	return groups
+}
+
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -12,8 +12,10 @@
 	// PeerPort is where entry instances call each other, and MetricsPort where metrics are served.
 	PeerPort, MetricsPort int
 	StoreAddress          string
-	InstancesAddress      string
-	AdviceAddress         string
+	// StorePartitions is the number of partitions of each topic.
+	StorePartitions  int
+	InstancesAddress string
+	AdviceAddress    string
 	// CPUShare is the part of a core that this process has.
 	CPUShare float64
 	MemoryMB int
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,14 +26,13 @@
 	keyContact = 0.56
 	// storeSilence is the time without contact after which the store counts as away: a job is then refused at once, before an append
 	// makes its outcome unknown.
-	storeSilence = time.Second
+	storeSilence = 1600 * time.Millisecond
 	// defaultDeadline is how long a caller waits that does not say it.
 	defaultDeadline = 3 * time.Second
 	// answerMargin is the part of the deadline that is kept for the answer's way.
 	answerMargin = 100 * time.Millisecond
 	// storeTries bounds the time in which a refused append is tried again.
 	storeTries   = time.Second
-	appendTries  = 700 * time.Millisecond
 	storeRetry   = 40 * time.Millisecond
 	leaderRetry  = 60 * time.Millisecond
 	idDigits     = 16
@@ -66,11 +65,11 @@
 
 // Handler serves callers.
 type Handler struct {
-	Config   Config
-	Store    store.Store
-	JobTopic string
-	Leader   Leader
-	Codec    Codec
+	Config Config
+	// Jobs appends to the partitions of the jobs' topic.
+	Jobs   []*store.Group
+	Leader Leader
+	Codec  Codec
 	// KeyWithdrawal is the time after which a withdrawn key must not work.
 	KeyWithdrawal time.Duration
 	Log           zerolog.Logger
@@ -225,7 +224,7 @@
 	began := time.Now()
 	unknown := false
 	for {
-		err := h.try(ctx, record)
+		err := h.Jobs[workload.Partition(q.id, len(h.Jobs))].Append(ctx, record)
 		if err == nil {
 			return true
 		}
@@ -238,13 +237,6 @@
 	}
 }
 
-func (h *Handler) try(ctx context.Context, record store.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTries)
-	defer cancel()
-	_, err := h.Store.Append(ctx, store.Append{Topic: h.JobTopic, Records: []store.Record{record}})
-	return err
-}
-
 // notStored answers a request whose record is not known to be stored. Only a record that was surely not stored is refused;
 // otherwise the job may run, and the answer says that the outcome is unknown.
 func (h *Handler) notStored(w http.ResponseWriter, r *http.Request, q *request, err error, unknown bool) {
--- /dev/null
+++ b/internal/store/group_test.go
@@ -0,0 +1,72 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// slowStore takes a while for each append and counts them.
+type slowStore struct {
+	mu      sync.Mutex
+	calls   int
+	records int
+	release chan struct{}
+}
+
+func (s *slowStore) Append(_ context.Context, a Append) (int64, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	s.records += len(a.Records)
+	return 0, nil
+}
+
+func (s *slowStore) Read(context.Context, string, int, int64, time.Duration) (Page, error) {
+	return Page{}, nil
+}
+
+func (s *slowStore) ReadNewest(context.Context, string, int, string) (Newest, error) {
+	return Newest{}, nil
+}
+
+// TestGroupAppendsTogether guards against one append for each record while the store is slow: a partition takes its appends one
+// after another, and single ones piled up until the store refused them.
+func TestGroupAppendsTogether(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := &slowStore{release: make(chan struct{})}
+	g := NewGroup(ctx, s, "topic", 0)
+	const records = 20
+	var waiting sync.WaitGroup
+	errs := make([]error, records)
+	for i := range records {
+		waiting.Go(func() { errs[i] = g.Append(ctx, Record{Key: fmt.Sprint(i)}) })
+	}
+	close(s.release)
+	waiting.Wait()
+	for _, err := range errs {
+		is.NoErr(err)
+	}
+	is.Equal(s.records, records)
+	is.True(s.calls <= records)
+}
+
+// TestGroupWaiterMayLeave guards against a waiter that is told that its record was not stored although it may be.
+func TestGroupWaiterMayLeave(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := &slowStore{release: make(chan struct{})}
+	g := NewGroup(ctx, s, "topic", 0)
+	short, cancel := context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+	is.Equal(g.Append(short, Record{Key: "k"}), ErrUnknown)
+	close(s.release)
+}
--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -29,6 +29,9 @@
 const (
 	// tailTimeout bounds a read beyond its wait. A slow store answers after 240 ms and more.
 	tailTimeout = 1200 * time.Millisecond
+	// newestTimeout bounds the read of a page of newest records, which may hold 1 MB, and newestTries the reads of one page.
+	newestTimeout = 3 * time.Second
+	newestTries   = 5
 	// tailRetry is the pause after a failed read.
 	tailRetry = 100 * time.Millisecond
 )
@@ -80,8 +83,20 @@
 	return end, newest, nil
 }
 
-func (t *Tail) readNewest(ctx context.Context, after string) (Newest, error) {
-	ctx, cancel := context.WithTimeout(ctx, tailTimeout)
+// readNewest reads one page and repeats the read a few times: a slow store must not make the whole catch-up begin anew.
+func (t *Tail) readNewest(ctx context.Context, after string) (page Newest, err error) {
+	for range newestTries {
+		page, err = t.tryNewest(ctx, after)
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		t.pause(ctx, tailRetry)
+	}
+	return page, err
+}
+
+func (t *Tail) tryNewest(ctx context.Context, after string) (Newest, error) {
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
 	return t.Store.ReadNewest(ctx, t.Topic, t.Partition, after)
 }
