--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -71,8 +71,8 @@
 	changed bool
 	// visible is the stored state, which callers are told.
 	visible workload.State
-	// held means that the job was there when the term began.
-	held bool
+	// partitions are those in which the job's submission or cancellation was seen, a bit for each.
+	partitions uint64
 }
 
 // Dispatcher is the leader's work in one term.
@@ -105,13 +105,14 @@
 	// storedWorkers is the stored set of workers with their pools.
 	storedWorkers map[string]string
 	// lastStored is the boot clock of the last append that succeeded.
-	lastStored  time.Duration
-	begunAt     time.Duration
-	poolsLogged time.Duration // boot clock
-	wall        time.Time     // the time of day at begunAt
-	estimates   estimates
-	counters    *counters
-	driver      *instanceDriver
+	lastStored     time.Duration
+	begunAt        time.Duration
+	unstoredLogged time.Duration // boot clock
+	poolsLogged    time.Duration // boot clock
+	wall           time.Time     // the time of day at begunAt
+	estimates      estimates
+	counters       *counters
+	driver         *instanceDriver
 	// waveRecords is the progress of waves that an earlier leader stored.
 	waveRecords map[int64]*waveRecord
 	// homeSizes is the stored number of instances of each pool, nil if none is stored.
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -39,7 +39,8 @@
 
 func (d *Dispatcher) jobTail(partition int) *jobTail {
 	return &jobTail{Tail: store.Tail{
-		Store: d.Store, Topic: d.JobTopic, Partition: partition, Wait: jobReadWait, Apply: d.apply, Log: d.Log,
+		Store: d.Store, Topic: d.JobTopic, Partition: partition, Wait: jobReadWait, Log: d.Log,
+		Apply:   func(r store.Record) { d.apply(partition, r) },
 		Contact: func(at time.Duration) { d.tailContact(partition, at) },
 	}}
 }
@@ -158,7 +159,6 @@
 
 // adopt takes over a job that was there when the term began. Callers hold mu.
 func (d *Dispatcher) adopt(j *job) {
-	j.held = true
 	if j.State.Ended() {
 		delete(d.active[j.Pool], j.ID)
 	} else if j.Advance(d.timeOfDay(j), d.Bounds.Early/2) {
@@ -201,7 +201,7 @@
 }
 
 // apply applies a record of a job that an entry instance has written.
-func (d *Dispatcher) apply(r store.Record) {
+func (d *Dispatcher) apply(partition int, r store.Record) {
 	kind, id := workload.ParseKey(r.Key)
 	if len(r.Value) == 0 {
 		return
@@ -211,6 +211,7 @@
 	switch kind {
 	case workload.KeySubmission:
 		d.submitted(id, r)
+		d.note(id, partition)
 	case workload.KeyCancel:
 		var c workload.Cancellation
 		if err := json.Unmarshal(r.Value, &c); err != nil {
@@ -218,6 +219,14 @@
 			return
 		}
 		d.cancelled(id, c.Team)
+		d.note(id, partition)
+	}
+}
+
+// note remembers where a job has records. Callers hold mu.
+func (d *Dispatcher) note(id string, partition int) {
+	if j := d.jobs[id]; j != nil {
+		j.partitions |= 1 << partition
 	}
 }
 
@@ -306,10 +315,16 @@
 // dropSubmissions drops the submissions of jobs, and then their progress. In the other order a job could be taken for a new one.
 func (d *Dispatcher) dropSubmissions(ids []string) {
 	byPartition := map[int][]store.Record{}
+	d.mu.Lock()
 	for _, id := range ids {
-		n := workload.Partition(id, d.JobPartitions)
-		byPartition[n] = append(byPartition[n], store.Record{Key: workload.SubmissionKey(id)}, store.Record{Key: workload.CancelKey(id)})
+		j := d.jobs[id]
+		for n := range d.JobPartitions {
+			if j != nil && j.partitions&(1<<n) != 0 {
+				byPartition[n] = append(byPartition[n], store.Record{Key: workload.SubmissionKey(id)}, store.Record{Key: workload.CancelKey(id)})
+			}
+		}
 	}
+	d.mu.Unlock()
 	var failed error
 	for n, records := range byPartition {
 		ctx, cancel := context.WithTimeout(d.ctx, appendTimeout)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,7 +33,7 @@
 	limits := d.limits()
 	for pool := range d.dirty {
 		workers := byPool[pool]
-		if len(workers) == 0 {
+		if len(workers) == 0 || d.unsettled(pool) {
 			continue
 		}
 		wants := d.wants(pool, workers, now)
@@ -100,11 +100,7 @@
 func (d *Dispatcher) wants(pool string, workers []*scheduling.Worker, now time.Time) []scheduling.Want {
 	var wants []scheduling.Want
 	room := scheduling.LargestRoom(workers)
-	asking := d.unsettled(pool)
 	for _, j := range d.active[pool] {
-		if asking && j.held {
-			continue // a worker that has not been asked yet may run its tasks
-		}
 		q := d.queue(j.Queue)
 		for _, o := range j.Occurrences {
 			var rank *scheduling.Rank
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -25,8 +26,8 @@
 		return "", ErrNotLoaded
 	}
 	j := d.jobs[id]
-	if j == nil && bootclock.Now()-d.tailFresh[workload.Partition(id, d.JobPartitions)] > unknownAfter {
-		return "", ErrNotLoaded // the job may have been accepted meanwhile
+	if j == nil && bootclock.Now()-slices.Min(d.tailFresh) > unknownAfter {
+		return "", ErrNotLoaded // the job may have been accepted meanwhile, in any partition
 	}
 	if j == nil || j.Queue != queue || j.Team != team {
 		return "", ErrNoJob
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -12,8 +12,9 @@
 )
 
 // While the store does not answer, accepted jobs go on: starts are sent before their assignments are stored, and only to workers whose
-// names are stored. A new leader holds back the waiting tasks of older jobs until it has asked those workers, or until no lease
-// there can last any longer. So it finds every run that is at work, also those of which the store knows nothing.
+// names are stored. A new leader starts nothing in a pool until it has asked those workers there, or until no lease there can last any
+// longer. So it finds every run that is at work, also those of which the store knows nothing; and an earlier leader that still
+// works, perhaps on jobs that were accepted after the change, is refused by then.
 
 // unstoredAfter is the time after which an append under way no longer holds back starts.
 const unstoredAfter = 300 * time.Millisecond
@@ -42,8 +43,9 @@
 		d.show(j, j.State)
 		delete(d.unshown, j)
 	}
-	if released > 0 {
-		d.counters.unstoredStarts.Add(int64(released))
+	d.counters.unstoredStarts.Add(int64(released))
+	if now := bootclock.Now(); released > 0 && now-d.unstoredLogged > poolLogInterval {
+		d.unstoredLogged = now
 		d.Log.Info().Str("event", "unstored_starts").Int("starts", released).Dur("store_silent", bootclock.Now()-began).Msg("tasks start before their assignments are stored")
 	}
 }
@@ -84,7 +86,7 @@
 	}
 }
 
-// unsettled reports whether a worker of the pool has to be asked before older jobs go on there. Callers hold mu.
+// unsettled reports whether a worker of the pool has to be asked before anything starts there. Callers hold mu.
 func (d *Dispatcher) unsettled(pool string) bool {
 	for id, a := range d.agents {
 		if a.unsettled && d.storedWorkers[id] == pool {
@@ -101,7 +103,7 @@
 		return nil
 	}
 	j := d.jobs[id]
-	if j == nil || !j.held || j.State.Ended() {
+	if j == nil || j.State.Ended() {
 		return nil
 	}
 	t := j.Task(k, step, index)
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -145,7 +145,7 @@
 // listen opens the listeners and starts serving.
 func (n *Node) listen(ctx context.Context) (*http.Server, error) {
 	handler := &front.Handler{
-		Config: n.follower, Jobs: n.jobGroups(ctx), Codec: n.platform.Codec,
+		Config: n.follower, Jobs: store.NewGroups(ctx, n.platform.Store, n.platform.JobTopic, n.settings.StorePartitions), Codec: n.platform.Codec,
 		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
 	}
@@ -176,15 +176,6 @@
 	return callers, nil
 }
 
-// jobGroups returns one group of appends for each partition of the jobs.
-func (n *Node) jobGroups(ctx context.Context) []*store.Group {
-	groups := make([]*store.Group, n.settings.StorePartitions)
-	for i := range groups {
-		groups[i] = store.NewGroup(ctx, n.platform.Store, n.platform.JobTopic, i)
-	}
-	return groups
-}
-
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -67,7 +67,7 @@
 type Handler struct {
 	Config Config
 	// Jobs appends to the partitions of the jobs' topic.
-	Jobs   []*store.Group
+	Jobs   *store.Groups
 	Leader Leader
 	Codec  Codec
 	// KeyWithdrawal is the time after which a withdrawn key must not work.
@@ -224,7 +224,7 @@
 	began := time.Now()
 	unknown := false
 	for {
-		err := h.Jobs[workload.Partition(q.id, len(h.Jobs))].Append(ctx, record)
+		err := h.Jobs.Append(ctx, workload.Hash(q.id), record)
 		if err == nil {
 			return true
 		}
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
+
+	"pollenlead/internal/bootclock"
 )
 
 const (
@@ -91,3 +95,82 @@
 	_, err := g.store.Append(ctx, Append{Topic: g.topic, Partition: g.partition, Records: records})
 	return err
 }
+
+// Groups appends to any of the partitions of a topic.
+type Groups struct {
+	partitions []*Group
+	mu         sync.Mutex // guards badUntil
+	badUntil   []time.Duration
+}
+
+const (
+	// tryNext is how long an append may take before the record goes to another partition as well.
+	tryNext = 900 * time.Millisecond
+	// avoidPartition is how long a partition that did not take a record comes last.
+	avoidPartition = 2 * time.Second
+)
+
+// NewGroups returns groups for all partitions of a topic. Their appends run until ctx is done.
+func NewGroups(ctx context.Context, s Store, topic string, partitions int) *Groups {
+	g := &Groups{badUntil: make([]time.Duration, partitions)}
+	for i := range partitions {
+		g.partitions = append(g.partitions, NewGroup(ctx, s, topic, i))
+	}
+	return g
+}
+
+// Append appends a record to one of the partitions, first to the one that hash chooses. Partitions may be away singly, so a record
+// that one does not take in time goes to the next; readers must bear a record in two partitions. Unless every try was refused, an
+// error means that the outcome is unknown.
+func (g *Groups) Append(ctx context.Context, hash int, r Record) error {
+	unknown := false
+	for n := range g.partitions {
+		p := g.choose(hash, n)
+		err := g.try(ctx, p, r)
+		if err == nil {
+			return nil
+		}
+		g.avoid(p)
+		unknown = unknown || !errors.Is(err, ErrBusy) && !errors.Is(err, ErrFull)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if unknown {
+		return ErrUnknown
+	}
+	return ErrBusy
+}
+
+func (g *Groups) try(ctx context.Context, partition int, r Record) error {
+	ctx, cancel := context.WithTimeout(ctx, tryNext)
+	defer cancel()
+	return g.partitions[partition].Append(ctx, r)
+}
+
+// choose returns the n-th partition from hash on, those that work before those that did not lately.
+func (g *Groups) choose(hash, n int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := bootclock.Now()
+	count := len(g.partitions)
+	for _, bad := range []bool{false, true} {
+		for i := range count {
+			p := (hash + i) % count
+			if (now < g.badUntil[p]) != bad {
+				continue
+			}
+			if n == 0 {
+				return p
+			}
+			n--
+		}
+	}
+	return hash % count
+}
+
+func (g *Groups) avoid(partition int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.badUntil[partition] = bootclock.Now() + avoidPartition
+}
--- a/internal/store/group_test.go
+++ b/internal/store/group_test.go
@@ -70,3 +70,39 @@
 	is.Equal(g.Append(short, Record{Key: "k"}), ErrUnknown)
 	close(s.release)
 }
+
+// brokenStore refuses or swallows the appends to one partition.
+type brokenStore struct {
+	slowStore
+	broken int
+	err    error
+}
+
+func (s *brokenStore) Append(ctx context.Context, a Append) (int64, error) {
+	if a.Partition == s.broken {
+		return 0, s.err
+	}
+	return s.slowStore.Append(ctx, a)
+}
+
+// TestGroupsGoRoundABrokenPartition guards against refusing a job because one partition of the store is away.
+func TestGroupsGoRoundABrokenPartition(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := &brokenStore{slowStore: slowStore{release: make(chan struct{})}, broken: 1, err: ErrUnknown}
+	close(s.release)
+	g := NewGroups(ctx, s, "topic", 3)
+	is.NoErr(g.Append(ctx, 1, Record{Key: "a"}))
+	is.Equal(g.choose(1, 0), 2) // the broken one comes last for a while
+	is.Equal(g.choose(1, 2), 1)
+}
+
+// TestGroupsTellTheTruth guards against a refusal of a record that may be stored in one of the partitions.
+func TestGroupsTellTheTruth(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	is.Equal(NewGroups(ctx, &brokenStore{err: ErrBusy}, "topic", 1).Append(ctx, 0, Record{}), ErrBusy)
+	is.Equal(NewGroups(ctx, &brokenStore{err: ErrUnknown}, "topic", 1).Append(ctx, 0, Record{}), ErrUnknown)
+}
--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -29,9 +29,10 @@
 const (
 	// tailTimeout bounds a read beyond its wait. A slow store answers after 240 ms and more.
 	tailTimeout = 1200 * time.Millisecond
-	// newestTimeout bounds the read of a page of newest records, which may hold 1 MB, and newestTries the reads of one page.
-	newestTimeout = 3 * time.Second
-	newestTries   = 5
+	// newestTimeout bounds the first read of a page of newest records; each further one may take twice as long, as a page may hold 1 MB
+	// and the store may be slow. newestTries bounds the reads of one page.
+	newestTimeout = 600 * time.Millisecond
+	newestTries   = 4
 	// tailRetry is the pause after a failed read.
 	tailRetry = 100 * time.Millisecond
 )
@@ -85,8 +86,8 @@
 
 // readNewest reads one page and repeats the read a few times: a slow store must not make the whole catch-up begin anew.
 func (t *Tail) readNewest(ctx context.Context, after string) (page Newest, err error) {
-	for range newestTries {
-		page, err = t.tryNewest(ctx, after)
+	for try := range newestTries {
+		page, err = t.tryNewest(ctx, after, newestTimeout<<try)
 		if err == nil || ctx.Err() != nil {
 			break
 		}
@@ -95,8 +96,8 @@
 	return page, err
 }
 
-func (t *Tail) tryNewest(ctx context.Context, after string) (Newest, error) {
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+func (t *Tail) tryNewest(ctx context.Context, after string, timeout time.Duration) (Newest, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return t.Store.ReadNewest(ctx, t.Topic, t.Partition, after)
 }
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -205,10 +205,8 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id string) string { return progressPrefix + id }
 
-// Partition returns the partition in which the records of a job's submission and cancellation are.
-func Partition(id string, partitions int) int {
-	return int(xxhash.Sum64String(id) % uint64(max(partitions, 1)))
-}
+// Hash spreads the records of jobs over partitions.
+func Hash(id string) int { return int(xxhash.Sum64String(id) >> 1) }
 
 // WaveKey returns the key of a wave's progress.
 func WaveKey(number int64) string { return wavePrefix + strconv.FormatInt(number, 10) }
