End a term when an earlier leader's append comes late

Ruled out: the order of the pages (they come by key, a key that moves cannot hide others). Possible: an append that the slow store carries out after it has fenced its writer, so that the new leader reads too early. Change: a term begins with a record, so that what lies before it has to be read; an append at another offset than expected ends the term. Test: TestLateAppendEndsTheTerm.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -214,7 +214,7 @@
 		if err != nil || len(home) == 0 {
 			return false
 		}
-		if !w.append(ctx, w.d.ProgressTopic, store.Record{Key: workload.HomeKey, Value: value}) {
+		if !w.append(ctx, w.d.JobTopic, store.Record{Key: workload.HomeKey, Value: value}) {
 			return false
 		}
 	}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"strconv"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -33,6 +35,9 @@
 	sequence int64
 	// slow means that the append under way has been logged as slow.
 	slow bool
+	// end is the offset at which the partition has to end before the next append. Another end means that an append of an earlier
+	// leader was carried out after this one had read the partition.
+	end int64
 }
 
 func newCommitter(d *Dispatcher) *committer { return &committer{d: d} }
@@ -49,9 +54,15 @@
 	confirm bool
 }
 
-// fence makes the store refuse the appends of all earlier terms. It reports false if this term is over already.
-func (c *committer) fence(ctx context.Context) bool {
-	return c.append(ctx, nil) == nil
+// errForeignRecords means that the partition holds records that this leader has not read.
+var errForeignRecords = errors.New("dispatch: an earlier leader's append was carried out late")
+
+// fence makes the store refuse the appends of all earlier terms, and returns the end of the partition after it. What an earlier
+// leader stored lies before that. It reports false if this term is over already.
+func (c *committer) fence(ctx context.Context) (end int64, ok bool) {
+	value := strconv.AppendInt(nil, c.d.Token, 10)
+	err := c.append(ctx, []store.Record{{Key: workload.TermKey, Value: value}})
+	return c.end, err == nil
 }
 
 // next returns what has to be stored now, or nil. An empty batch makes sure from time to time that no other leader has begun, as
@@ -84,13 +95,13 @@
 	c.sequence++
 	began := bootclock.Now()
 	for tries := 1; ctx.Err() == nil; tries++ {
-		err := c.try(ctx, records)
+		first, err := c.try(ctx, records)
 		c.watch(tries, len(records), bootclock.Now()-began, err)
 		var unexpected *store.SequenceError
 		switch {
 		case err == nil:
 			c.d.stored()
-			return nil
+			return c.advance(first, len(records))
 		case errors.Is(err, store.ErrFenced):
 			return err
 		case errors.As(err, &unexpected):
@@ -117,14 +128,25 @@
 	c.d.Log.Info().Str("event", "append_slow").Int("try", tries).Dur("took", took).Int("records", records).AnErr("outcome", outcome).Msg("the store takes long to append progress")
 }
 
-func (c *committer) try(ctx context.Context, records []store.Record) error {
+func (c *committer) try(ctx context.Context, records []store.Record) (first int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := c.d.Store.Append(ctx, store.Append{
+	return c.d.Store.Append(ctx, store.Append{
 		Topic: c.d.ProgressTopic, Records: records,
 		Producer: &store.Producer{Name: producerName, Epoch: c.d.Token, Sequence: c.sequence},
 	})
-	return err
+}
+
+// advance checks that nobody else has written since the last append.
+func (c *committer) advance(first int64, records int) error {
+	if records == 0 {
+		return nil
+	}
+	if c.end != 0 && first != c.end {
+		return fmt.Errorf("%w: offset %d where %d was expected", errForeignRecords, first, c.end)
+	}
+	c.end = first + int64(records)
+	return nil
 }
 
 // stored notes contact with the store.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -155,10 +155,11 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	commit := newCommitter(d)
-	if !commit.fence(ctx) {
+	fenced, ok := commit.fence(ctx)
+	if !ok {
 		return
 	}
-	tails, ok := d.load(ctx)
+	tails, ok := d.load(ctx, fenced)
 	if !ok {
 		return
 	}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -52,8 +52,8 @@
 	d.tailFresh[partition] = max(d.tailFresh[partition], at)
 }
 
-// load reads all jobs and their progress. It reports false when ctx is done.
-func (d *Dispatcher) load(ctx context.Context) ([]*jobTail, bool) {
+// load reads all jobs and their progress, the latter at least up to the offset fenced. It reports false when ctx is done.
+func (d *Dispatcher) load(ctx context.Context, fenced int64) ([]*jobTail, bool) {
 	began := d.now()
 	d.tailFresh = make([]time.Duration, d.JobPartitions)
 	tails := make([]*jobTail, d.JobPartitions)
@@ -64,7 +64,12 @@
 	}
 	progress := map[string][]byte{}
 	own := store.Tail{Store: d.Store, Topic: d.ProgressTopic, Log: d.Log, Apply: func(r store.Record) { d.applyOwn(r, progress) }}
-	catchUp(ctx, &own)
+	for ctx.Err() == nil {
+		if end, _ := catchUp(ctx, &own); end >= fenced {
+			break
+		}
+		pause(ctx, loadRetry)
+	}
 	reading.Wait()
 	if ctx.Err() != nil {
 		return nil, false
@@ -98,12 +103,8 @@
 	switch kind {
 	case workload.KeyProgress:
 		progress[id] = r.Value
-	case workload.KeyWave:
-		err = d.waveStored(id, r.Value)
 	case workload.KeyWorkers:
 		err = json.Unmarshal(r.Value, &d.storedWorkers)
-	case workload.KeyHome:
-		err = json.Unmarshal(r.Value, &d.homeSizes)
 	}
 	if err != nil {
 		d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("a record of an earlier leader cannot be read")
@@ -220,6 +221,24 @@
 		}
 		d.cancelled(id, c.Team)
 		d.note(id, partition)
+	case workload.KeyWave, workload.KeyHome:
+		d.applyFleet(kind, id, r.Value)
+	}
+}
+
+// applyFleet applies what an earlier leader stored of waves and of the sizes of pools. Callers hold mu.
+func (d *Dispatcher) applyFleet(kind workload.KeyKind, wave string, value []byte) {
+	if d.loaded {
+		return // this term's own record
+	}
+	var err error
+	if kind == workload.KeyWave {
+		err = d.waveStored(wave, value)
+	} else {
+		err = json.Unmarshal(value, &d.homeSizes)
+	}
+	if err != nil {
+		d.Log.Warn().Err(err).Str("event", "bad_record").Str("wave", wave).Msg("what an earlier leader stored of the instances cannot be read")
 	}
 }
 
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,3 +122,14 @@
 	is.Equal(len(task.Runs), 1)
 	is.True(task.Runs[0].Worker != "w0")
 }
+
+// TestLateAppendEndsTheTerm guards against a leader that goes on without progress that an earlier leader's append brought after it
+// had read: a slow store may carry out an append after it has fenced its writer.
+func TestLateAppendEndsTheTerm(t *testing.T) {
+	is := is.New(t)
+	c := &committer{}
+	is.NoErr(c.advance(7, 1)) // the fence
+	is.NoErr(c.advance(0, 0)) // an empty append has no offset
+	is.NoErr(c.advance(8, 3))
+	is.True(errors.Is(c.advance(12, 1), errForeignRecords))
+}
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -334,7 +334,7 @@
 		w.d.Log.Error().Err(err).Str("event", "bad_wave").Msg("progress of a wave cannot be encoded")
 		return false
 	}
-	return w.append(ctx, w.d.ProgressTopic, store.Record{Key: workload.WaveKey(x.request.Number), Value: value})
+	return w.append(ctx, w.d.JobTopic, store.Record{Key: workload.WaveKey(x.request.Number), Value: value})
 }
 
 // report tells the operator how far the wave is.
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -182,6 +182,9 @@
 // WorkersKey is the key of the record with the workers at which runs may be at work that are not stored.
 const WorkersKey = "k/workers"
 
+// TermKey is the key of the record with which a leader begins its term in the topic of progress.
+const TermKey = "e/term"
+
 // KeyKind says what a record of a job holds.
 type KeyKind uint8
 
