--- a/internal/leaderrpc/leaderrpc.go
+++ b/internal/leaderrpc/leaderrpc.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"sync"
@@ -77,10 +78,21 @@
 			return
 		}
 		stream := jsonrpc2.NewPlainObjectStream(conn)
-		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle))
+		jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(brokenConnections{s.Log}))
 	}
 }
 
+// brokenConnections counts what the library says of broken connections, which are usual while the leader changes.
+type brokenConnections struct{ log zerolog.Logger }
+
+var brokenTotal = expvar.NewInt("leader_connections_broken_total")
+
+// Printf implements jsonrpc2.Logger.
+func (b brokenConnections) Printf(format string, args ...any) {
+	brokenTotal.Add(1)
+	b.log.Debug().Str("event", "leader_connection").Msgf(format, args...)
+}
+
 func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	jobs := s.Leading()
 	if jobs == nil {
@@ -125,6 +137,7 @@
 	Leader func() string
 	// Local returns the leader's work if this entry instance leads, or nil.
 	Local func() Jobs
+	Log   zerolog.Logger
 
 	mu   sync.Mutex // guards conn and to; held while dialing
 	conn *jsonrpc2.Conn
@@ -201,7 +214,7 @@
 		return nil, err
 	}
 	// The leader asks nothing over this connection; its context is the process's, not the call's.
-	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(raw), noHandler{})
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(raw), noHandler{}, jsonrpc2.SetLogger(brokenConnections{c.Log}))
 	c.to = to
 	return c.conn, nil
 }
