Let large entry instances lead, and keep moves within the platform's rate

Ruled out: the cost of decisions and of encoding (under a tenth of the leader's samples in BenchmarkJobs; calls to workers take most). Change: members tell their processor share; a smaller one claims up to 0.5 s later and hands over to a larger one.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -14,6 +14,9 @@
 	"pollenlead/internal/workload"
 )
 
+// movePart is the part of the platform's rate of orders that moves may take; the rest is for waves.
+const movePart = 0.8
+
 // arrivalTime is how long an instance on its way is expected in its new pool, beyond the time of the move.
 const arrivalTime = 3 * time.Second
 
@@ -29,7 +32,11 @@
 	if len(pools) == 0 {
 		return
 	}
-	for _, m := range scheduling.Balance(pools, scheduling.DefaultBalance) {
+	policy := scheduling.DefaultBalance
+	if rate := w.d.Bounds.InstanceOrdersPerSecond; rate > 0 {
+		policy.MaxMoves = max(int(rate*movePart*instanceInterval.Seconds()), 1)
+	}
+	for _, m := range scheduling.Balance(pools, policy) {
 		w.cordon(workers[m.Instance])
 		w.arrivals[m.Instance] = arrival{to: m.To, until: bootclock.Now() + w.d.Bounds.Move + arrivalTime}
 		go w.move(ctx, m, workers[m.Instance])
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -52,11 +52,11 @@
 	Advisor   dispatch.Advisor
 	Operator  follow.Decoder
 	Codec     front.Codec
-	// JobTopic, ProgressTopic and LeaderTopic are topics of our own that keep the newest record of each key.
-	JobTopic, ProgressTopic, LeaderTopic string
-	WorkerTopic, StatusTopic             string
-	DecodeEntry                          func(id string, value []byte) (*fleet.WorkerEntry, error)
-	WaveStatus                           func(wave int64, done bool) (key string, value []byte)
+	// JobTopic, ProgressTopic, LeaderTopic and MemberTopic are topics of our own that keep the newest record of each key.
+	JobTopic, ProgressTopic, LeaderTopic, MemberTopic string
+	WorkerTopic, StatusTopic                          string
+	DecodeEntry                                       func(id string, value []byte) (*fleet.WorkerEntry, error)
+	WaveStatus                                        func(wave int64, done bool) (key string, value []byte)
 }
 
 // Node is one entry instance.
@@ -75,7 +75,7 @@
 	n := &Node{settings: s, platform: p, log: log}
 	n.follower = follow.New(p.Store, p.Operator, log)
 	n.election = leader.New(leader.Options{
-		Store: p.Store, Topic: p.LeaderTopic, Holder: s.Name + "/" + rand.Text()[:8],
+		Store: p.Store, Topic: p.LeaderTopic, MemberTopic: p.MemberTopic, Name: s.Name, Holder: s.Name + "/" + rand.Text()[:8],
 		Peer: net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPort)), CPUShare: s.CPUShare, Lead: n.lead, Log: log,
 	})
 	return n
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -25,9 +25,12 @@
 	// new leader to renew the leases.
 	claimAfter = 1500 * time.Millisecond
 	// claimSpread delays the claims of different entry instances by different times, so that few of them race.
-	claimSpread = 250 * time.Millisecond
-	// processorDelay is the longest delay for a small processor share, so that larger machines lead.
-	processorDelay = 250 * time.Millisecond
+	claimSpread = 150 * time.Millisecond
+	// processorDelay is the longest delay for a processor share below the largest one, so that a large entry instance leads.
+	processorDelay = 500 * time.Millisecond
+	// handOverPart is the part of the largest share below which a leader hands over, and handOverAfter how long it leads first.
+	handOverPart  = 0.75
+	handOverAfter = 2 * time.Second
 	// readWait is how long a read waits for a record.
 	readWait = 500 * time.Millisecond
 	// callTimeout bounds a call to the store beyond its wait. A slow store answers after 240 ms and more.
@@ -65,7 +68,9 @@
 	topic     string
 	holder    string
 	peer      string
-	delay     time.Duration
+	spread    time.Duration
+	share     float64
+	members   *members
 	lead      Lead
 	log       zerolog.Logger
 	mu        sync.Mutex // guards what follows
@@ -73,6 +78,7 @@
 	released  bool
 	changed   chan struct{} // closed and replaced when known changes
 	resigning bool
+	largest   float64 // the largest processor share of a member, as far as known
 	resigned  chan struct{}
 
 	// Only the goroutine of Run uses these.
@@ -84,8 +90,10 @@
 // Options configures an election.
 type Options struct {
 	Store store.Store
-	// Topic keeps the newest record of each key.
-	Topic string
+	// Topic and MemberTopic keep the newest record of each key.
+	Topic, MemberTopic string
+	// Name is the entry instance's name.
+	Name string
 	// Holder is unique for each start of a process.
 	Holder string
 	// Peer is where other entry instances call this one.
@@ -99,12 +107,34 @@
 func New(o Options) *Election {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(o.Holder))
-	delay := claimSpread * time.Duration(h.Sum32()%100) / 100
-	delay += time.Duration((1 - min(o.CPUShare, 1)) * float64(processorDelay))
-	return &Election{
-		store: o.Store, topic: o.Topic, holder: o.Holder, peer: o.Peer, delay: delay, lead: o.Lead, log: o.Log,
+	e := &Election{
+		store: o.Store, topic: o.Topic, holder: o.Holder, peer: o.Peer, lead: o.Lead, log: o.Log, share: o.CPUShare, largest: o.CPUShare,
+		spread:  claimSpread * time.Duration(h.Sum32()%100) / 100,
 		changed: make(chan struct{}), resigned: make(chan struct{}), end: -1,
 	}
+	e.members = &members{store: o.Store, topic: o.MemberTopic, name: o.Name, share: o.CPUShare, log: o.Log, publish: e.setLargest}
+	return e
+}
+
+func (e *Election) setLargest(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.largest = share
+}
+
+// part is this entry instance's processor share as a part of the largest one.
+func (e *Election) part() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.largest <= 0 {
+		return 1
+	}
+	return min(e.share/e.largest, 1)
+}
+
+// delay is how much later than the first this entry instance claims.
+func (e *Election) delay() time.Duration {
+	return e.spread + time.Duration((1-e.part())*float64(processorDelay))
 }
 
 // Known returns the present leader and a channel that is closed when that changes.
@@ -142,6 +172,7 @@
 
 // Run takes part in the election until ctx is done.
 func (e *Election) Run(ctx context.Context) {
+	go e.members.run(ctx)
 	for ctx.Err() == nil {
 		if err := e.follow(ctx); err != nil {
 			e.read = false
@@ -175,9 +206,9 @@
 	none := e.vacant()
 	silent := bootclock.Now() - e.lastSeen
 	if none {
-		return silent >= e.delay/2
+		return silent >= e.delay()
 	}
-	return silent >= claimAfter+e.delay
+	return silent >= claimAfter+e.delay()
 }
 
 // follow reads what is new in the chain.
@@ -206,9 +237,9 @@
 // wait is how long the next read may wait: until a claim would be possible.
 func (e *Election) wait() time.Duration {
 	none := e.vacant()
-	limit := claimAfter + e.delay
+	limit := claimAfter + e.delay()
 	if none {
-		limit = e.delay / 2
+		limit = e.delay()
 	}
 	left := limit - (bootclock.Now() - e.lastSeen)
 	return max(min(left, readWait), time.Millisecond)
@@ -325,7 +356,7 @@
 	reason := e.renew(ctx, token, done)
 	stop()
 	<-done
-	if reason == endResigned || reason == endWork {
+	if reason == endResigned || reason == endWork || reason == endHandOver {
 		e.release(ctx, token)
 	}
 	if reason == endResigned {
@@ -342,13 +373,18 @@
 	endLost     endReason = "another entry instance has claimed"
 	endResigned endReason = "resigned"
 	endWork     endReason = "the leader's work ended"
+	endHandOver endReason = "a larger entry instance is there"
 )
 
 // renew appends heartbeats and returns when the term is over.
 func (e *Election) renew(ctx context.Context, token int64, work <-chan struct{}) endReason {
 	next := time.NewTimer(heartbeatInterval)
 	defer next.Stop()
+	began := bootclock.Now()
 	for {
+		if e.part() < handOverPart && bootclock.Now()-began > handOverAfter {
+			return endHandOver
+		}
 		if e.isResigning() {
 			return endResigned
 		}
