Append submissions where nothing of the process waits

Change: an entry instance begins at a partition of its own and takes the next one while something of its own is under way there.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"pollenlead/internal/dispatch"
@@ -145,7 +146,7 @@
 // listen opens the listeners and starts serving.
 func (n *Node) listen(ctx context.Context) (*http.Server, error) {
 	handler := &front.Handler{
-		Config: n.follower, Jobs: store.NewGroups(ctx, n.platform.Store, n.platform.JobTopic, n.settings.StorePartitions), Codec: n.platform.Codec,
+		Config: n.follower, Jobs: store.NewGroups(ctx, n.platform.Store, n.platform.JobTopic, n.settings.StorePartitions, preferredPartition(n.settings)), Codec: n.platform.Codec,
 		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
 	}
@@ -176,6 +177,11 @@
 	return callers, nil
 }
 
+// preferredPartition spreads the entry instances over the partitions of the jobs.
+func preferredPartition(s fleet.Settings) int {
+	return int(xxhash.Sum64String(s.Name) % uint64(s.StorePartitions))
+}
+
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -224,7 +224,7 @@
 	began := time.Now()
 	unknown := false
 	for {
-		err := h.Jobs.Append(ctx, workload.Hash(q.id), record)
+		err := h.Jobs.Append(ctx, record)
 		if err == nil {
 			return true
 		}
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -25,6 +27,8 @@
 	topic     string
 	partition int
 	queue     chan groupItem
+	// pending is the number of records that wait or are on their way.
+	pending atomic.Int32
 }
 
 type groupItem struct {
@@ -42,9 +46,11 @@
 // Append appends one record with others. After ctx is done the outcome is unknown, unless the record had not been sent.
 func (g *Group) Append(ctx context.Context, r Record) error {
 	item := groupItem{record: r, done: make(chan error, 1)}
+	g.pending.Add(1)
 	select {
 	case g.queue <- item:
 	default:
+		g.pending.Add(-1)
 		return ErrBusy
 	}
 	select {
@@ -66,6 +72,7 @@
 		}
 		batch = g.fill(batch)
 		err := g.append(ctx, batch)
+		g.pending.Add(-int32(len(batch)))
 		for _, item := range batch {
 			item.done <- err
 		}
@@ -99,33 +106,35 @@
 // Groups appends to any of the partitions of a topic.
 type Groups struct {
 	partitions []*Group
+	preferred  int
 	mu         sync.Mutex // guards badUntil
 	badUntil   []time.Duration
 }
 
 const (
 	// tryNext is how long an append may take before the record goes to another partition as well.
-	tryNext = 900 * time.Millisecond
+	tryNext = 1400 * time.Millisecond
 	// avoidPartition is how long a partition that did not take a record comes last.
 	avoidPartition = 2 * time.Second
 )
 
-// NewGroups returns groups for all partitions of a topic. Their appends run until ctx is done.
-func NewGroups(ctx context.Context, s Store, topic string, partitions int) *Groups {
-	g := &Groups{badUntil: make([]time.Duration, partitions)}
+// NewGroups returns groups for all partitions of a topic, of which this process prefers one: its records then wait for few other
+// appends, and go together. The appends run until ctx is done.
+func NewGroups(ctx context.Context, s Store, topic string, partitions, preferred int) *Groups {
+	g := &Groups{preferred: preferred, badUntil: make([]time.Duration, partitions)}
 	for i := range partitions {
 		g.partitions = append(g.partitions, NewGroup(ctx, s, topic, i))
 	}
 	return g
 }
 
-// Append appends a record to one of the partitions, first to the one that hash chooses. Partitions may be away singly, so a record
+// Append appends a record to one of the partitions, first to the preferred one. Partitions may be away singly, so a record
 // that one does not take in time goes to the next; readers must bear a record in two partitions. Unless every try was refused, an
 // error means that the outcome is unknown.
-func (g *Groups) Append(ctx context.Context, hash int, r Record) error {
+func (g *Groups) Append(ctx context.Context, r Record) error {
 	unknown := false
 	for n := range g.partitions {
-		p := g.choose(hash, n)
+		p := g.choose(n)
 		err := g.try(ctx, p, r)
 		if err == nil {
 			return nil
@@ -148,25 +157,28 @@
 	return g.partitions[partition].Append(ctx, r)
 }
 
-// choose returns the n-th partition from hash on, those that work before those that did not lately.
-func (g *Groups) choose(hash, n int) int {
+// choose returns the n-th partition from the preferred one on: first those where nothing of this process waits, then the others, and last
+// those that did not work lately.
+func (g *Groups) choose(n int) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := bootclock.Now()
 	count := len(g.partitions)
-	for _, bad := range []bool{false, true} {
-		for i := range count {
-			p := (hash + i) % count
-			if (now < g.badUntil[p]) != bad {
-				continue
-			}
-			if n == 0 {
-				return p
-			}
-			n--
+	rank := func(p int) int {
+		switch {
+		case now < g.badUntil[p]:
+			return 2
+		case g.partitions[p].pending.Load() > 0:
+			return 1
 		}
+		return 0
 	}
-	return hash % count
+	order := make([]int, count)
+	for i := range count {
+		order[i] = (g.preferred + i) % count
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return rank(a) - rank(b) })
+	return order[n%count]
 }
 
 func (g *Groups) avoid(partition int) {
--- a/internal/store/group_test.go
+++ b/internal/store/group_test.go
@@ -92,10 +92,10 @@
 	defer stop()
 	s := &brokenStore{slowStore: slowStore{release: make(chan struct{})}, broken: 1, err: ErrUnknown}
 	close(s.release)
-	g := NewGroups(ctx, s, "topic", 3)
-	is.NoErr(g.Append(ctx, 1, Record{Key: "a"}))
-	is.Equal(g.choose(1, 0), 2) // the broken one comes last for a while
-	is.Equal(g.choose(1, 2), 1)
+	g := NewGroups(ctx, s, "topic", 3, 1)
+	is.NoErr(g.Append(ctx, Record{Key: "a"}))
+	is.Equal(g.choose(0), 2) // the broken one comes last for a while
+	is.Equal(g.choose(2), 1)
 }
 
 // TestGroupsTellTheTruth guards against a refusal of a record that may be stored in one of the partitions.
@@ -103,6 +103,6 @@
 	is := is.New(t)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	is.Equal(NewGroups(ctx, &brokenStore{err: ErrBusy}, "topic", 1).Append(ctx, 0, Record{}), ErrBusy)
-	is.Equal(NewGroups(ctx, &brokenStore{err: ErrUnknown}, "topic", 1).Append(ctx, 0, Record{}), ErrUnknown)
+	is.Equal(NewGroups(ctx, &brokenStore{err: ErrBusy}, "topic", 1, 0).Append(ctx, Record{}), ErrBusy)
+	is.Equal(NewGroups(ctx, &brokenStore{err: ErrUnknown}, "topic", 1, 0).Append(ctx, Record{}), ErrUnknown)
 }
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pollenlead/internal/fleet"
 )
 
@@ -208,9 +206,6 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id string) string { return progressPrefix + id }
 
-// Hash spreads the records of jobs over partitions.
-func Hash(id string) int { return int(xxhash.Sum64String(id) >> 1) }
-
 // WaveKey returns the key of a wave's progress.
 func WaveKey(number int64) string { return wavePrefix + strconv.FormatInt(number, 10) }
 
