--- a/cmd/pollenlead/entry.go
+++ b/cmd/pollenlead/entry.go
@@ -5,11 +5,11 @@
 	"errors"
 	"os"
 	"runtime/debug"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"pollenlead/internal/entrynode"
+	"pollenlead/internal/logging"
 	"pollenlead/platform"
 )
 
@@ -42,8 +42,10 @@
 	if err != nil {
 		return err
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("entry_instance", s.Name).Logger()
+	log, buffered := logging.New(os.Stdout, level)
+	defer func() { _ = buffered.Close() }()
+	log = log.With().Str("entry_instance", s.Name).Logger()
+	go logging.Report(ctx, log)
 	debug.SetGCPercent(platformGCPercent)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * platformMemoryPart))
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -34,18 +34,19 @@
 	Output    string        `help:"Form of the output: text or json." enum:"text,json" default:"text"`
 	Timeout   time.Duration `help:"Longest time for the whole command." default:"30s"`
 
-	Check  CheckCmd  `cmd:"" help:"Check a document with the code that the server runs. Exits with 4 if it has problems."`
-	Diff   DiffCmd   `cmd:"" help:"Show the effect of a document in words, against the one in force or another file."`
-	Apply  ApplyCmd  `cmd:"" help:"Publish a document and wait until every live entry instance has it in force."`
-	Status StatusCmd `cmd:"" help:"Show members, teams, pools and jobs."`
-	Submit SubmitCmd `cmd:"" help:"Submit a job."`
-	Job    JobCmd    `cmd:"" help:"Show a job or its result."`
-	Cancel CancelCmd `cmd:"" help:"Cancel a job."`
-	Audit  AuditCmd  `cmd:"" help:"Show the audit trail."`
-	Move   MoveCmd   `cmd:"" help:"Move an instance to another pool."`
-	Wave   WaveCmd   `cmd:"" help:"Plan, start and control maintenance waves."`
-	Key    KeyCmd    `cmd:"" help:"Make API keys."`
-	Replay ReplayCmd `cmd:"" help:"Fold a recorded trace and compare it with its stated outcomes. Exits with 7 at the first difference."`
+	Check   CheckCmd   `cmd:"" help:"Check a document with the code that the server runs. Exits with 4 if it has problems."`
+	Diff    DiffCmd    `cmd:"" help:"Show the effect of a document in words, against the one in force or another file."`
+	Apply   ApplyCmd   `cmd:"" help:"Publish a document and wait until every live entry instance has it in force."`
+	Status  StatusCmd  `cmd:"" help:"Show members, teams, pools and jobs."`
+	Submit  SubmitCmd  `cmd:"" help:"Submit a job."`
+	Job     JobCmd     `cmd:"" help:"Show a job or its result."`
+	Cancel  CancelCmd  `cmd:"" help:"Cancel a job."`
+	Audit   AuditCmd   `cmd:"" help:"Show the audit trail."`
+	Move    MoveCmd    `cmd:"" help:"Move an instance to another pool."`
+	Wave    WaveCmd    `cmd:"" help:"Plan, start and control maintenance waves."`
+	Explain ExplainCmd `cmd:"" help:"Show what the logs of entry instances say of one job, in the order of time."`
+	Key     KeyCmd     `cmd:"" help:"Make API keys."`
+	Replay  ReplayCmd  `cmd:"" help:"Fold a recorded trace and compare it with its stated outcomes. Exits with 7 at the first difference."`
 }
 
 // exitError carries an exit code.
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -453,7 +453,13 @@
 		d.learn(a, run, e.Kind, now)
 	}
 	d.counters.end(e.Kind)
-	d.Log.Debug().Str("event", "run_ended").Str("task", e.Task).Int("run", e.Run).Str("worker", a.id).Str("how", string(e.Kind)).Msg("run ended")
+	if e.Kind == worker.EndDone {
+		d.Log.Debug().Str("event", "run_ended").Str("task", e.Task).Int("run", e.Run).Str("worker", a.id).Str("how", string(e.Kind)).Msg("run ended")
+	} else {
+		j.failures++
+		d.Log.Info().Str("event", "run_ended").Str("task", e.Task).Int("run", e.Run).Str("worker", a.id).Str("how", string(e.Kind)).
+			Int("failures", t.Failures).Msg("a run ended without being done")
+	}
 	attempts := max(d.queue(j.Queue).Attempts, 1)
 	j.End(t, run, e.Kind, e.Checkpoint, attempts, now)
 	d.touch(j)
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -250,5 +250,6 @@
 	took := j.EndedAt.Sub(j.Submitted)
 	d.counters.ended(state, took)
 	d.Log.Info().Str("event", "job_ended").Str("job", j.ID).Str("queue", j.Queue).Str("team", j.Team).Str("state", string(state)).
-		Dur("took", took).Msg("job ended")
+		Dur("took", took).Dur("first_start_after", j.firstStart).Dur("objective", j.objective).Int("runs_failed", j.failures).
+		Msg("job ended")
 }
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"pollenlead/internal/metrics"
 	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
 )
@@ -13,8 +14,8 @@
 	accepted, starts, startsRefused, runsLost, strays, badEntries, appendRetries, moves, unstoredStarts expvar.Int
 	ends                                                                                                expvar.Map
 	jobs                                                                                                expvar.Map
-	// jobMillis sums the time from acceptance to the end of jobs that were done.
-	jobMillis expvar.Int
+	// doneMillis is the time from acceptance to the end of jobs that were done, and startMillis to their first start.
+	doneMillis, startMillis *metrics.Histogram
 }
 
 var sharedCounters = newCounters()
@@ -33,7 +34,9 @@
 	m.Set("instance_moves_total", &c.moves)
 	m.Set("runs_ended_total", c.ends.Init())
 	m.Set("jobs_ended_total", c.jobs.Init())
-	m.Set("jobs_done_milliseconds_total", &c.jobMillis)
+	c.doneMillis, c.startMillis = metrics.NewHistogram(), metrics.NewHistogram()
+	m.Set("job_done_milliseconds", c.doneMillis)
+	m.Set("job_first_start_milliseconds", c.startMillis)
 	return c
 }
 
@@ -42,6 +45,6 @@
 func (c *counters) ended(state workload.State, took time.Duration) {
 	c.jobs.Add(string(state), 1)
 	if state == workload.StateDone {
-		c.jobMillis.Add(took.Milliseconds())
+		c.doneMillis.Observe(took)
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -71,6 +71,10 @@
 	changed bool
 	// visible is the stored state, which callers are told.
 	visible workload.State
+	// firstStart is the time from the acceptance to the first assignment, objective the time that the job had by its estimates, and
+	// failures the number of its runs that did not end done.
+	firstStart, objective time.Duration
+	failures              int
 	// partitions are those in which the job's submission or cancellation was seen, a bit for each.
 	partitions uint64
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -150,8 +150,7 @@
 	if due := j.Spec.DueAt(o.Number); !due.IsZero() {
 		begin = due
 	}
-	objective := time.Duration(float64(d.estimates.whole(o))*q.Stretch) + q.LatencyObjective
-	slack := begin.Add(objective).Sub(now) - d.estimates.remaining(o)
+	slack := begin.Add(d.objective(o, q)).Sub(now) - d.estimates.remaining(o)
 	r := scheduling.Rank{Tier: scheduling.TierOnTime, Priority: q.Priority, Slack: slack, Submitted: j.Submitted}
 	if slack < 0 {
 		r.Tier = scheduling.TierLate
@@ -159,10 +158,22 @@
 	return r
 }
 
+// objective returns the time in which an occurrence should be done, by what its work is estimated to take. Callers hold mu.
+func (d *Dispatcher) objective(o *workload.Occurrence, q *fleet.Queue) time.Duration {
+	return time.Duration(float64(d.estimates.whole(o))*q.Stretch) + q.LatencyObjective
+}
+
 // assign gives a task a run. The start goes out when the assignment is stored. Callers hold mu.
 func (d *Dispatcher) assign(p scheduling.Placement, now time.Time) {
 	t := p.Task
 	number := t.LastRun + 1
+	if j := d.jobs[t.Step.Job.ID]; !j.Started {
+		j.firstStart = now.Sub(j.Submitted)
+		j.objective = d.objective(t.Step.Occurrence, d.queue(j.Queue))
+		d.counters.startMillis.Observe(j.firstStart)
+		d.Log.Info().Str("event", "job_started").Str("job", j.ID).Dur("after", j.firstStart).Dur("objective", j.objective).Str("worker", p.Worker.ID).
+			Msg("first task of a job is placed")
+	}
 	if t.Step.Spec.Gang {
 		for _, member := range t.Step.Tasks {
 			number = max(number, member.LastRun+1)
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -1,6 +1,10 @@
 package front
 
-import "expvar"
+import (
+	"expvar"
+
+	"pollenlead/internal/metrics"
+)
 
 // counters are the front's metrics.
 var counters = newFrontCounters()
@@ -8,6 +12,8 @@
 type frontCounters struct {
 	accepted, cancelled, unknown expvar.Int
 	refused                      expvar.Map // by status
+	// acceptMillis is the time in which a submission was stored.
+	acceptMillis *metrics.Histogram
 }
 
 func newFrontCounters() *frontCounters {
@@ -17,5 +23,7 @@
 	m.Set("cancellations_total", &c.cancelled)
 	m.Set("outcomes_unknown_total", &c.unknown)
 	m.Set("refused_total", c.refused.Init())
+	c.acceptMillis = metrics.NewHistogram()
+	m.Set("accept_milliseconds", c.acceptMillis)
 	return c
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -202,6 +202,9 @@
 	}
 	if h.append(ctx, w, r, q, store.Record{Key: workload.SubmissionKey(q.id), Value: value}) {
 		counters.accepted.Add(1)
+		counters.acceptMillis.Observe(time.Since(received))
+		h.Log.Info().Str("event", "accepted").Str("job", q.id).Str("queue", q.queue.Name).Str("team", q.team).Int64("config_version", q.version).
+			Dur("stored_in", time.Since(received)).Msg("job accepted")
 		answer(w, http.StatusOK, []byte("{}"))
 	}
 }
@@ -215,6 +218,7 @@
 	}
 	if h.append(ctx, w, r, q, store.Record{Key: workload.CancelKey(q.id), Value: value}) {
 		counters.cancelled.Add(1)
+		h.Log.Info().Str("event", "cancel_accepted").Str("job", q.id).Str("team", q.team).Int64("config_version", q.version).Msg("cancellation stored")
 		answer(w, http.StatusOK, []byte("{}"))
 	}
 }
