--- a/internal/scheduling/balance.go
+++ b/internal/scheduling/balance.go
@@ -56,7 +56,7 @@
 
 // DefaultBalance answers demand that rises and falls by turns of seconds: a pool in its turn asks more than it holds, while the
 // others rest.
-var DefaultBalance = BalancePolicy{KeepPart: 0.5, RestPart: 1, CalmLoad: 0.4, Linger: 1500 * time.Millisecond, MaxMoves: 16}
+var DefaultBalance = BalancePolicy{KeepPart: 0.7, RestPart: 1, CalmLoad: 0.4, Linger: 1500 * time.Millisecond, MaxMoves: 16}
 
 // Balance returns the moves that bring instances to the pools where work waits, and take idle ones from where they are not needed.
 // It changes the pools that it is given.
