--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -14,8 +14,25 @@
 	"pollenlead/internal/workload"
 )
 
-// movePart is the part of the platform's rate of orders that moves may take; the rest is for waves.
-const movePart = 0.8
+const (
+	// movePart is the part of the platform's rate of orders that moves may take; the rest is for waves.
+	movePart = 0.9
+	// moveBurst is the time whose orders may be given at once after a pause.
+	moveBurst = 500 * time.Millisecond
+	// defaultMoveRate is the rate of moves a second where the platform names no bound.
+	defaultMoveRate = 60
+)
+
+// moveBudget returns how many moves the platform's rate of orders allows now.
+func (w *instanceDriver) moveBudget(now time.Duration) int {
+	rate := w.d.Bounds.InstanceOrdersPerSecond * movePart
+	if rate <= 0 {
+		rate = defaultMoveRate
+	}
+	w.moveTokens = min(w.moveTokens+rate*(now-w.movesAt).Seconds(), rate*moveBurst.Seconds())
+	w.movesAt = now
+	return int(w.moveTokens)
+}
 
 // arrivalTime is how long an instance on its way is expected in its new pool, beyond the time of the move.
 const arrivalTime = 3 * time.Second
@@ -33,10 +50,10 @@
 		return
 	}
 	policy := scheduling.DefaultBalance
-	if rate := w.d.Bounds.InstanceOrdersPerSecond; rate > 0 {
-		policy.MaxMoves = max(int(rate*movePart*instanceInterval.Seconds()), 1)
-	}
-	for _, m := range scheduling.Balance(pools, policy) {
+	policy.MaxMoves = w.moveBudget(bootclock.Now())
+	moves := scheduling.Balance(pools, policy)
+	w.moveTokens -= float64(len(moves))
+	for _, m := range moves {
 		w.cordon(workers[m.Instance])
 		w.arrivals[m.Instance] = arrival{to: m.To, until: bootclock.Now() + w.d.Bounds.Move + arrivalTime}
 		go w.move(ctx, m, workers[m.Instance])
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -67,3 +67,17 @@
 	w.quietUntil = 0
 	is.True(w.orderable(fleet.Instance{Worker: "w1"}))
 }
+
+// TestMoveBudgetFollowsTheRate guards against more orders than the platform accepts, and against fewer because decisions come late.
+func TestMoveBudgetFollowsTheRate(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	d.Bounds.InstanceOrdersPerSecond = 100
+	w := newInstanceDriver(d)
+	now := bootclock.Now()
+	is.Equal(w.moveBudget(now), 45) // half a second's orders after a pause
+	w.moveTokens = 0
+	is.Equal(w.moveBudget(now+200*time.Millisecond), 18)
+	is.Equal(w.moveBudget(now+10*time.Second), 45)
+}
