Give heartbeats of the leader a timeout that follows the store

Cause: with lost answers a heartbeat waited 1.2 s, the others claimed after 1.5 s and the term changed three times in 4 s (owner-and-store).

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -21,6 +21,8 @@
 const (
 	// heartbeatInterval is the time between two heartbeats of the leader.
 	heartbeatInterval = 400 * time.Millisecond
+	// heartbeatRetry is the pause after a heartbeat that the store did not take.
+	heartbeatRetry = 50 * time.Millisecond
 	// claimAfter is the silence of the leader after which another claims. With the lease of tasks it has to leave time for the
 	// new leader to renew the leases.
 	claimAfter = 1500 * time.Millisecond
@@ -85,6 +87,7 @@
 	end      int64         // end of the partition, as far as read
 	lastSeen time.Duration // boot clock at the newest record's receipt
 	read     bool          // the last read succeeded
+	pace     pace          // how fast the store takes heartbeats
 }
 
 // Options configures an election.
@@ -304,7 +307,7 @@
 
 // claim appends the record that begins a term.
 func (e *Election) claim(ctx context.Context) (int64, error) {
-	offset, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer})
+	offset, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer}, callTimeout)
 	if err == nil {
 		return offset + 1, nil
 	}
@@ -326,12 +329,12 @@
 }
 
 // append adds a link at the known end.
-func (e *Election) append(ctx context.Context, r record) (int64, error) {
+func (e *Election) append(ctx context.Context, r record, timeout time.Duration) (int64, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return 0, fmt.Errorf("leader: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	at := e.end
 	offset, err := e.store.Append(ctx, store.Append{
@@ -398,17 +401,24 @@
 			continue
 		case <-next.C:
 		}
+		seen := e.lastSeen
 		if lost := e.heartbeat(ctx, token); lost {
 			return endLost
 		}
-		next.Reset(heartbeatInterval)
+		if e.lastSeen > seen {
+			next.Reset(heartbeatInterval)
+		} else {
+			next.Reset(heartbeatRetry) // the others have not heard of the leader either
+		}
 	}
 }
 
 // heartbeat appends one heartbeat and reports whether the term is lost. A store that does not answer loses no term: only
 // another's claim does.
 func (e *Election) heartbeat(ctx context.Context, token int64) (lost bool) {
-	_, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer, Token: token})
+	began := bootclock.Now()
+	_, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer, Token: token}, e.pace.timeout())
+	e.pace.observe(bootclock.Now() - began)
 	if err == nil {
 		return false
 	}
@@ -430,7 +440,7 @@
 
 // release tells the others that they may claim at once.
 func (e *Election) release(ctx context.Context, token int64) {
-	if _, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer, Token: token, Released: true}); err != nil {
+	if _, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer, Token: token, Released: true}, callTimeout); err != nil {
 		e.log.Warn().Err(err).Str("event", "release_failed").Msg("leadership could not be released; it ends by silence")
 	}
 }
--- a/internal/leader/members_test.go
+++ b/internal/leader/members_test.go
@@ -35,3 +35,20 @@
 	alone := New(Options{Holder: "small", CPUShare: 0.2})
 	is.True(alone.delay() <= claimSpread)
 }
+
+// TestPaceFollowsTheStore guards against a leader that waits so long for a lost answer that the others claim, and against one that gives
+// up on a slow store.
+func TestPaceFollowsTheStore(t *testing.T) {
+	is := is.New(t)
+	var p pace
+	is.Equal(p.timeout(), leastTimeout)
+	is.True(2*leastTimeout+heartbeatInterval < claimAfter)
+	for range 10 {
+		p.observe(300 * time.Millisecond)
+	}
+	is.True(p.timeout() > 800*time.Millisecond)
+	for range 30 {
+		p.observe(5 * time.Millisecond)
+	}
+	is.Equal(p.timeout(), leastTimeout)
+}
