Store ends at leaving workers before they are shown

Ruled out: a lost append (the store was down for all). Change: while the store is away a job is not shown as ended if such an end is known only to a leaving worker. Left: the same with a worker that crashes in between.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -58,6 +58,8 @@
 	deadline int64
 	// seenEnd is the highest end that was applied, and storedEnd the highest that is stored.
 	seenEnd, storedEnd int64
+	// unstoredJobs are the jobs of the ends that are not stored.
+	unstoredJobs map[string]bool
 	// silentSince is the boot clock of the first renewal without an answer after the last answer; 0 while it answers.
 	silentSince time.Duration
 	// probeUntil is set after failures: until then the worker gets no task, and after it one at a time until one succeeds.
@@ -82,7 +84,7 @@
 	if a == nil {
 		a = &agent{
 			id: id, firstSeen: bootclock.Now(), runs: map[runKey]*workload.Run{}, notify: make(chan struct{}, 1),
-			orders: make(chan struct{}, startsAtOnce), stray: map[runKey]time.Duration{},
+			orders: make(chan struct{}, startsAtOnce), stray: map[runKey]time.Duration{}, unstoredJobs: map[string]bool{},
 		}
 		d.agents[id] = a
 	}
@@ -434,6 +436,7 @@
 	}
 	run := a.runs[runKey{e.Task, e.Run}]
 	j := d.jobs[id]
+	a.unstoredJobs[id] = true
 	if run != nil {
 		d.detach(a, run)
 	}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -234,6 +234,9 @@
 	}
 	for a, n := range b.ends {
 		a.storedEnd = max(a.storedEnd, n)
+		if a.storedEnd >= a.seenEnd {
+			clear(a.unstoredJobs)
+		}
 		a.nudge()
 	}
 }
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -40,6 +40,9 @@
 		released++
 	}
 	for j := range d.unshown {
+		if d.endsMayGo(j) {
+			continue
+		}
 		d.show(j, j.State)
 		delete(d.unshown, j)
 	}
@@ -50,6 +53,17 @@
 	}
 }
 
+// endsMayGo reports whether an end of the job that is not stored is known only to a worker that is leaving. A new leader would not learn
+// of it and run the task again, after callers were told that the job is done. Callers hold mu.
+func (d *Dispatcher) endsMayGo(j *job) bool {
+	for _, a := range d.agents {
+		if a.unstoredJobs[j.ID] && (a.entry == nil || a.entry.Draining) {
+			return true
+		}
+	}
+	return false
+}
+
 // workerSet returns the workers in service with their pools. Callers hold mu.
 func (d *Dispatcher) workerSet() map[string]string {
 	set := make(map[string]string, len(d.agents))
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -105,3 +105,25 @@
 	is.Equal(len(task.Runs), 1)
 	is.Equal(task.Runs[0].Worker, "w1")
 }
+
+// TestEndsAtLeavingWorkersAreStoredFirst guards against a job that is shown as done while its end is known only to a worker that is
+// leaving: the next leader ran such a task again.
+func TestEndsAtLeavingWorkersAreStoredFirst(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	j := d.addJob("0011223344556677", oneTask)
+	d.place()
+	run := j.Task(0, 0, 0).Runs[0]
+	run.Stored, run.Released, run.Phase = true, true, workload.RunActive
+	a.entry.Draining = true
+	d.reported(a, worker.Report{ClockMillis: 1, Ended: []worker.End{{Number: 1, Task: run.Task.Name(), Run: 1, Kind: worker.EndDone}}}, bootclock.Now())
+	is.Equal(j.State, workload.StateDone)
+	long := bootclock.Now() - unstoredAfter - time.Millisecond
+	d.releaseUnstored(long)
+	is.Equal(j.visible, workload.StatePending)
+	a.entry.Draining = false
+	d.releaseUnstored(long)
+	is.Equal(j.visible, workload.StateDone)
+}
