--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pollenlead/internal/bootclock"
+	"pollenlead/internal/sleep"
 	"pollenlead/internal/store"
 	"pollenlead/internal/workload"
 )
@@ -113,7 +114,7 @@
 			c.d.Log.Error().Err(err).Str("event", "append_failed").Int("records", len(records)).Msg("progress cannot be stored")
 		}
 		c.d.counters.appendRetries.Add(1)
-		pause(ctx, min(appendRetry*time.Duration(tries), maxAppendRetry))
+		sleep.For(ctx, min(appendRetry*time.Duration(tries), maxAppendRetry))
 	}
 	return ctx.Err()
 }
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -38,32 +38,25 @@
 
 // remaining returns the longest chain of work that is left of an occurrence.
 func (e *estimates) remaining(o *workload.Occurrence) time.Duration {
-	ends := make([]time.Duration, len(o.Steps))
-	longest := time.Duration(0)
-	for i, s := range o.Steps {
-		begin := time.Duration(0)
-		for _, dep := range s.Spec.DependsOn {
-			begin = max(begin, ends[dep])
-		}
-		ends[i] = begin
-		if s.Open > 0 {
-			ends[i] += e.step(s)
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
+	return e.chain(o, func(s *workload.Step) bool { return s.Open > 0 })
 }
 
-// whole returns the longest chain of work of a job's occurrence.
+// whole returns the longest chain of work of an occurrence.
 func (e *estimates) whole(o *workload.Occurrence) time.Duration {
+	return e.chain(o, func(*workload.Step) bool { return true })
+}
+
+// chain returns the longest chain of those steps that count.
+func (e *estimates) chain(o *workload.Occurrence, counts func(*workload.Step) bool) time.Duration {
 	ends := make([]time.Duration, len(o.Steps))
 	longest := time.Duration(0)
 	for i, s := range o.Steps {
-		begin := time.Duration(0)
 		for _, dep := range s.Spec.DependsOn {
-			begin = max(begin, ends[dep])
+			ends[i] = max(ends[i], ends[dep])
+		}
+		if counts(s) {
+			ends[i] += e.step(s)
 		}
-		ends[i] = begin + e.step(s)
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -6,6 +6,7 @@
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
+	"pollenlead/internal/sleep"
 )
 
 const (
@@ -50,7 +51,7 @@
 	}
 	for ctx.Err() == nil {
 		w.step(ctx)
-		pause(ctx, instanceInterval)
+		sleep.For(ctx, instanceInterval)
 	}
 }
 
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"pollenlead/internal/sleep"
 	"pollenlead/internal/store"
 	"pollenlead/internal/workload"
 )
@@ -68,7 +69,7 @@
 		if end, _ := catchUp(ctx, &own); end >= fenced {
 			break
 		}
-		pause(ctx, loadRetry)
+		sleep.For(ctx, loadRetry)
 	}
 	reading.Wait()
 	if ctx.Err() != nil {
@@ -86,7 +87,7 @@
 		if err == nil {
 			return end, newest
 		}
-		pause(ctx, loadRetry)
+		sleep.For(ctx, loadRetry)
 	}
 	return 0, nil
 }
@@ -364,12 +365,3 @@
 	}
 	d.signal()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollenlead/internal/bootclock"
+	"pollenlead/internal/sleep"
 	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
 )
@@ -190,7 +191,7 @@
 		if to.Address != "" && d.stopAt(a, to, name, r) {
 			return
 		}
-		pause(d.ctx, stopRetry)
+		sleep.For(d.ctx, stopRetry)
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"pollenlead/internal/dispatch"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/leaderrpc"
+	"pollenlead/internal/sleep"
 	"pollenlead/internal/store"
 	"pollenlead/internal/workload"
 )
@@ -237,7 +238,7 @@
 			h.notStored(w, r, q, err, unknown)
 			return false
 		}
-		pause(ctx, storeRetry)
+		sleep.For(ctx, storeRetry)
 	}
 }
 
@@ -291,7 +292,7 @@
 		if err == nil || !errors.Is(err, leaderrpc.ErrNoLeader) || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, leaderRetry)
+		sleep.For(ctx, leaderRetry)
 	}
 }
 
@@ -336,12 +337,3 @@
 	// A caller that has gone does not need its answer.
 	_, _ = w.Write(body)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"pollenlead/internal/bootclock"
+	"pollenlead/internal/sleep"
 	"pollenlead/internal/store"
 )
 
@@ -179,7 +180,7 @@
 	for ctx.Err() == nil {
 		if err := e.follow(ctx); err != nil {
 			e.read = false
-			pause(ctx, retryDelay)
+			sleep.For(ctx, retryDelay)
 			continue
 		}
 		if !e.mayClaim() {
@@ -444,12 +445,3 @@
 		e.log.Warn().Err(err).Str("event", "release_failed").Msg("leadership could not be released; it ends by silence")
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/leader/members.go
+++ b/internal/leader/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"pollenlead/internal/sleep"
 	"pollenlead/internal/store"
 )
 
@@ -39,14 +40,14 @@
 // run tells the others of this member and reads what they tell, until ctx is done.
 func (m *members) run(ctx context.Context) {
 	m.tell(ctx)
-	pause(ctx, firstMembersAfter)
+	sleep.For(ctx, firstMembersAfter)
 	for ctx.Err() == nil {
 		if largest, err := m.read(ctx); err == nil {
 			m.publish(largest)
 		} else {
 			m.log.Debug().Err(err).Str("event", "members_unread").Msg("members could not be read")
 		}
-		pause(ctx, memberInterval)
+		sleep.For(ctx, memberInterval)
 		m.tell(ctx)
 	}
 }
--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"pollenlead/internal/bootclock"
+	"pollenlead/internal/sleep"
 )
 
 // Tail follows a keyed topic: it reads the newest record of each key, and then every record as it is appended.
@@ -42,7 +43,7 @@
 	for ctx.Err() == nil {
 		end, newest, err := t.CatchUp(ctx)
 		if err != nil {
-			t.pause(ctx, tailRetry)
+			sleep.For(ctx, tailRetry)
 			continue
 		}
 		t.Follow(ctx, end, newest)
@@ -91,7 +92,7 @@
 		if err == nil || ctx.Err() != nil {
 			break
 		}
-		t.pause(ctx, tailRetry)
+		sleep.For(ctx, tailRetry)
 	}
 	return page, err
 }
@@ -113,7 +114,7 @@
 			return
 		}
 		if err != nil {
-			t.pause(ctx, tailRetry)
+			sleep.For(ctx, tailRetry)
 			continue
 		}
 		if page.End < from {
@@ -128,7 +129,7 @@
 		}
 		t.contact(sent, len(page.Records) == 0)
 		if t.Pause > 0 {
-			t.pause(ctx, t.Pause)
+			sleep.For(ctx, t.Pause)
 		}
 	}
 }
@@ -149,12 +150,3 @@
 	defer cancel()
 	return t.Store.Read(ctx, t.Topic, t.Partition, from, t.Wait)
 }
-
-func (t *Tail) pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
