A new leader waits for stops under way before it stops runs itself

Ruled out: a stranger's stop (the rule of adoption covers it, tested) and a lapsed lease (the earlier leader had renewed 2 s before). Test: TestNewLeaderWaitsForStopsUnderWay.

--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -14,6 +14,9 @@
 	instanceInterval = 150 * time.Millisecond
 	// listInterval is the time between two lists of the instances.
 	listInterval = 500 * time.Millisecond
+	// stopSettles is added to the longest time of a stop before a new leader stops runs itself: its predecessor's last orders may have been
+	// on their way, and the workers have to report once more.
+	stopSettles = time.Second
 	// instanceTimeout bounds a call to the instances service.
 	instanceTimeout = time.Second
 )
@@ -35,6 +38,9 @@
 	// quietUntil is the boot clock until which an instance may have had an order of an earlier leader so lately that another holder
 	// must not give one.
 	quietUntil time.Duration
+	// stopsFrom is the boot clock from which runs may be stopped for the sake of an instance. A run that an earlier leader has just
+	// stopped is listed as at work until it has ended, and must not be counted as such.
+	stopsFrom time.Duration
 }
 
 func newInstanceDriver(d *Dispatcher) *instanceDriver {
@@ -48,6 +54,7 @@
 	}
 	if w.d.inherited() {
 		w.quietUntil = bootclock.Now() + w.d.Bounds.InstanceLease
+		w.stopsFrom = bootclock.Now() + w.d.Bounds.Stop + stopSettles
 	}
 	for ctx.Err() == nil {
 		w.step(ctx)
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -276,7 +276,7 @@
 		if r.Phase != workload.RunActive || spec.Gang {
 			continue
 		}
-		if spec.LongRunning && scheduling.MayStop(r.Task, d.now()) || spec.Checkpoints {
+		if spec.LongRunning && w.mayStop(r.Task) || spec.Checkpoints {
 			r.Planned = spec.LongRunning
 			d.stopRun(r, "its instance is to be maintained")
 		}
@@ -284,6 +284,11 @@
 	return a.vacant()
 }
 
+// mayStop reports whether a long-running task may be stopped now. Callers hold the dispatcher's mu.
+func (w *instanceDriver) mayStop(t *workload.Task) bool {
+	return bootclock.Now() >= w.stopsFrom && scheduling.MayStop(t, w.d.now())
+}
+
 // order gives the order to maintain an instance. That the order is on its way is stored before it is sent.
 func (w *instanceDriver) order(ctx context.Context, x *wave, id string, i *waveInstance) {
 	i.phase = scheduling.MaintenanceOrdered
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -10,6 +10,7 @@
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/scheduling"
 	"pollenlead/internal/worker"
+	"pollenlead/internal/workload"
 )
 
 // TestMovedInstanceIsNotMaintained guards against a wave that counts an instance as maintained because a move has given it a new
@@ -81,3 +82,21 @@
 	is.Equal(w.moveBudget(now+200*time.Millisecond), 18)
 	is.Equal(w.moveBudget(now+10*time.Second), 45)
 }
+
+// TestNewLeaderWaitsForStopsUnderWay guards against a planned stop right after a change of leaders: a task that the earlier leader has just
+// stopped is still listed as at work.
+func TestNewLeaderWaitsForStopsUnderWay(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	defer d.stop()
+	j := d.addJob("0011223344556677", fleet.Step{Count: 2, LongRunning: true, MayMiss: 1})
+	for i, id := range []string{"w0", "w1"} {
+		r := j.Task(0, 0, i).Assign(id, 1, d.now())
+		r.Phase, r.Percent, r.SeenAt = workload.RunActive, 100, d.now()
+	}
+	w := newInstanceDriver(d)
+	w.stopsFrom = bootclock.Now() + time.Minute
+	is.True(!w.mayStop(j.Task(0, 0, 0)))
+	w.stopsFrom = 0
+	is.True(w.mayStop(j.Task(0, 0, 0)))
+}
