--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -48,6 +48,9 @@
 	used      fleet.Resources
 	// fillers and servers are the numbers of filler runs and of serving runs.
 	fillers, servers int
+	// pace is the pace of filler runs in percent, changed last at pacedAt.
+	pace    int
+	pacedAt time.Time
 	// contacted means that the worker has answered in this term, and so refuses earlier terms.
 	contacted bool
 	// incarnation is the one that the worker last named; 0 if it named none.
@@ -63,14 +66,13 @@
 	unstoredJobs map[string]bool
 	// silentSince is the boot clock of the first renewal without an answer after the last answer; 0 while it answers.
 	silentSince time.Duration
-	// probeUntil is set after failures: until then the worker gets no task, and after it one at a time until one succeeds.
-	health    health
-	idleSince time.Time // when the last run went; zero if none ever was there
-	running   bool      // the renewing goroutine runs
-	stop      context.CancelFunc
-	notify    chan struct{}
-	orders    chan struct{} // semaphore of startsAtOnce
-	stray     map[runKey]time.Duration
+	health      health
+	idleSince   time.Time // when the last run went; zero if none ever was there
+	running     bool      // the renewing goroutine runs
+	stop        context.CancelFunc
+	notify      chan struct{}
+	orders      chan struct{} // semaphore of startsAtOnce
+	stray       map[runKey]time.Duration
 	// unsettled means that an earlier leader may have started runs there that are not stored, and the worker has not been asked.
 	unsettled bool
 	// cordoned means that the instance is to be maintained or moved, so that nothing starts there.
@@ -84,7 +86,7 @@
 	a := d.agents[id]
 	if a == nil {
 		a = &agent{
-			id: id, firstSeen: bootclock.Now(), runs: map[runKey]*workload.Run{}, notify: make(chan struct{}, 1),
+			id: id, firstSeen: bootclock.Now(), pace: fullPace, runs: map[runKey]*workload.Run{}, notify: make(chan struct{}, 1),
 			orders: make(chan struct{}, startsAtOnce), stray: map[runKey]time.Duration{}, unstoredJobs: map[string]bool{},
 		}
 		d.agents[id] = a
@@ -351,7 +353,7 @@
 // dropRun takes a run away that is known not to be at work. Callers hold mu.
 func (d *Dispatcher) dropRun(a *agent, r *workload.Run) {
 	d.detach(a, r)
-	r.Task.Remove(r, d.now())
+	r.Task.Remove(r)
 	if j := d.jobs[r.Task.Step.Job.ID]; j != nil {
 		d.touch(j)
 	}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -107,7 +107,7 @@
 		d.counters.starts.Add(1)
 		if r.Phase == workload.RunAssigned {
 			r.Phase = workload.RunActive
-			r.ActiveSince, r.MovedAt = now, now
+			r.ActiveSince = now
 			a.nudge()
 		}
 		return
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -57,7 +57,7 @@
 		}
 		byPool[a.entry.Pool] = append(byPool[a.entry.Pool], &scheduling.Worker{
 			ID: a.id, Rack: a.entry.Rack, Labels: a.entry.Labels, Capacity: a.entry.Capacity, Free: a.entry.Capacity.Sub(a.used),
-			Probe: a.health.probing(now), Runs: len(a.runs), Slowdown: 1, Fillers: a.fillers, Servers: a.servers, Leaving: a.leaving,
+			Probe: a.health.probing(now), Runs: len(a.runs), Fillers: a.fillers, Servers: a.servers, Leaving: a.leaving,
 		})
 	}
 	return byPool
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -37,6 +37,7 @@
 		d.ended(a, e)
 	}
 	d.compare(a, r, sent)
+	d.paceFillers(a, d.now())
 	return a.seenEnd > a.storedEnd
 }
 
@@ -127,22 +128,10 @@
 		run.Phase = workload.RunActive
 		run.ActiveSince = now
 	}
-	if x.Percent != run.Percent {
-		run.MovedAt = now
-	}
 	run.Percent, run.SeenAt, run.Load = x.Percent, now, x.Load
 	if x.Checkpoint != "" {
 		run.Checkpoint = x.Checkpoint
 	}
-	t := run.Task
-	if !t.Step.Spec.LongRunning {
-		return
-	}
-	if run.AtWork() {
-		t.AwaySince, t.Moved = time.Time{}, false
-	} else if t.AwaySince.IsZero() {
-		t.AwaySince = now
-	}
 }
 
 // missing handles a run that the worker neither lists as running nor has listed as ended. Callers hold mu.
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -277,7 +277,6 @@
 			continue
 		}
 		if spec.LongRunning && w.mayStop(r.Task) || spec.Checkpoints {
-			r.Planned = spec.LongRunning
 			d.stopRun(r, "its instance is to be maintained")
 		}
 	}
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -26,8 +26,6 @@
 	Fillers, Servers int
 	// Leaving means that the worker will be stopped soon by a planned action.
 	Leaving bool
-	// Slowdown is how many times longer than usual tasks take there; 1 is usual.
-	Slowdown float64
 }
 
 // Want is a step with tasks that wait for a run.
@@ -184,7 +182,7 @@
 		if !allowed(c, w, t, use) || t.FailedOn == c.ID && len(workers) > 1 {
 			continue
 		}
-		if cost := cost(c, w.Step, t, use); best == nil || cost < bestCost {
+		if cost := cost(c, w.Step, use); best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
@@ -233,13 +231,11 @@
 	costNeighbor = 1
 	// costLeaving keeps work that lasts away from workers that it would soon have to leave.
 	costLeaving = 3
-	// costSlowdown is for each time that a worker is slower than usual.
-	costSlowdown = 2
 )
 
 // cost rates a worker for a task; lower is better. The fullest worker is the cheapest, so that large tasks find whole workers
 // and idle instances can be lent.
-func cost(c *Worker, step *workload.Step, _ *workload.Task, use *spread) float64 {
+func cost(c *Worker, step *workload.Step, use *spread) float64 {
 	s := step.Spec
 	cost := 0.0
 	if c.Capacity.CPUMilli > 0 {
@@ -263,9 +259,6 @@
 	if s.LongRunning && c.Leaving {
 		cost += costLeaving
 	}
-	if c.Slowdown > 1 {
-		cost += costSlowdown * (c.Slowdown - 1)
-	}
 	return cost
 }
 
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -36,8 +36,6 @@
 	Spec  *fleet.JobSpec
 	// Submitted is the time of day at which the job was accepted.
 	Submitted time.Time
-	// Due is the time by which the job should be done to meet its latency objective; zero for scheduled and long-running jobs.
-	Due time.Time
 	// State is the job's state; Started is set when its first task starts.
 	State   State
 	Started bool
@@ -81,10 +79,6 @@
 	Checkpoint string
 	// Runs are the runs that may be at work: usually none or one, more with copies or while a run is being stopped.
 	Runs []*Run
-	// AwaySince is when a long-running task was last at work or became ready; zero while it is at work.
-	AwaySince time.Time
-	// Moved means that the task is away because of an order of ours.
-	Moved bool
 }
 
 // RunPhase says how far a run is.
@@ -108,16 +102,14 @@
 	Phase  RunPhase
 	// Since is when the run was assigned, and ActiveSince when the worker accepted it.
 	Since, ActiveSince time.Time
-	// Percent is the progress that the worker last reported, at SeenAt, and MovedAt when it last changed.
-	Percent         int
-	SeenAt, MovedAt time.Time
-	Checkpoint      string
+	// Percent is the progress that the worker last reported, at SeenAt.
+	Percent    int
+	SeenAt     time.Time
+	Checkpoint string
 	// Load is the tail latency in milliseconds of a serving task, and the processor use in thousandths of a core of any other.
 	Load int64
 	// Pace is the share of its speed at which the run may work, in percent.
 	Pace int
-	// Planned means that an order of ours for the sake of an instance ends the run.
-	Planned bool
 	// StopAckedAt is when the worker acknowledged the stop of the run; zero before that.
 	StopAckedAt time.Time
 	// Ticket is the advice service's permission for the start, or "".
@@ -200,7 +192,7 @@
 		tasks := make([]Task, spec.Count)
 		s.Tasks = make([]*Task, spec.Count)
 		for n := range tasks {
-			tasks[n] = Task{Step: s, Index: n, AwaySince: now}
+			tasks[n] = Task{Step: s, Index: n}
 			s.Tasks[n] = &tasks[n]
 		}
 		o.Steps = append(o.Steps, s)
@@ -254,7 +246,7 @@
 // Assign adds a run at a worker.
 func (t *Task) Assign(worker string, number int, now time.Time) *Run {
 	t.LastRun = max(t.LastRun, number)
-	r := &Run{Task: t, Number: number, Worker: worker, Since: now, MovedAt: now, Pace: 100}
+	r := &Run{Task: t, Number: number, Worker: worker, Since: now, Pace: 100}
 	t.Runs = append(t.Runs, r)
 	t.Step.Job.Started = true
 	if t.Step.Job.State == StatePending {
@@ -264,7 +256,7 @@
 }
 
 // Remove takes a run away that is known not to be at work any more.
-func (t *Task) Remove(run *Run, now time.Time) {
+func (t *Task) Remove(run *Run) {
 	for i, r := range t.Runs {
 		if r == run {
 			t.Runs = append(t.Runs[:i], t.Runs[i+1:]...)
@@ -274,12 +266,6 @@
 	if t.Step.Spec.Checkpoints && run.Checkpoint != "" && !t.Done {
 		t.Checkpoint = run.Checkpoint
 	}
-	if t.AwaySince.IsZero() {
-		t.AwaySince = now
-	}
-	if run.Planned {
-		t.Moved = true
-	}
 }
 
 // End applies the end of a run that a worker has listed. attempts is the number of failures after which the job has failed.
@@ -289,7 +275,7 @@
 		if checkpoint != "" {
 			run.Checkpoint = checkpoint
 		}
-		t.Remove(run, now)
+		t.Remove(run)
 	}
 	if t.Done || j.State.Ended() {
 		return
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -58,7 +58,6 @@
 	Failures   int           `json:"f,omitempty"`
 	FailedOn   string        `json:"fo,omitempty"`
 	Checkpoint string        `json:"c,omitempty"`
-	Moved      bool          `json:"m,omitempty"`
 	Runs       []runProgress `json:"runs,omitempty"`
 }
 
@@ -103,7 +102,7 @@
 
 func (t *Task) progress() taskProgress {
 	p := taskProgress{
-		Index: t.Index, LastRun: t.LastRun, Failures: t.Failures, FailedOn: t.FailedOn, Checkpoint: t.Checkpoint, Moved: t.Moved,
+		Index: t.Index, LastRun: t.LastRun, Failures: t.Failures, FailedOn: t.FailedOn, Checkpoint: t.Checkpoint,
 	}
 	for _, r := range t.Runs {
 		p.Runs = append(p.Runs, runProgress{Number: r.Number, Worker: r.Worker})
@@ -156,10 +155,10 @@
 			return fmt.Errorf("progress of job %s: task %d of step %d does not exist", s.Job.ID, tp.Index, s.Index)
 		}
 		t := s.Tasks[tp.Index]
-		t.LastRun, t.Failures, t.FailedOn, t.Checkpoint, t.Moved = tp.LastRun, tp.Failures, tp.FailedOn, tp.Checkpoint, tp.Moved
+		t.LastRun, t.Failures, t.FailedOn, t.Checkpoint = tp.LastRun, tp.Failures, tp.FailedOn, tp.Checkpoint
 		for _, rp := range tp.Runs {
 			t.Runs = append(t.Runs, &Run{
-				Task: t, Number: rp.Number, Worker: rp.Worker, Since: now, MovedAt: now, Pace: 100, Stored: true, Released: true, Inherited: true,
+				Task: t, Number: rp.Number, Worker: rp.Worker, Since: now, Pace: 100, Stored: true, Released: true, Inherited: true,
 			})
 		}
 	}
