Count a failed run once over a change of leaders

Cause: found by reading. A failure that was stored and not acknowledged is listed again to the next leader, which counted it again; a job could be shown as failed after fewer runs than its queue allows. Test: TestFailureIsCountedOnce fails without the change.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -69,6 +69,9 @@
 	if t == nil {
 		return
 	}
+	if run == nil && e.Kind == worker.EndFailed && e.Run <= t.RestoredRun {
+		return // an earlier leader has counted the failure, but did not get to acknowledge it
+	}
 	now := d.now()
 	t.LastRun = max(t.LastRun, e.Run)
 	if run != nil {
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -127,3 +127,21 @@
 	d.releaseUnstored(long)
 	is.Equal(j.visible, workload.StateDone)
 }
+
+// TestFailureIsCountedOnce guards against a job that is shown as failed because a new leader counts a failure again that its predecessor has
+// stored and not acknowledged.
+func TestFailureIsCountedOnce(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	j := d.addJob("0011223344556677", oneTask)
+	task := j.Task(0, 0, 0)
+	task.LastRun, task.RestoredRun, task.Failures = 1, 1, 1
+	failed := func(number int64, run int) {
+		d.reported(d.agent("w0"), worker.Report{ClockMillis: 1, Ended: []worker.End{{Number: number, Task: task.Name(), Run: run, Kind: worker.EndFailed}}}, bootclock.Now())
+	}
+	failed(1, 1)
+	is.Equal(task.Failures, 1)
+	failed(2, 2) // started without being stored: not counted yet
+	is.Equal(task.Failures, 2)
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -72,6 +72,8 @@
 	Done  bool
 	// LastRun is the highest run number that was ever used.
 	LastRun int
+	// RestoredRun is the highest run number of which an earlier leader has stored the end or the assignment.
+	RestoredRun int
 	// Failures counts runs that ended failed.
 	Failures int
 	// FailedOn is the worker of the last failed run.
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -155,6 +155,7 @@
 			return fmt.Errorf("progress of job %s: task %d of step %d does not exist", s.Job.ID, tp.Index, s.Index)
 		}
 		t := s.Tasks[tp.Index]
+		t.RestoredRun = tp.LastRun
 		t.LastRun, t.Failures, t.FailedOn, t.Checkpoint = tp.LastRun, tp.Failures, tp.FailedOn, tp.Checkpoint
 		for _, rp := range tp.Runs {
 			t.Runs = append(t.Runs, &Run{
