Make the test of an idle leader's leases fail without its mechanism, and test that draining workers get nothing

Cause: 18 mechanisms were taken out one by one on a scratch copy. 17 tests failed as they should; TestIdleLeaderKeepsLeases did not, because the first batch of the fixture stored the set of workers anyway. With nothing left to store it fails.

--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -80,7 +80,10 @@
 	d.agent("w0").clockAt = d.begunAt
 	d.lastStored -= renewWithoutStore + time.Second
 	is.Equal(d.lease(d.agent("w0")), int64(0))
-	is.NoErr(c.run(d.ctx, c.next()))
+	d.storedWorkers = map[string]string{"w0": "pool"} // nothing is left to store
+	b := c.next()
+	is.True(b != nil)
+	is.NoErr(c.run(d.ctx, b))
 	is.True(d.lease(d.agent("w0")) > 0)
 }
 
@@ -133,3 +136,19 @@
 	is.NoErr(c.advance(8, 3))
 	is.True(errors.Is(c.advance(12, 1), errForeignRecords))
 }
+
+// TestDrainingWorkerGetsNothing guards against a start at a worker that has said that it drains.
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	draining := *a.entry
+	draining.Draining = true
+	d.mu.Lock()
+	d.entrySeen(&draining)
+	d.mu.Unlock()
+	j := d.addJob("0011223344556677", fleet.Step{Count: 1, Need: fleet.Resources{CPUMilli: 1000}})
+	d.place()
+	is.Equal(len(j.Task(0, 0, 0).Runs), 0)
+}
