Take the log down before the job is accepted in TestLogDown

A scratch copy that waits there (synctest.Wait) fails every time with the same message, so it is the test's order and not the runner.

--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -349,8 +349,8 @@
 // Guards against jobs that hold capacity or are lost while the log is down.
 func TestLogDown(t *testing.T) {
 	run(t, func(w *world, _ *Runner, _ func(time.Duration) int) {
+		w.view(func(*fold.State) { w.down = true }) // before the runner can see the job
 		w.accept("e1", "j", true)
-		w.view(func(*fold.State) { w.down = true })
 		w.expect(20*time.Second+time.Millisecond, fold.JobWaiting, "")
 		w.view(func(*fold.State) { w.is.Equal(w.used, 0); w.down = false })
 		w.expect(5*time.Second, fold.JobSucceeded, "")
