Average arriving work over the time of jobs, and maintain what is switched off first

Cause: a pool with 130 instances' work ordered 250: the mean of scattered estimates is above what tasks take, and one large job counted as if all its work were needed at once. A wave took 14 of 62 instances of a pool when its turn began, while 100 were switched off.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -242,7 +242,7 @@
 	}
 	for _, o := range j.Occurrences {
 		if o.Number >= first {
-			i.Add(d.estimates.work(o), bootclock.Now())
+			i.Add(d.estimates.work(o), d.estimates.whole(o), bootclock.Now())
 		}
 	}
 }
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -38,8 +38,10 @@
 // waveInstance is the progress of one instance.
 type waveInstance struct {
 	phase scheduling.MaintenancePhase
-	// worker is the one that the instance had when it was drained.
+	// worker is the one that the instance had when it was drained; "" if it was switched off.
 	worker string
+	// refusedOff means that the order was refused while the instance was switched off: it waits until the instance has a worker.
+	refusedOff bool
 	// confirmed means that the order was answered: the maintenance has begun, or had been done before.
 	confirmed bool
 	orderedAt time.Duration // boot clock
@@ -157,13 +159,16 @@
 
 // returned reports whether an ordered instance is back. A new worker alone does not show it: the instance may have been moved.
 func (w *instanceDriver) returned(i *waveInstance, listed fleet.Instance) bool {
-	if !i.confirmed || listed.Phase != fleet.InstanceUp || listed.Worker == "" || w.listedAt <= i.orderedAt {
+	if !i.confirmed || listed.Phase != fleet.InstanceUp || w.listedAt <= i.orderedAt {
 		return false
 	}
-	if listed.Worker != i.worker {
+	if listed.Worker != i.worker && listed.Worker != "" {
 		return true
 	}
-	// The order found the maintenance done already, and nothing went down.
+	if listed.Worker != i.worker {
+		return false
+	}
+	// The instance was switched off and still is, or the order found the maintenance done already and nothing went down.
 	return w.listedAt > i.orderedAt+w.d.Bounds.Maintenance+orderAgainAfter
 }
 
@@ -179,10 +184,11 @@
 	for id, i := range x.instances {
 		listed := w.listed[id]
 		v := scheduling.WaveInstance{ID: id, Pool: listed.Pool, Phase: i.phase, Load: w.load(listed.Pool)}
+		_, moving := w.arrivals[id]
+		v.Off = !moving && !i.refusedOff && w.off(listed) && w.orderable(listed)
 		if a := d.agents[listed.Worker]; a != nil {
 			a.leaving = i.phase == scheduling.MaintenancePending || i.phase == scheduling.MaintenanceDraining
 			v.Runs = len(a.runs)
-			_, moving := w.arrivals[id]
 			v.Up = !moving && w.orderable(listed) && listed.Phase == fleet.InstanceUp && a.entry != nil && !a.entry.Draining && a.contacted
 		}
 		view.Instances = append(view.Instances, v)
@@ -190,10 +196,25 @@
 	for _, id := range scheduling.NextForMaintenance(view) {
 		i := x.instances[id]
 		i.phase, i.worker = scheduling.MaintenanceDraining, w.listed[id].Worker
-		d.agent(i.worker).cordoned = true
+		runs := 0
+		if i.worker != "" {
+			a := d.agent(i.worker)
+			a.cordoned = true
+			runs = len(a.runs)
+		}
 		d.Log.Info().Str("event", "maintenance_drain").Int64("wave", x.request.Number).Str("instance", id).Str("worker", i.worker).
-			Int("runs", len(d.agent(i.worker).runs)).Dur("left", view.Left).Msg("instance gets no more tasks before its maintenance")
+			Int("runs", runs).Dur("left", view.Left).Msg("instance gets no more tasks before its maintenance")
+	}
+}
+
+// off reports whether an instance is switched off. Callers hold the dispatcher's mu.
+func (w *instanceDriver) off(listed fleet.Instance) bool {
+	c := w.d.Follower.Config()
+	if c == nil || listed.Phase != fleet.InstanceUp || listed.Worker != "" {
+		return false
 	}
+	p := c.Pool(listed.Pool)
+	return p != nil && p.Standby
 }
 
 // pools returns the pools of a wave for the availability budget. Callers hold the dispatcher's mu.
@@ -256,17 +277,27 @@
 // repeat drains an instance again whose order was not answered: what runs there now must not end by a repeated order.
 func (w *instanceDriver) repeat(id string, i *waveInstance) {
 	listed := w.listed[id]
-	if i.confirmed || bootclock.Now()-i.orderedAt <= orderAgainAfter || w.listedAt <= i.orderedAt || listed.Phase != fleet.InstanceUp || listed.Worker == "" {
+	if i.confirmed || bootclock.Now()-i.orderedAt <= orderAgainAfter || w.listedAt <= i.orderedAt || listed.Phase != fleet.InstanceUp {
 		return
 	}
 	w.d.mu.Lock()
 	defer w.d.mu.Unlock()
+	if w.off(listed) {
+		i.phase, i.worker = scheduling.MaintenanceDraining, ""
+		return
+	}
+	if listed.Worker == "" {
+		return
+	}
 	i.phase, i.worker = scheduling.MaintenanceDraining, listed.Worker
 	w.d.agent(i.worker).cordoned = true
 }
 
 // empty stops what may be stopped at a draining instance, and reports whether nothing runs there.
 func (w *instanceDriver) empty(i *waveInstance) bool {
+	if i.worker == "" {
+		return true
+	}
 	d := w.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -308,6 +339,9 @@
 		return
 	}
 	i.confirmed = err == nil
+	if i.worker == "" && refused != nil && refused.Reason == instances.RefusedBusy {
+		i.phase, i.refusedOff = scheduling.MaintenancePending, true
+	}
 	w.d.Log.Info().Str("event", "maintenance_ordered").Int64("wave", x.request.Number).Str("instance", id).Str("worker", i.worker).Err(err).Msg("maintenance of an instance ordered")
 }
 
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -100,3 +100,26 @@
 	w.stopsFrom = 0
 	is.True(w.mayStop(j.Task(0, 0, 0)))
 }
+
+// TestSwitchedOffInstanceIsMaintained guards against a wave that waits until an instance is switched on, and against one that counts it as
+// done before its maintenance can be over.
+func TestSwitchedOffInstanceIsMaintained(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	d.Bounds.Maintenance = 2 * time.Second
+	w := newInstanceDriver(d)
+	i := &waveInstance{phase: scheduling.MaintenanceDraining}
+	is.True(w.empty(i))
+	is.Equal(len(d.agents), 0) // no worker is made up for it
+
+	now := bootclock.Now()
+	i.phase, i.confirmed, i.orderedAt = scheduling.MaintenanceOrdered, true, now
+	off := fleet.Instance{ID: "m0", Phase: fleet.InstanceUp}
+	w.listedAt = now + time.Second
+	is.True(!w.returned(i, off))
+	w.listedAt = now + d.Bounds.Maintenance + orderAgainAfter + time.Second
+	is.True(w.returned(i, off))
+	off.Phase = fleet.InstanceMaintenance
+	is.True(!w.returned(i, off))
+}
--- a/internal/scheduling/balance.go
+++ b/internal/scheduling/balance.go
@@ -54,7 +54,7 @@
 
 // DefaultBalance answers demand that rises and falls by turns of seconds: a pool in its turn asks more than it holds, while the
 // others rest.
-var DefaultBalance = BalancePolicy{ReservePart: 0.6, LeastPart: 0.35, FillPart: 0.85, Linger: time.Second, MaxMoves: 16}
+var DefaultBalance = BalancePolicy{ReservePart: 0.6, LeastPart: 0.35, FillPart: 0.9, Linger: 1500 * time.Millisecond, MaxMoves: 16}
 
 // Balance returns the moves that bring instances to the pools where work waits, and take idle ones from where they are not needed.
 // It changes the pools that it is given.
--- a/internal/scheduling/inflow.go
+++ b/internal/scheduling/inflow.go
@@ -6,17 +6,23 @@
 )
 
 const (
-	// inflowFast and inflowSlow are the time constants of the two averages of arriving work. Demand rises within two to three seconds: the fast
-	// average follows it, and its lead over the slow one tells how fast it rises.
-	inflowFast = 800 * time.Millisecond
-	inflowSlow = 2400 * time.Millisecond
+	// leastWindow and mostWindow bound the time over which arriving work is averaged, and windowPart is its part of the time that a job takes:
+	// the work of a long job is not needed at once.
+	leastWindow = 800 * time.Millisecond
+	mostWindow  = 4 * time.Second
+	windowPart  = 0.6
+	// slowWindows is how many times longer the second average looks back. The lead of the first over it tells how fast demand rises, and
 	// inflowTrend is the part of that lead that is added, for the time until an instance that is ordered now can work.
+	slowWindows = 3
 	inflowTrend = 0.6
+	// chainWeight is the weight of one job in the mean time that jobs take.
+	chainWeight = 0.05
 )
 
 // Inflow measures how much work arrives at a pool, so that instances are ordered when demand begins to rise and not only when the pool is full.
 type Inflow struct {
 	fast, slow average
+	chain      time.Duration // mean time that a job takes
 }
 
 // average is an exponentially decaying average of arriving work, in thousandths of a core.
@@ -25,24 +31,32 @@
 	at    time.Duration
 }
 
-func (a *average) decayed(now, constant time.Duration) float64 {
-	return a.value * math.Exp(-float64(now-a.at)/float64(constant))
+func (a *average) decayed(now, window time.Duration) float64 {
+	return a.value * math.Exp(-float64(now-a.at)/float64(window))
 }
 
-func (a *average) add(work float64, now, constant time.Duration) {
-	a.value = a.decayed(now, constant) + work/constant.Seconds()
+func (a *average) add(work float64, now, window time.Duration) {
+	a.value = a.decayed(now, window) + work/window.Seconds()
 	a.at = now
 }
 
-// Add counts work, in thousandths of a core times seconds, that has arrived at a moment of a steady clock.
-func (i *Inflow) Add(work float64, now time.Duration) {
-	i.fast.add(work, now, inflowFast)
-	i.slow.add(work, now, inflowSlow)
+func (i *Inflow) window() time.Duration {
+	return min(max(time.Duration(windowPart*float64(i.chain)), leastWindow), mostWindow)
+}
+
+// Add counts a job that has arrived at a moment of a steady clock: its work, in thousandths of a core times seconds, and the time that it takes.
+func (i *Inflow) Add(work float64, chain, now time.Duration) {
+	if i.chain == 0 {
+		i.chain = chain
+	}
+	i.chain += time.Duration(chainWeight * float64(chain-i.chain))
+	i.fast.add(work, now, i.window())
+	i.slow.add(work, now, slowWindows*i.window())
 }
 
 // Expected returns the processor, in thousandths of a core, that the arriving work will take by the time that an instance ordered now can
 // work.
 func (i *Inflow) Expected(now time.Duration) int64 {
-	fast, slow := i.fast.decayed(now, inflowFast), i.slow.decayed(now, inflowSlow)
+	fast, slow := i.fast.decayed(now, i.window()), i.slow.decayed(now, slowWindows*i.window())
 	return int64(fast + inflowTrend*max(fast-slow, 0))
 }
--- a/internal/scheduling/wave.go
+++ b/internal/scheduling/wave.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,8 +29,8 @@
 	ID    string
 	Pool  string
 	Phase MaintenancePhase
-	// Up means that the instance has a worker that could be drained.
-	Up bool
+	// Up means that the instance has a worker that could be drained, and Off that it is switched off, so that nobody misses it.
+	Up, Off bool
 	// Runs is the number of runs at the instance's worker.
 	Runs int
 	// Load is the used part of the processors of the instance's pool.
@@ -68,8 +69,8 @@
 	return float64(v.Left) < urgencyReserve*float64(rounds)*float64(v.EachTakes)
 }
 
-// NextForMaintenance returns the instances to drain next: those of the calmest pools and with the fewest runs first, as far as
-// the wave's bound and the availability budgets of the pools allow.
+// NextForMaintenance returns the instances to drain next: those that are switched off, then idle ones, then those of the calmest pools with the
+// fewest runs, as far as the wave's bound and the availability budgets of the pools allow.
 func NextForMaintenance(v WaveView) []string {
 	taken := 0
 	var pending []WaveInstance
@@ -78,20 +79,13 @@
 		case MaintenanceDraining, MaintenanceOrdered:
 			taken++
 		case MaintenancePending:
-			if i.Up {
+			if i.Up || i.Off {
 				pending = append(pending, i)
 			}
 		}
 	}
 	slices.SortFunc(pending, func(a, b WaveInstance) int {
-		switch {
-		case a.Load < b.Load:
-			return -1
-		case a.Load > b.Load:
-			return 1
-		default:
-			return a.Runs - b.Runs
-		}
+		return cmp.Or(a.cost()-b.cost(), cmp.Compare(a.Load, b.Load), a.Runs-b.Runs)
 	})
 	urgent := v.Urgent()
 	var next []string
@@ -99,6 +93,11 @@
 		if taken >= v.MaxDown {
 			break
 		}
+		if i.Off {
+			next = append(next, i.ID)
+			taken++
+			continue
+		}
 		if !urgent && i.Load > calmLoad {
 			continue
 		}
@@ -113,6 +112,18 @@
 	return next
 }
 
+// cost ranks instances by what their maintenance takes from the pool now.
+func (i *WaveInstance) cost() int {
+	switch {
+	case i.Off:
+		return 0
+	case i.Runs == 0:
+		return 1
+	default:
+		return 2
+	}
+}
+
 func markDown(p *disruption.Pool, id string) {
 	for n := range p.Instances {
 		if p.Instances[n].ID == id {
--- a/internal/scheduling/wave_test.go
+++ b/internal/scheduling/wave_test.go
@@ -84,3 +84,17 @@
 	v.Left = 10 * time.Second
 	is.Equal(len(NextForMaintenance(v)), 2)
 }
+
+// TestNextForMaintenanceTakesWhatNobodyMisses guards against maintenance of busy instances while others are switched off or idle.
+func TestNextForMaintenanceTakesWhatNobodyMisses(t *testing.T) {
+	is := is.New(t)
+	v := view(8, 0)
+	v.MaxDown = 3
+	for i := range v.Instances {
+		v.Instances[i].Runs = 4
+	}
+	v.Instances[6].Runs = 0
+	v.Instances[7].Up, v.Instances[7].Off, v.Instances[7].Pool = false, true, "off"
+	v.Instances[5].Load = 0.1
+	is.Equal(NextForMaintenance(v), []string{"m7", "m6", "m5"})
+}
