Start stored runs again only when every worker of the pool has been asked

Placement waited for all workers of the pool, this path did not. Change: inherited runs that their workers lack wait until the pool is settled; runs of a task that is done are stopped also if its occurrence was the last. The test fails without the change.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -113,6 +113,8 @@
 	// unreleased are the assigned runs whose starts wait for the store, and unshown the jobs whose end does.
 	unreleased map[*workload.Run]bool
 	unshown    map[*job]bool
+	// withheld are the inherited runs that their workers do not have, and that wait for the other workers' answers.
+	withheld map[*workload.Run]bool
 	// forgetting means that old jobs are being dropped.
 	forgetting bool
 	// storedWorkers is the stored set of workers with their pools.
@@ -139,7 +141,7 @@
 	d := &Dispatcher{
 		Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, active: map[string]map[string]*job{},
 		changed: map[string]*job{}, pending: map[string]cancellation{}, agents: map[string]*agent{},
-		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{}, unshown: map[*job]bool{},
+		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{}, unshown: map[*job]bool{}, withheld: map[*workload.Run]bool{},
 		storedWorkers: map[string]string{}, waveRecords: map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		inflow: map[string]*scheduling.Inflow{}, counters: sharedCounters, estimates: newEstimates(),
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -28,6 +28,7 @@
 	if !d.loaded || len(d.dirty) == 0 {
 		return
 	}
+	d.sendWithheld()
 	now := d.now()
 	byPool := d.usableWorkers(now)
 	limits := d.limits()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -90,8 +91,9 @@
 	d.touch(j)
 	if j.State.Ended() {
 		d.stopRuns(j)
-	} else if t.Done {
-		for _, other := range t.Runs {
+	}
+	if t.Done { // also if its occurrence, which was the last, is gone
+		for _, other := range slices.Clone(t.Runs) {
 			d.stopRun(other, "another run is done")
 		}
 	}
@@ -142,8 +144,13 @@
 	asked := d.wall.Add(sent - d.begunAt)
 	switch run.Phase {
 	case workload.RunAssigned:
-		// An earlier leader stored the assignment. The same run is started again, which the worker takes as one start.
-		if run.Released && !d.sending[run] {
+		// An earlier leader stored the assignment. The same run is started again, which the worker takes as one start; but a later run of the
+		// task may have been at another worker without being stored.
+		switch {
+		case !run.Released || d.sending[run]:
+		case run.Inherited && d.unsettled(run.Task.Step.Job.Pool):
+			d.withheld[run] = true
+		default:
 			d.send(run)
 		}
 	case workload.RunActive:
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -110,6 +110,19 @@
 	return false
 }
 
+// sendWithheld starts the inherited runs that waited until every worker of their pool had been asked. Callers hold mu.
+func (d *Dispatcher) sendWithheld() {
+	for r := range d.withheld {
+		if d.unsettled(r.Task.Step.Job.Pool) {
+			continue
+		}
+		delete(d.withheld, r)
+		if r.Phase == workload.RunAssigned && d.at(r) {
+			d.send(r)
+		}
+	}
+}
+
 // adoptRun takes over a run that an earlier leader started without storing it, or returns nil if the run is a stranger. Callers hold mu.
 func (d *Dispatcher) adoptRun(a *agent, x *worker.Running) *workload.Run {
 	id, k, step, index, err := workload.ParseTaskName(x.Task)
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -145,3 +145,35 @@
 	failed(2, 2) // started without being stored: not counted yet
 	is.Equal(task.Failures, 2)
 }
+
+// TestStoredRunWaitsForTheOtherWorkers guards against a new leader that starts a stored run again at its worker, which never took it, while
+// another worker that has not been asked lists the end of a later run: the task then runs after it was done.
+func TestStoredRunWaitsForTheOtherWorkers(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	workers := &deadWorkers{}
+	d.Workers = workers
+	defer d.stop()
+	restored := func(id string) *workload.Run {
+		j := d.addJob(id, oneTask)
+		r := j.Task(0, 0, 0).Assign("w0", 1, d.now())
+		r.Stored, r.Released, r.Inherited = true, true, true
+		d.attach(r)
+		return r
+	}
+	done, open := restored("0011223344556677"), restored("0011223344556678")
+	unasked := d.agent("w1")
+	unasked.unsettled, unasked.contacted = true, false
+	d.storedWorkers["w0"], d.storedWorkers["w1"] = "pool", "pool"
+	d.reported(d.agent("w0"), worker.Report{ClockMillis: 1}, bootclock.Now())
+	is.Equal(len(d.sending), 0)
+
+	d.reported(unasked, worker.Report{ClockMillis: 1, Ended: []worker.End{{Number: 1, Task: done.Task.Name(), Run: 2, Kind: worker.EndDone}}}, bootclock.Now())
+	is.Equal(d.jobs["0011223344556677"].State, workload.StateDone)
+	d.place()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	is.True(d.sending[open])                                      // every worker has been asked
+	is.True(done.Phase == workload.RunStopping)                   // it is barred where it was assigned
+	is.Equal(d.jobs["0011223344556678"].Task(0, 0, 0).LastRun, 1) // the same run, which its worker takes as one start
+}
