--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -14,12 +14,14 @@
 )
 
 const (
-	// holdWait is how long a worker may keep a renewal open while no run ends.
-	holdWait = time.Second
+	// holdWait is how long a worker may keep a renewal open while no run ends, and idleHoldWait the same for a worker without runs.
+	holdWait     = time.Second
+	idleHoldWait = 2 * time.Second
 	// holdTimeout bounds a renewal beyond its wait.
 	holdTimeout = 500 * time.Millisecond
-	// holdPause is the least time between two renewals of a worker, so that ends close together come in one answer.
-	holdPause = 25 * time.Millisecond
+	// holdPause is the least time between two renewals of a worker, so that ends close together come in one answer. A busy worker of 32 cores
+	// has an end every 50 to 100 ms.
+	holdPause = 50 * time.Millisecond
 	// storePause is the time between two renewals while ends wait to be stored.
 	storePause = 500 * time.Millisecond
 	// holdRetry is the pause after a failed renewal.
@@ -294,6 +296,9 @@
 	default:
 	}
 	h := worker.Hold{FencingToken: d.Token, Acknowledged: a.storedEnd, Wait: holdWait}
+	if len(a.runs) == 0 {
+		h.Wait = idleHoldWait
+	}
 	// A worker that does not answer gets no longer lease: each call without an answer may still be carried out, and would
 	// put off the moment at which its runs count as lost.
 	if len(a.runs) > 0 && a.silentSince == 0 {
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -211,7 +211,7 @@
 // mu.
 func (d *Dispatcher) waitingCPU(pool string, limits scheduling.Limits) int64 {
 	byTeam := map[string]int64{}
-	for _, j := range d.active[pool] {
+	for _, j := range d.waiting[pool] {
 		for _, o := range j.Occurrences {
 			for _, s := range o.Steps {
 				if s.Open > 0 && s.Ready() {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -99,6 +99,7 @@
 	loaded  bool
 	jobs    map[string]*job
 	active  map[string]map[string]*job // by pool and ID: jobs that have not ended
+	waiting map[string]map[string]*job // by pool and ID: jobs of which a task may wait for a run
 	changed map[string]*job            // jobs whose progress has to be stored
 	pending map[string]cancellation    // cancellations that came before their submission
 	agents  map[string]*agent
@@ -139,7 +140,7 @@
 // New returns a dispatcher for one term.
 func New(o Options) *Dispatcher {
 	d := &Dispatcher{
-		Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, active: map[string]map[string]*job{},
+		Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, active: map[string]map[string]*job{}, waiting: map[string]map[string]*job{},
 		changed: map[string]*job{}, pending: map[string]cancellation{}, agents: map[string]*agent{},
 		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{}, sending: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{}, unshown: map[*job]bool{}, withheld: map[*workload.Run]bool{},
 		storedWorkers: map[string]string{}, waveRecords: map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
@@ -242,9 +243,10 @@
 func (d *Dispatcher) touch(j *job) {
 	j.changed = true
 	d.changed[j.ID] = j
-	d.dirty[j.Pool] = true
+	d.mayWait(j)
 	if j.State.Ended() {
 		delete(d.active[j.Pool], j.ID)
+		delete(d.waiting[j.Pool], j.ID)
 		if !j.visible.Ended() {
 			d.unshown[j] = true
 		}
@@ -252,6 +254,15 @@
 	d.signal()
 }
 
+// mayWait notes that a task of the job may wait for a run. Callers hold mu.
+func (d *Dispatcher) mayWait(j *job) {
+	d.dirty[j.Pool] = true
+	if d.waiting[j.Pool] == nil {
+		d.waiting[j.Pool] = map[string]*job{}
+	}
+	d.waiting[j.Pool][j.ID] = j
+}
+
 // tick does what time alone brings about.
 func (d *Dispatcher) tick() {
 	d.mu.Lock()
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -53,7 +53,7 @@
 		d.active["pool"] = map[string]*job{}
 	}
 	d.active["pool"][id] = j
-	d.dirty["pool"] = true
+	d.mayWait(j)
 	return j
 }
 
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -166,6 +166,9 @@
 	} else if j.Advance(d.timeOfDay(j), d.Bounds.Early/2) {
 		d.touch(j)
 	}
+	if !j.State.Ended() {
+		d.mayWait(j)
+	}
 	j.EachTask(func(t *workload.Task) {
 		for _, r := range t.Runs {
 			d.attach(r)
@@ -281,7 +284,7 @@
 	d.advance(j)
 	d.Log.Info().Str("event", "job_seen").Str("job", id).Str("queue", w.Queue).Str("team", w.Team).Str("pool", w.Pool).
 		Int("steps", len(w.Spec.Steps)).Int64("offset", r.Offset).Dur("age", time.Since(w.Submitted)).Msg("job taken over from the store")
-	d.dirty[j.Pool] = true
+	d.mayWait(j)
 	d.signal()
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -69,7 +69,7 @@
 	if a.entry.Draining || a.cordoned || !a.contacted || a.silentSince != 0 || !a.health.usable(now) {
 		return false
 	}
-	return boot-a.clockAt <= holdWait+holdTimeout+holdRetry // otherwise its renewal is overdue
+	return boot-a.clockAt <= idleHoldWait+holdTimeout+holdRetry // otherwise its renewal is overdue
 }
 
 // limits returns what each team may still start. Callers hold mu.
@@ -101,36 +101,55 @@
 func (d *Dispatcher) wants(pool string, workers []*scheduling.Worker, now time.Time) []scheduling.Want {
 	var wants []scheduling.Want
 	room := scheduling.LargestRoom(workers)
-	for _, j := range d.active[pool] {
-		q := d.queue(j.Queue)
+	for id, j := range d.waiting[pool] {
+		waits := false
 		for _, o := range j.Occurrences {
-			var rank *scheduling.Rank
-			for _, s := range o.Steps {
-				// Most steps of a full pool fit nowhere: they are passed over before anything is built for them.
-				if s.Open == 0 || !s.Spec.Charge().Fits(room) || !s.Ready() {
-					continue
-				}
-				waiting := waitingTasks(s)
-				if len(waiting) == 0 {
-					continue
-				}
-				if rank == nil {
-					r := d.rank(j, o, q, now)
-					rank = &r
-				}
-				w := scheduling.Want{Step: s, Tasks: waiting, Rank: *rank}
-				if q.Advice != nil {
-					if w.Tickets = d.tickets(s, workers); len(w.Tickets) == 0 {
-						continue
-					}
-				}
-				wants = append(wants, w)
-			}
+			var some bool
+			wants, some = d.wantsOf(wants, j, o, room, workers, now)
+			waits = waits || some
+		}
+		if !waits {
+			delete(d.waiting[pool], id)
 		}
 	}
 	return wants
 }
 
+// wantsOf adds the ready steps of an occurrence that have waiting tasks, and reports whether there are any, also those that fit nowhere now.
+// Callers hold mu.
+func (d *Dispatcher) wantsOf(wants []scheduling.Want, j *job, o *workload.Occurrence, room fleet.Resources, workers []*scheduling.Worker, now time.Time) ([]scheduling.Want, bool) {
+	q := d.queue(j.Queue)
+	var rank *scheduling.Rank
+	waits := false
+	for _, s := range o.Steps {
+		if s.Open == 0 || !s.Ready() {
+			continue
+		}
+		// Most steps of a full pool fit nowhere: they are passed over before anything is built for them.
+		if !s.Spec.Charge().Fits(room) {
+			waits = waits || waitingCount(s) > 0
+			continue
+		}
+		waiting := waitingTasks(s)
+		if len(waiting) == 0 {
+			continue
+		}
+		waits = true
+		if rank == nil {
+			r := d.rank(j, o, q, now)
+			rank = &r
+		}
+		w := scheduling.Want{Step: s, Tasks: waiting, Rank: *rank}
+		if q.Advice != nil {
+			if w.Tickets = d.tickets(s, workers); len(w.Tickets) == 0 {
+				continue
+			}
+		}
+		wants = append(wants, w)
+	}
+	return wants, waits
+}
+
 // waitingTasks returns the tasks of a ready step that need a run.
 func waitingTasks(s *workload.Step) []*workload.Task {
 	var waiting []*workload.Task
--- a/internal/dispatch/poollog.go
+++ b/internal/dispatch/poollog.go
@@ -19,7 +19,7 @@
 	d.poolsLogged = boot
 	for pool, jobs := range d.active {
 		waiting := 0
-		for _, j := range jobs {
+		for _, j := range d.waiting[pool] {
 			for _, o := range j.Occurrences {
 				for _, s := range o.Steps {
 					if s.Open > 0 && s.Ready() {
