Follow the rise of demand by the time that an order takes

Change: the rise is extrapolated by the lead of an order, the lag of the average and half the time that a job takes; windows 0.5 s at least. TestRampIsMetInTime replays the ramp.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -37,6 +37,9 @@
 // arrivalTime is how long an instance on its way is expected in its new pool, beyond the time of the move.
 const arrivalTime = 3 * time.Second
 
+// workerJoins is the time from the end of a move until the new worker's entry has been read.
+const workerJoins = 200 * time.Millisecond
+
 // arrival is an instance on its way to a pool.
 type arrival struct {
 	to    string
@@ -142,7 +145,7 @@
 		}
 		p.Waiting = d.waitingCPU(name, limits)
 		if i := d.inflow[name]; i != nil {
-			p.Inflow = i.Expected(boot)
+			p.Inflow = i.Expected(boot, d.Bounds.Move+workerJoins)
 		}
 	}
 	return pools, workers
--- a/internal/dispatch/poollog.go
+++ b/internal/dispatch/poollog.go
@@ -52,7 +52,7 @@
 	}
 	inflow := int64(0)
 	if i := d.inflow[pool]; i != nil {
-		inflow = i.Expected(boot)
+		inflow = i.Expected(boot, d.Bounds.Move+workerJoins)
 	}
 	d.Log.Info().Str("event", "pool").Str("pool", pool).Int64("cpu_expected", inflow).Int("jobs", jobs).Int("tasks_waiting", waiting).Int("runs", runs).
 		Int("workers", listed).Int("usable", ready).Int64("cpu_milli", capacity.CPUMilli).Int64("cpu_used", used.CPUMilli).
--- a/internal/scheduling/balance_test.go
+++ b/internal/scheduling/balance_test.go
@@ -34,6 +34,9 @@
 	is.Equal(from, []string{"rests", "rests", "rests", "rests", "off", "off", "off", "off", "rests", "rests"})
 }
 
+// lead is the time until an instance that is ordered now can work.
+const lead = 1700 * time.Millisecond
+
 // TestRisingDemandOrdersEarly guards against a pool that orders instances only once its own are full: they come 1.5 s later.
 func TestRisingDemandOrdersEarly(t *testing.T) {
 	is := is.New(t)
@@ -42,14 +45,14 @@
 	for ; at < 8*time.Second; at += 100 * time.Millisecond {
 		inflow.Add(3200, time.Second, at) // 32 cores
 	}
-	calm := inflow.Expected(at)
+	calm := inflow.Expected(at, lead)
 	is.True(calm > 25_000 && calm < 40_000)
 	for range 10 { // one second at ten times the rate
 		inflow.Add(32_000, time.Second, at)
 		at += 100 * time.Millisecond
 	}
 	rises := pool("rises", 5, 5, 4, 32000, 0)
-	rises.Inflow = inflow.Expected(at)
+	rises.Inflow = inflow.Expected(at, lead)
 	off := pool("off", 10, 10, 10, 0, 0)
 	off.Standby = true
 	is.True(len(Balance([]*BalancePool{rises, off}, DefaultBalance)) >= 5) // its own are still idle
@@ -57,7 +60,32 @@
 		inflow.Add(3200, time.Second, at)
 		at += 100 * time.Millisecond
 	}
-	is.True(inflow.Expected(at) < 45_000) // and falls again
+	is.True(inflow.Expected(at, lead) < 45_000) // and falls again
+}
+
+// TestRampIsMetInTime replays the beginning of a turn on coulee-till-grown, in jobs a second: the order has to be out by the time that the
+// instances need before the demand is there.
+func TestRampIsMetInTime(t *testing.T) {
+	is := is.New(t)
+	const work, chain = 25_000, time.Second // 25 cores for a second
+	var inflow Inflow
+	at := time.Duration(0)
+	add := func(jobs int) {
+		for range jobs {
+			inflow.Add(work, chain, at)
+			at += time.Second / time.Duration(jobs)
+		}
+	}
+	for _, jobs := range []int{2, 1, 2, 8, 40, 78} {
+		add(jobs)
+	}
+	demand := int64(123 * work) // a second later, about what an order takes
+	is.True(inflow.Expected(at, lead) > demand*8/10)
+	is.True(inflow.Expected(at, lead) < demand*13/10)
+	add(123)
+	add(125)
+	add(120)
+	is.True(inflow.Expected(at, lead) < demand*13/10) // and it does not overshoot on the plateau
 }
 
 // TestOneLargeJobIsNoRush guards against ordering a pool full of instances for one job: its work is spread over the time that it takes.
@@ -65,7 +93,7 @@
 	is := is.New(t)
 	var inflow Inflow
 	inflow.Add(200_000, 4*time.Second, time.Second) // 50 cores for 4 s
-	is.True(inflow.Expected(time.Second) < 2*50_000*2)
+	is.True(inflow.Expected(time.Second, lead) < 2*50_000*2)
 }
 
 // TestIdleIsSwitchedOff replays the end of a turn: idle instances go to a pool that lacks them, and are switched off beyond the reserve.
--- a/internal/scheduling/inflow.go
+++ b/internal/scheduling/inflow.go
@@ -8,13 +8,13 @@
 const (
 	// leastWindow and mostWindow bound the time over which arriving work is averaged, and windowPart is its part of the time that a job takes:
 	// the work of a long job is not needed at once.
-	leastWindow = 800 * time.Millisecond
+	leastWindow = 500 * time.Millisecond
 	mostWindow  = 4 * time.Second
-	windowPart  = 0.6
-	// slowWindows is how many times longer the second average looks back. The lead of the first over it tells how fast demand rises, and
-	// inflowTrend is the part of that lead that is added, for the time until an instance that is ordered now can work.
+	windowPart  = 0.5
+	// slowWindows is how many times longer the second average looks back. The lead of the first over it tells how fast demand rises.
 	slowWindows = 3
-	inflowTrend = 0.6
+	// mostRise bounds what is added for the rise, as a part of what arrives.
+	mostRise = 1.5
 	// chainWeight is the weight of one job in the mean time that jobs take.
 	chainWeight = 0.05
 )
@@ -54,9 +54,13 @@
 	i.slow.add(work, now, slowWindows*i.window())
 }
 
-// Expected returns the processor, in thousandths of a core, that the arriving work will take by the time that an instance ordered now can
-// work.
-func (i *Inflow) Expected(now time.Duration) int64 {
-	fast, slow := i.fast.decayed(now, i.window()), i.slow.decayed(now, slowWindows*i.window())
-	return int64(fast + inflowTrend*max(fast-slow, 0))
+// Expected returns the processor, in thousandths of a core, that the arriving work will take after the time lead, in which an instance that is
+// ordered now can work.
+func (i *Inflow) Expected(now, lead time.Duration) int64 {
+	window := i.window()
+	fast, slow := i.fast.decayed(now, window), i.slow.decayed(now, slowWindows*window)
+	// An average lags behind by its window, and what runs lags behind what arrives by half the time that a job takes.
+	ahead := max(lead+window-i.chain/2, 0)
+	slope := max(fast-slow, 0) / float64((slowWindows-1)*window)
+	return int64(fast + min(slope*float64(ahead), mostRise*fast))
 }
