Ask busy workers with a short wait

A renewal without an answer hid all ends of its worker for 1.5 s, and a busy worker is asked ten times a second. Ruled out: a change of the leader (one only, at 18.8 s), missing instances (the first turn has what it needs). Change: renewals of workers with runs that end by themselves wait 300 ms in place of 1 s; the timeout beyond is 400 ms.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -14,11 +14,13 @@
 )
 
 const (
-	// holdWait is how long a worker may keep a renewal open while no run ends, and idleHoldWait the same for a worker without runs.
+	// holdWait is how long a worker may keep a renewal open while no run ends, idleHoldWait the same for a worker without runs, and busyHoldWait
+	// for one with runs that will end: if the answer is lost, their ends are not known until the renewal has timed out.
 	holdWait     = time.Second
 	idleHoldWait = 2 * time.Second
+	busyHoldWait = 300 * time.Millisecond
 	// holdTimeout bounds a renewal beyond its wait.
-	holdTimeout = 500 * time.Millisecond
+	holdTimeout = 400 * time.Millisecond
 	// holdPause is the least time between two renewals of a worker, so that ends close together come in one answer. A busy worker of 32 cores
 	// has an end every 50 to 100 ms.
 	holdPause = 50 * time.Millisecond
@@ -296,8 +298,11 @@
 	default:
 	}
 	h := worker.Hold{FencingToken: d.Token, Acknowledged: a.storedEnd, Wait: holdWait}
-	if len(a.runs) == 0 {
+	switch {
+	case len(a.runs) == 0:
 		h.Wait = idleHoldWait
+	case a.endsSoon():
+		h.Wait = busyHoldWait
 	}
 	// A worker that does not answer gets no longer lease: each call without an answer may still be carried out, and would
 	// put off the moment at which its runs count as lost.
@@ -310,6 +315,16 @@
 	return a.address(), h, true
 }
 
+// endsSoon reports whether a run is at work that will end by itself. Callers hold mu.
+func (a *agent) endsSoon() bool {
+	for _, r := range a.runs {
+		if !r.Task.Step.Spec.LongRunning && r.Phase != workload.RunAssigned {
+			return true
+		}
+	}
+	return false
+}
+
 // silent notes a renewal without an answer.
 func (d *Dispatcher) silent(a *agent, err error, sent time.Duration) {
 	d.mu.Lock()
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -152,3 +152,26 @@
 	d.place()
 	is.Equal(len(j.Task(0, 0, 0).Runs), 0)
 }
+
+// TestLostRenewalCostsLittle guards against ends that stay unknown for seconds when the answer to a renewal is lost: a worker with runs that
+// end by themselves is asked with a short wait, any other with a long one.
+func TestLostRenewalCostsLittle(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	wait := func() time.Duration {
+		_, h, ok := d.nextHold(a)
+		is.True(ok)
+		return h.Wait
+	}
+	is.Equal(wait(), idleHoldWait)
+	lasts := d.addJob("0011223344556677", fleet.Step{Count: 1, LongRunning: true})
+	d.place()
+	lasts.Task(0, 0, 0).Runs[0].Phase = workload.RunActive
+	is.Equal(wait(), holdWait)
+	ends := d.addJob("0011223344556678", oneTask)
+	d.place()
+	ends.Task(0, 0, 0).Runs[0].Phase = workload.RunActive
+	is.Equal(wait(), busyHoldWait)
+}
