Show an end that is not stored only while the store answers nobody

The store refuses the leader alone from 2.5 s; a task is done at 2.521 s, its job is shown as done at 2.863 s without being stored, its worker crashes, another leads from 3.701 s, loses the run at 3.784 s ("its instance has another worker or none") and starts it again at 3.954 s. Ruled out: an acknowledgement of an end that was not stored (none is sent; "taken note of" is the caller's answer). Change: questions to the leader tell for how long the one that asks has had no contact to the store. An end that is not stored is shown only after 0.8 s in which, by their word, the store has answered none of them, and not while its worker is silent. The check of TestEndsAtLeavingWorkersAreStoredFirst is narrower by the peers' word, which it now gives, and wider by silent workers. What is left: all entry instances without the store, and both the leader and a worker gone meanwhile.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -91,9 +91,12 @@
 	return nil
 }
 
-// append repeats one append until its outcome is known.
+// append repeats one append until its outcome is known. One without records takes no number of the sequence.
 func (c *committer) append(ctx context.Context, records []store.Record) error {
-	c.sequence++
+	if len(records) > 0 {
+		c.sequence++
+	}
+	unanswered := false
 	began := bootclock.Now()
 	for tries := 1; ctx.Err() == nil; tries++ {
 		first, err := c.try(ctx, records)
@@ -105,6 +108,9 @@
 			return c.advance(first, len(records))
 		case errors.Is(err, store.ErrFenced):
 			return err
+		case errors.As(err, &unexpected) && unanswered:
+			// A try without an answer may be carried out later under its number, and would then pass for the next append.
+			return fmt.Errorf("%w: sequence %d sent, %d expected", errForeignRecords, c.sequence, unexpected.Expected)
 		case errors.As(err, &unexpected):
 			// The store may count records where this client counts calls.
 			c.d.Log.Warn().Str("event", "sequence").Int64("sent", c.sequence).Int64("expected", unexpected.Expected).Msg("the store expects another sequence")
@@ -113,6 +119,7 @@
 		case !errors.Is(err, store.ErrBusy) && !errors.Is(err, store.ErrUnknown):
 			c.d.Log.Error().Err(err).Str("event", "append_failed").Int("records", len(records)).Msg("progress cannot be stored")
 		}
+		unanswered = unanswered || errors.Is(err, store.ErrUnknown)
 		c.d.counters.appendRetries.Add(1)
 		sleep.For(ctx, min(appendRetry*time.Duration(tries), maxAppendRetry))
 	}
--- /dev/null
+++ b/internal/dispatch/commit_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/store"
+)
+
+// sequenceStore numbers appends as the platform does: one without records takes no number.
+type sequenceStore struct {
+	idleStore
+	last, end int64
+	refused   int
+	// lose makes the next append go without an answer.
+	lose bool
+}
+
+func (s *sequenceStore) Append(_ context.Context, a store.Append) (int64, error) {
+	if s.lose {
+		s.lose = false
+		return 0, store.ErrUnknown
+	}
+	if len(a.Records) == 0 {
+		return s.end, nil
+	}
+	if a.Producer.Sequence != s.last+1 {
+		s.refused++
+		return 0, &store.SequenceError{Expected: s.last + 1}
+	}
+	s.last++
+	s.end += int64(len(a.Records))
+	return s.end - int64(len(a.Records)), nil
+}
+
+func newCommitterFixture(s *sequenceStore) *committer {
+	d := newFixture(0)
+	d.Store = s
+	return newCommitter(d)
+}
+
+var oneRecord = []store.Record{{Key: "p/1", Value: []byte("{}")}}
+
+// TestConfirmTakesNoNumber guards against appends that are refused after each empty one: its number is not counted by the store.
+func TestConfirmTakesNoNumber(t *testing.T) {
+	is := is.New(t)
+	s := &sequenceStore{}
+	c := newCommitterFixture(s)
+	defer c.d.stop()
+	for _, records := range [][]store.Record{oneRecord, nil, nil, oneRecord, nil, oneRecord} {
+		is.NoErr(c.append(t.Context(), records))
+	}
+	is.Equal(s.refused, 0)
+	is.Equal(s.last, int64(3))
+}
+
+// TestSequenceAfterALostAnswerEndsTheTerm guards against a new number for an append of which an earlier try may still be carried out under the
+// old one: it would be taken for the next append, which is then answered and not stored.
+func TestSequenceAfterALostAnswerEndsTheTerm(t *testing.T) {
+	is := is.New(t)
+	s := &sequenceStore{}
+	c := newCommitterFixture(s)
+	defer c.d.stop()
+	is.NoErr(c.append(t.Context(), oneRecord))
+	s.last-- // the store counts in another way than this client
+	s.lose = true
+	is.True(errors.Is(c.append(t.Context(), oneRecord), errForeignRecords))
+	is.NoErr(c.append(t.Context(), nil))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -121,8 +121,10 @@
 	forgetting bool
 	// storedWorkers is the stored set of workers with their pools.
 	storedWorkers map[string]string
-	// lastStored is the boot clock of the last append that succeeded.
-	lastStored     time.Duration
+	// lastStored is the boot clock of the last append that succeeded, peersStored that of the last contact of any other entry instance to the
+	// store, and peersHeard when one has told so.
+	lastStored, peersStored, peersHeard time.Duration
+
 	begunAt        time.Duration
 	unstoredLogged time.Duration // boot clock
 	poolsLogged    time.Duration // boot clock
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -16,8 +16,15 @@
 // longer. So it finds every run that is at work, also those of which the store knows nothing; and an earlier leader that still
 // works, perhaps on jobs that were accepted after the change, is refused by then.
 
-// unstoredAfter is the time after which an append under way no longer holds back starts.
-const unstoredAfter = 300 * time.Millisecond
+const (
+	// unstoredAfter is the time after which an append under way no longer holds back starts.
+	unstoredAfter = 300 * time.Millisecond
+	// awayAfter is the time after which an append under way no longer holds back that a job is done, if the store is away for the other entry
+	// instances too. By then each of them has had the end of a read, if the store answers it.
+	awayAfter = 800 * time.Millisecond
+	// peerReportAge is the age up to which the reports of other entry instances count.
+	peerReportAge = time.Second
+)
 
 // releaseUnstored lets out the starts that wait for an append under way since began.
 func (d *Dispatcher) releaseUnstored(began time.Duration) {
@@ -39,6 +46,33 @@
 		d.send(r)
 		released++
 	}
+	if d.awayForAll(began) {
+		d.showUnstored()
+	}
+	d.counters.unstoredStarts.Add(int64(released))
+	if now := bootclock.Now(); released > 0 && now-d.unstoredLogged > poolLogInterval {
+		d.unstoredLogged = now
+		d.Log.Info().Str("event", "unstored_starts").Int("starts", released).Dur("store_silent", bootclock.Now()-began).Msg("tasks start before their assignments are stored")
+	}
+}
+
+// PeerContact notes for how long another entry instance has had no contact to the store.
+func (d *Dispatcher) PeerContact(silent time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peersHeard = bootclock.Now()
+	d.peersStored = max(d.peersStored, d.peersHeard-silent)
+}
+
+// awayForAll reports whether the store has answered nobody since an append began that is under way. If it answers others, only this entry
+// instance is cut off, and one of them is about to lead. Callers hold mu.
+func (d *Dispatcher) awayForAll(began time.Duration) bool {
+	now := bootclock.Now()
+	return now-began >= awayAfter && now-d.peersHeard <= peerReportAge && d.peersStored < began
+}
+
+// showUnstored shows the ends of jobs that are not stored. Callers hold mu.
+func (d *Dispatcher) showUnstored() {
 	for j := range d.unshown {
 		if d.endsMayGo(j) {
 			continue
@@ -46,18 +80,13 @@
 		d.show(j, j.State)
 		delete(d.unshown, j)
 	}
-	d.counters.unstoredStarts.Add(int64(released))
-	if now := bootclock.Now(); released > 0 && now-d.unstoredLogged > poolLogInterval {
-		d.unstoredLogged = now
-		d.Log.Info().Str("event", "unstored_starts").Int("starts", released).Dur("store_silent", bootclock.Now()-began).Msg("tasks start before their assignments are stored")
-	}
 }
 
-// endsMayGo reports whether an end of the job that is not stored is known only to a worker that is leaving. A new leader would not learn
-// of it and run the task again, after callers were told that the job is done. Callers hold mu.
+// endsMayGo reports whether an end of the job that is not stored is known only to a worker that is leaving or silent. A new leader would not
+// learn of it and run the task again, after callers were told that the job is done. Callers hold mu.
 func (d *Dispatcher) endsMayGo(j *job) bool {
 	for _, a := range d.agents {
-		if a.unstoredJobs[j.ID] && (a.entry == nil || a.entry.Draining) {
+		if a.unstoredJobs[j.ID] && (a.entry == nil || a.entry.Draining || a.silentSince != 0) {
 			return true
 		}
 	}
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -120,12 +120,38 @@
 	a.entry.Draining = true
 	d.reported(a, worker.Report{ClockMillis: 1, Ended: []worker.End{{Number: 1, Task: run.Task.Name(), Run: 1, Kind: worker.EndDone}}}, bootclock.Now())
 	is.Equal(j.State, workload.StateDone)
-	long := bootclock.Now() - unstoredAfter - time.Millisecond
-	d.releaseUnstored(long)
-	is.Equal(j.visible, workload.StatePending)
-	a.entry.Draining = false
-	d.releaseUnstored(long)
-	is.Equal(j.visible, workload.StateDone)
+	shown := func() workload.State {
+		d.PeerContact(time.Minute)
+		d.releaseUnstored(bootclock.Now() - awayAfter - time.Millisecond)
+		return j.visible
+	}
+	is.Equal(shown(), workload.StatePending)
+	a.entry.Draining, a.silentSince = false, bootclock.Now()
+	is.Equal(shown(), workload.StatePending)
+	a.silentSince = 0
+	is.Equal(shown(), workload.StateDone)
+}
+
+// TestDoneIsStoredIfOthersReachTheStore guards against a leader that is cut off from the store alone and shows a job as done: the next
+// leader, which begins a moment later, does not know the end if its worker has crashed, and runs the task again.
+func TestDoneIsStoredIfOthersReachTheStore(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	j := d.addJob("0011223344556677", oneTask)
+	d.place()
+	run := j.Task(0, 0, 0).Runs[0]
+	run.Stored, run.Released, run.Phase = true, true, workload.RunActive
+	d.reported(d.agent("w0"), worker.Report{ClockMillis: 1, Ended: []worker.End{{Number: 1, Task: run.Task.Name(), Run: 1, Kind: worker.EndDone}}}, bootclock.Now())
+	shown := func() workload.State {
+		d.releaseUnstored(bootclock.Now() - awayAfter - time.Millisecond)
+		return j.visible
+	}
+	is.Equal(shown(), workload.StatePending) // nobody has told whether the store answers
+	d.PeerContact(100 * time.Millisecond)
+	is.Equal(shown(), workload.StatePending) // it answers another entry instance
+	d.peersStored = bootclock.Now() - time.Minute
+	is.Equal(shown(), workload.StateDone)
 }
 
 // TestFailureIsCountedOnce guards against a job that is shown as failed because a new leader counts a failure again that its predecessor has
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -147,7 +147,7 @@
 func (n *Node) listen(ctx context.Context) (*http.Server, error) {
 	handler := &front.Handler{
 		Config: n.follower, Jobs: store.NewGroups(ctx, n.platform.Store, n.platform.JobTopic, n.settings.StorePartitions, preferredPartition(n.settings)), Codec: n.platform.Codec,
-		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log},
+		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, StoreSilent: n.follower.Age, Log: n.log},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
 	}
 	ready := http.NewServeMux()
--- a/internal/leaderrpc/leaderrpc.go
+++ b/internal/leaderrpc/leaderrpc.go
@@ -39,7 +39,14 @@
 // ErrNoLeader means that the leader cannot be reached or does not know the jobs yet.
 var ErrNoLeader = errors.New("leaderrpc: no leader can be asked")
 
+// contact is what every question tells of the entry instance that asks.
+type contact struct {
+	// StoreSilentMillis is for how long it has had no contact to the store; nil if it never had any.
+	StoreSilentMillis *int64 `json:"store_silent_ms,omitempty"`
+}
+
 type jobStateParams struct {
+	contact
 	Queue string `json:"queue"`
 	Team  string `json:"team"`
 	Job   string `json:"job"`
@@ -50,6 +57,7 @@
 }
 
 type pendingParams struct {
+	contact
 	Queue string `json:"queue"`
 }
 
@@ -61,6 +69,8 @@
 type Jobs interface {
 	JobState(queue, team, id string) (workload.State, error)
 	PendingJobs(queue string) (int, error)
+	// PeerContact notes for how long another entry instance has had no contact to the store.
+	PeerContact(silent time.Duration)
 }
 
 // Server answers the other entry instances while this one leads.
@@ -107,6 +117,7 @@
 		if err := json.Unmarshal(*r.Params, &p); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
+		p.tell(jobs)
 		state, err := jobs.JobState(p.Queue, p.Team, p.Job)
 		return jobStateResult{State: state}, encodeError(err)
 	case methodPendingJobs:
@@ -114,12 +125,20 @@
 		if err := json.Unmarshal(*r.Params, &p); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
+		p.tell(jobs)
 		n, err := jobs.PendingJobs(p.Queue)
 		return pendingResult{Pending: n}, encodeError(err)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 }
 
+// tell passes on what the entry instance that asks says of its contact to the store.
+func (c contact) tell(jobs Jobs) {
+	if c.StoreSilentMillis != nil {
+		jobs.PeerContact(time.Duration(*c.StoreSilentMillis) * time.Millisecond)
+	}
+}
+
 func encodeError(err error) error {
 	switch {
 	case err == nil:
@@ -137,7 +156,9 @@
 	Leader func() string
 	// Local returns the leader's work if this entry instance leads, or nil.
 	Local func() Jobs
-	Log   zerolog.Logger
+	// StoreSilent returns for how long this entry instance has had no contact to the store, and whether it ever had any.
+	StoreSilent func() (time.Duration, bool)
+	Log         zerolog.Logger
 
 	mu   sync.Mutex // guards conn and to; held while dialing
 	conn *jsonrpc2.Conn
@@ -151,7 +172,7 @@
 		return state, decodeError(encodeError(err))
 	}
 	var r jobStateResult
-	err := c.call(ctx, methodJobState, jobStateParams{Queue: queue, Team: team, Job: id}, &r)
+	err := c.call(ctx, methodJobState, jobStateParams{contact: c.contact(), Queue: queue, Team: team, Job: id}, &r)
 	return r.State, err
 }
 
@@ -162,10 +183,19 @@
 		return n, decodeError(encodeError(err))
 	}
 	var r pendingResult
-	err := c.call(ctx, methodPendingJobs, pendingParams{Queue: queue}, &r)
+	err := c.call(ctx, methodPendingJobs, pendingParams{contact: c.contact(), Queue: queue}, &r)
 	return r.Pending, err
 }
 
+func (c *Client) contact() contact {
+	silent, ok := c.StoreSilent()
+	if !ok {
+		return contact{}
+	}
+	millis := silent.Milliseconds()
+	return contact{StoreSilentMillis: &millis}
+}
+
 func (c *Client) call(ctx context.Context, method string, params, result any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
