Begin long drains of a wave in time

Replays with logs: a worker has 3 to 7 tasks of one step that lasts; they may leave only one after the other, 1.0 to 1.5 s each, and the instance was chosen 6 s before the end of the wave like any other (m-bdc20: chosen at 20.4 s, ordered at 29.5 s, due at 26.6 s). Ruled out: refused orders (none), a change of the leader (the last was 5 s before), switched-off instances. Change: each instance's own time is estimated from its tasks that last; one that would be late is chosen first, whatever the load.

--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -20,6 +22,8 @@
 const (
 	// drainTime is how long an instance is expected to drain.
 	drainTime = 2 * time.Second
+	// replaceTime is how long a task that lasts takes from its stop until it is at work elsewhere.
+	replaceTime = 1300 * time.Millisecond
 	// waveBudgetPercent is the part of a pool that stays available during a wave that is not late.
 	waveBudgetPercent = 60
 	// orderAgainAfter is how long an order without effect in the list is waited for before it is given again.
@@ -189,6 +193,7 @@
 		if a := d.agents[listed.Worker]; a != nil {
 			a.leaving = i.phase == scheduling.MaintenancePending || i.phase == scheduling.MaintenanceDraining
 			v.Runs = len(a.runs)
+			v.Takes = scheduling.DrainTime(slices.Collect(maps.Values(a.runs)), drainTime, replaceTime) + d.Bounds.Maintenance
 			v.Up = !moving && w.orderable(listed) && listed.Phase == fleet.InstanceUp && a.entry != nil && !a.entry.Draining && a.contacted
 		}
 		view.Instances = append(view.Instances, v)
--- a/internal/scheduling/wave.go
+++ b/internal/scheduling/wave.go
@@ -35,6 +35,8 @@
 	Runs int
 	// Load is the used part of the processors of the instance's pool.
 	Load float64
+	// Takes is the time from the choice to the return of this instance.
+	Takes time.Duration
 }
 
 // WaveView is a wave at one moment.
@@ -44,7 +46,7 @@
 	MaxDown int
 	// Left is the time until the wave has to be finished.
 	Left time.Duration
-	// EachTakes is the time that an instance takes from the choice to its return.
+	// EachTakes is the time that most instances take from the choice to their return.
 	EachTakes time.Duration
 	// Pools are the pools of the instances, for the availability budget.
 	Pools map[string]*disruption.Pool
@@ -85,7 +87,7 @@
 		}
 	}
 	slices.SortFunc(pending, func(a, b WaveInstance) int {
-		return cmp.Or(a.cost()-b.cost(), cmp.Compare(a.Load, b.Load), a.Runs-b.Runs)
+		return cmp.Or(v.cost(&a)-v.cost(&b), cmp.Compare(a.Load, b.Load), a.Runs-b.Runs)
 	})
 	urgent := v.Urgent()
 	var next []string
@@ -98,6 +100,7 @@
 			taken++
 			continue
 		}
+		urgent := urgent || v.overdue(&i)
 		if !urgent && i.Load > calmLoad {
 			continue
 		}
@@ -112,16 +115,40 @@
 	return next
 }
 
+// overdue reports whether an instance is late if it waits any longer: tasks that last leave it one after the other.
+func (v *WaveView) overdue(i *WaveInstance) bool {
+	return float64(v.Left) < urgencyReserve*float64(i.Takes)
+}
+
 // cost ranks instances by what their maintenance takes from the pool now.
-func (i *WaveInstance) cost() int {
+func (v *WaveView) cost(i *WaveInstance) int {
 	switch {
-	case i.Off:
+	case !i.Off && v.overdue(i):
 		return 0
-	case i.Runs == 0:
+	case i.Off:
 		return 1
-	default:
+	case i.Runs == 0:
 		return 2
+	default:
+		return 3
+	}
+}
+
+// DrainTime returns how long a worker takes until nothing runs there: the tasks of a step that lasts may be stopped only as many at a time as
+// may be away, and each takes as long as one needs to be at work elsewhere; all others end meanwhile.
+func DrainTime(runs []*workload.Run, others, each time.Duration) time.Duration {
+	steps := map[*workload.Step]int{}
+	for _, r := range runs {
+		if r.Task.Step.Spec.LongRunning {
+			steps[r.Task.Step]++
+		}
+	}
+	longest := others
+	for s, n := range steps {
+		rounds := (n + max(s.Spec.MayMiss, 1) - 1) / max(s.Spec.MayMiss, 1)
+		longest = max(longest, time.Duration(rounds)*each)
 	}
+	return longest
 }
 
 func markDown(p *disruption.Pool, id string) {
--- a/internal/scheduling/wave_test.go
+++ b/internal/scheduling/wave_test.go
@@ -98,3 +98,28 @@
 	v.Instances[5].Load = 0.1
 	is.Equal(NextForMaintenance(v), []string{"m7", "m6", "m5"})
 }
+
+// TestLongDrainsBeginInTime guards against a late wave: an instance with many tasks of one step that lasts, which leave it one after the other,
+// was chosen as late as any other.
+func TestLongDrainsBeginInTime(t *testing.T) {
+	is := is.New(t)
+	j := lasting(7, 1)
+	var runs []*workload.Run
+	for i := range 7 {
+		runs = append(runs, j.Task(0, 0, i).Runs[0])
+	}
+	is.Equal(DrainTime(nil, 2*time.Second, time.Second), 2*time.Second)
+	is.Equal(DrainTime(runs, 2*time.Second, time.Second), 7*time.Second)
+	j.Spec.Steps[0].MayMiss = 3
+	is.Equal(DrainTime(runs, 2*time.Second, time.Second), 3*time.Second)
+
+	v := view(4, 0)
+	v.MaxDown, v.Left = 1, 12*time.Second
+	for i := range v.Instances {
+		v.Instances[i].Load, v.Instances[i].Runs, v.Instances[i].Takes = 0.9, 3, time.Second
+	}
+	v.EachTakes = time.Second
+	is.Equal(len(NextForMaintenance(v)), 0) // busy, and there is time
+	v.Instances[2].Takes = 9 * time.Second
+	is.Equal(NextForMaintenance(v), []string{"m2"})
+}
