Give late answers more time on a saturated processor, and end a term whose work has ended

The leader's processor is full, answers are read after their timeout, sound workers count as silent and get no longer lease, and each timeout opens a new connection. Reading the code for it showed that a dispatcher whose work ends by itself waited for its tasks before it cancelled them: the process went on with heartbeats and led without working. Growth is still above linear: each want searches the workers.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -281,7 +281,7 @@
 }
 
 func (d *Dispatcher) hold(ctx context.Context, to worker.Address, h worker.Hold) (worker.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, h.Wait+holdTimeout)
+	ctx, cancel := context.WithTimeout(ctx, h.Wait+d.lag.timeout(holdTimeout))
 	defer cancel()
 	return d.Workers.Hold(ctx, to, h)
 }
--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
+	"pollenlead/internal/follow"
 	"pollenlead/internal/store"
 )
 
@@ -70,3 +73,45 @@
 	is.True(errors.Is(c.append(t.Context(), oneRecord), errForeignRecords))
 	is.NoErr(c.append(t.Context(), nil))
 }
+
+// fencedStore accepts the append that begins a term, and no other.
+type fencedStore struct {
+	idleStore
+	appends int
+}
+
+func (s *fencedStore) Append(context.Context, store.Append) (int64, error) {
+	s.appends++
+	if s.appends > 1 {
+		return 0, store.ErrFenced
+	}
+	return 0, nil
+}
+
+func (s *fencedStore) Read(ctx context.Context, _ string, _ int, _ int64, _ time.Duration) (store.Page, error) {
+	<-ctx.Done()
+	return store.Page{}, store.ErrUnknown
+}
+
+func (s *fencedStore) ReadNewest(context.Context, string, int, string) (store.Newest, error) {
+	return store.Newest{End: 1}, nil
+}
+
+// TestTermEndsWithoutTheElection guards against a leader whose work has ended and that goes on sending heartbeats: its term ended only when
+// another had claimed, which none does while there are heartbeats.
+func TestTermEndsWithoutTheElection(t *testing.T) {
+	is := is.New(t)
+	s := &fencedStore{}
+	d := New(Options{Store: s, JobPartitions: 2, Follower: follow.New(s, follow.Decoder{}, zerolog.Nop()), Log: zerolog.Nop()})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		d.Run(context.WithoutCancel(t.Context()))
+	}()
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the leader's work has not ended")
+	}
+	is.Equal(s.appends, 2)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,7 +39,7 @@
 	decisionPause = 2 * time.Millisecond
 	decisionShare = 0.25
 	// maxDecisionPause bounds the pause after a long decision.
-	maxDecisionPause = 40 * time.Millisecond
+	maxDecisionPause = 120 * time.Millisecond
 	// endedKeptMore keeps an ended job a little longer than its state has to stay known.
 	endedKeptMore = 10 * time.Second
 )
@@ -94,6 +94,7 @@
 	stop context.CancelFunc
 	ctx  context.Context
 	wake chan struct{}
+	lag  lagMeter
 
 	mu      sync.Mutex // guards what follows
 	loaded  bool
@@ -171,13 +172,16 @@
 // Run works until ctx is done or the term turns out to be over.
 func (d *Dispatcher) Run(ctx context.Context) {
 	ctx, d.stop = context.WithCancel(ctx)
-	defer d.stop()
 	d.ctx = ctx
 	d.begunAt, d.wall = bootclock.Now(), time.Now()
 	d.lastStored = d.begunAt
 
 	var tasks sync.WaitGroup
-	defer tasks.Wait()
+	defer func() {
+		d.stop() // the tasks end with the term, also where the work ends by itself
+		tasks.Wait()
+	}()
+	tasks.Go(func() { d.lag.run(ctx) })
 	commit := newCommitter(d)
 	fenced, ok := commit.fence(ctx)
 	if !ok {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -48,7 +48,7 @@
 		if !ok {
 			return
 		}
-		ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
 		_, err := d.Workers.Start(ctx, to, s)
 		cancel()
 		if d.ctx.Err() != nil {
@@ -197,7 +197,7 @@
 
 // stopAt sends one stop and reports whether it settles the matter.
 func (d *Dispatcher) stopAt(a *agent, to worker.Address, name string, r *workload.Run) bool {
-	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
 	err := d.Workers.Stop(ctx, to, name, r.Number, d.Token)
 	cancel()
 	d.mu.Lock()
@@ -229,7 +229,7 @@
 	d.Log.Info().Str("event", "stray_run").Str("task", key.task).Int("run", key.number).Str("worker", a.id).Msg("a run that is not assigned is stopped")
 	to := a.address()
 	go func() {
-		ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
 		defer cancel()
 		if err := d.Workers.Stop(ctx, to, key.task, key.number, d.Token); err != nil {
 			d.Log.Info().Str("event", "stop_failed").Str("task", key.task).Str("worker", a.id).Err(err).Msg("a run that is not assigned could not be stopped yet")
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -45,7 +45,7 @@
 	d.mu.Lock()
 	to, name := a.address(), r.Task.Name()
 	d.mu.Unlock()
-	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
 	defer cancel()
 	if err := d.Workers.Pace(ctx, to, name, r.Number, percent, d.Token); err != nil {
 		d.Log.Info().Str("event", "pace_failed").Str("task", name).Str("worker", to.ID).Err(err).Msg("pace of filler work could not be changed yet")
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -69,7 +69,7 @@
 	if a.entry.Draining || a.cordoned || !a.contacted || a.silentSince != 0 || !a.health.usable(now) {
 		return false
 	}
-	return boot-a.clockAt <= idleHoldWait+holdTimeout+holdRetry // otherwise its renewal is overdue
+	return boot-a.clockAt <= idleHoldWait+d.lag.timeout(holdTimeout)+holdRetry // otherwise its renewal is overdue
 }
 
 // limits returns what each team may still start. Callers hold mu.
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -109,10 +109,10 @@
 		if !w.Step.Spec.Charge().Fits(room) {
 			continue
 		}
-		before := len(placed)
-		placed = append(placed, place(workers, w, limits)...)
-		if len(placed) > before {
-			room = LargestRoom(workers)
+		some := place(workers, w, limits)
+		placed = append(placed, some...)
+		if len(some) < len(w.Tasks) {
+			room = LargestRoom(workers) // until then the old figure is too large at most, which only costs a search
 		}
 	}
 	return placed
@@ -130,7 +130,7 @@
 	var placed []Placement
 	use := newSpread(w.Step)
 	for _, t := range w.Tasks {
-		p, ok := placeOne(workers, w, t, use, limits)
+		p, ok := placeNext(workers, w, t, use, limits, placed)
 		if !ok {
 			if !use.differs(w) {
 				break // the next task of the step would find no place either
@@ -142,6 +142,18 @@
 	return placed
 }
 
+// placeNext places a task where the one before it went, if that is still the cheapest worker without a look at the others: the fullest is the
+// cheapest, and it has just become fuller.
+func placeNext(workers []*Worker, w Want, t *workload.Task, use *spread, limits Limits, placed []Placement) (Placement, bool) {
+	s := w.Step.Spec
+	if n := len(placed); n > 0 && !s.Filler && s.LatencyTarget == 0 && t.Failures == 0 {
+		if last := placed[n-1].Worker; !last.Probe && allowed(last, w, t, use) {
+			return placeAt(last, w, t, use, limits)
+		}
+	}
+	return placeOne(workers, w, t, use, limits)
+}
+
 // placeGang places all tasks of the step or none.
 func placeGang(workers []*Worker, w Want, limits Limits) []Placement {
 	if len(w.Tasks) != len(w.Step.Tasks) {
@@ -171,9 +183,9 @@
 	}
 }
 
+// placeOne places a task at the cheapest worker.
 func placeOne(workers []*Worker, w Want, t *workload.Task, use *spread, limits Limits) (Placement, bool) {
-	limit := limits[w.Step.Job.Team]
-	if limit != nil && !w.Step.Spec.Need.Fits(*limit) {
+	if limit := limits[w.Step.Job.Team]; limit != nil && !w.Step.Spec.Need.Fits(*limit) {
 		return Placement{}, false
 	}
 	var best *Worker
@@ -189,6 +201,15 @@
 	if best == nil {
 		return Placement{}, false
 	}
+	return placeAt(best, w, t, use, limits)
+}
+
+// placeAt places a task at a worker that may run it, if the team's limit allows.
+func placeAt(best *Worker, w Want, t *workload.Task, use *spread, limits Limits) (Placement, bool) {
+	limit := limits[w.Step.Job.Team]
+	if limit != nil && !w.Step.Spec.Need.Fits(*limit) {
+		return Placement{}, false
+	}
 	best.Free = best.Free.Sub(w.Step.Spec.Charge())
 	best.Runs++
 	if w.Step.Spec.Filler {
--- a/internal/scheduling/plan_test.go
+++ b/internal/scheduling/plan_test.go
@@ -120,3 +120,61 @@
 		}
 	})
 }
+
+// TestNextTaskGoesWhereAFullSearchWouldPutIt guards against the shortcut for the tasks of one step choosing another worker than the search over
+// all of them.
+func TestNextTaskGoesWhereAFullSearchWouldPutIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		step := fleet.Step{
+			Count: rapid.IntRange(1, 8).Draw(t, "count"), Need: fleet.Resources{CPUMilli: rapid.Int64Range(1, 9000).Draw(t, "cpu")},
+			MaxPerWorker: rapid.IntRange(0, 2).Draw(t, "spread"), SameRack: rapid.Bool().Draw(t, "same rack"), LongRunning: rapid.Bool().Draw(t, "lasts"),
+		}
+		var fast, full []*Worker
+		for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+			free := rapid.Int64Range(0, 32000).Draw(t, "free")
+			leaving, rack := rapid.Bool().Draw(t, "leaving"), fmt.Sprint("r", rapid.IntRange(0, 1).Draw(t, "rack"))
+			for _, list := range []*[]*Worker{&fast, &full} {
+				w := newWorker(fmt.Sprint("w", i), free)
+				w.Leaving, w.Rack = leaving, rack
+				*list = append(*list, w)
+			}
+		}
+		placed := Plan(fast, []Want{want("j", TierOnTime, step)}, Limits{})
+		searched := want("j", TierOnTime, step)
+		use := newSpread(searched.Step)
+		for n, task := range searched.Tasks {
+			p, ok := placeOne(full, searched, task, use, Limits{})
+			if ok != (n < len(placed)) {
+				t.Fatalf("task %d: placed %v, by the search %v", n, n < len(placed), ok)
+			}
+			if !ok {
+				break
+			}
+			if p.Worker.ID != placed[n].Worker.ID && p.Worker.Free != placed[n].Worker.Free {
+				t.Fatalf("task %d at %s, by the search at %s", n, placed[n].Worker.ID, p.Worker.ID)
+			}
+		}
+	})
+}
+
+// BenchmarkPlan is a decision over the backlog of a burst: three jobs of eight tasks wait for each worker, and each worker has room for some.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []int{50, 350, 860} {
+		b.Run(fmt.Sprint(size, "-workers"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				var workers []*Worker
+				for i := range size {
+					workers = append(workers, newWorker(fmt.Sprint("w", i), int64(i%8)*4000))
+				}
+				var wants []Want
+				for i := range 3 * size {
+					wants = append(wants, want(fmt.Sprint("j", i), TierOnTime, fleet.Step{Count: 8, Need: fleet.Resources{CPUMilli: int64(2000 + i%5*500)}}))
+				}
+				b.StartTimer()
+				Plan(workers, wants, Limits{})
+			}
+		})
+	}
+}
