--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
-	"pollenlead/internal/sleep"
-	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
 )
@@ -98,6 +95,32 @@
 	return a
 }
 
+// attach counts a run at its worker and for its team. Callers hold mu.
+func (d *Dispatcher) attach(r *workload.Run) {
+	a := d.agent(r.Worker)
+	a.runs[runKey{r.Task.Name(), r.Number}] = r
+	a.used = a.used.Add(r.Task.Step.Spec.Charge())
+	a.count(r, +1)
+	d.charge(r.Task.Step.Job.Team, r.Task.Step.Spec.Need, +1)
+}
+
+// detach takes a run away that is known not to be at work. Callers hold mu.
+func (d *Dispatcher) detach(a *agent, r *workload.Run) {
+	key := runKey{r.Task.Name(), r.Number}
+	if a.runs[key] != r {
+		return
+	}
+	delete(a.runs, key)
+	delete(d.unreleased, r)
+	a.used = a.used.Sub(r.Task.Step.Spec.Charge())
+	a.count(r, -1)
+	d.charge(r.Task.Step.Job.Team, r.Task.Step.Spec.Need, -1)
+	if len(a.runs) == 0 {
+		a.idleSince = d.now()
+	}
+	d.mark(a)
+}
+
 // count adds a run to or takes it from the numbers of special runs. Callers hold mu.
 func (a *agent) count(r *workload.Run, sign int) {
 	spec := r.Task.Step.Spec
@@ -149,84 +172,6 @@
 	return deadline
 }
 
-// followWorkers keeps the agents in step with the workers' entries.
-func (d *Dispatcher) followWorkers(ctx context.Context) {
-	tail := &store.Tail{
-		Store: d.Store, Topic: d.WorkerTopic, Pause: entryPause, Log: d.Log,
-		Apply: d.applyEntry, Synced: d.entriesSynced,
-	}
-	tail.Run(ctx)
-}
-
-func (d *Dispatcher) applyEntry(r store.Record) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(r.Value) == 0 {
-		d.entryGone(r.Key)
-		return
-	}
-	e, err := d.DecodeEntry(r.Key, r.Value)
-	if err != nil {
-		d.counters.badEntries.Add(1)
-		return
-	}
-	if c := d.Follower.Config(); c == nil || c.Pool(e.Pool) == nil {
-		d.counters.badEntries.Add(1)
-		return
-	}
-	d.entrySeen(e)
-}
-
-// entriesSynced drops the workers whose entries went while the history was not read.
-func (d *Dispatcher) entriesSynced(keys map[string]bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id, a := range d.agents {
-		if a.entry != nil && !keys[id] {
-			d.entryGone(id)
-		}
-	}
-}
-
-// entrySeen applies a worker's entry. Callers hold mu.
-func (d *Dispatcher) entrySeen(e *fleet.WorkerEntry) {
-	a := d.agent(e.ID)
-	old := a.entry
-	a.entry = e
-	if a.idleSince.IsZero() {
-		a.idleSince = d.now()
-	}
-	if old == nil || old.Draining != e.Draining {
-		d.Log.Info().Str("event", "worker").Str("worker", e.ID).Str("pool", e.Pool).Bool("draining", e.Draining).Int64("sequence", e.Sequence).Msg("worker's state changed")
-		d.mark(a)
-		d.signal()
-	}
-	if e.Incarnation != 0 && a.incarnation != 0 && e.Incarnation > a.incarnation {
-		d.restarted(a, e.Incarnation)
-	}
-	if e.Draining && (old == nil || !old.Draining) {
-		d.evacuate(a)
-	}
-	if !a.running && d.ctx != nil {
-		var ctx context.Context
-		ctx, a.stop = context.WithCancel(d.ctx)
-		a.running = true
-		go d.renew(ctx, a)
-	}
-}
-
-// entryGone applies the removal of a worker's entry. A worker that was draining has left; any other may only be cut off from
-// the store and runs on under its lease. Callers hold mu.
-func (d *Dispatcher) entryGone(id string) {
-	a := d.agents[id]
-	if a == nil || a.entry == nil {
-		return
-	}
-	d.Log.Info().Str("event", "worker_gone").Str("worker", id).Int("runs", len(a.runs)).Bool("draining", a.entry.Draining).Msg("worker's entry was removed")
-	a.entry = nil
-	a.halt()
-}
-
 // halt ends the renewing goroutine. Callers hold mu.
 func (a *agent) halt() {
 	if a.running {
@@ -244,106 +189,6 @@
 	}
 }
 
-// renew keeps one renewal open at the worker until ctx is done.
-func (d *Dispatcher) renew(ctx context.Context, a *agent) {
-	for ctx.Err() == nil {
-		to, h, ok := d.nextHold(a)
-		if !ok {
-			return
-		}
-		sent := bootclock.Now()
-		report, err := d.hold(ctx, to, h)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			d.silent(a, err, sent)
-			sleep.For(ctx, holdRetry)
-			continue
-		}
-		waiting := d.reported(a, report, sent)
-		sleep.For(ctx, holdPause)
-		if waiting {
-			a.await(ctx, storePause)
-		}
-	}
-}
-
-// await waits until the worker's ends are stored, or for at most limit.
-func (a *agent) await(ctx context.Context, limit time.Duration) {
-	t := time.NewTimer(limit)
-	defer t.Stop()
-	select {
-	case <-a.notify:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
-func (d *Dispatcher) hold(ctx context.Context, to worker.Address, h worker.Hold) (worker.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, h.Wait+d.lag.timeout(holdTimeout))
-	defer cancel()
-	return d.Workers.Hold(ctx, to, h)
-}
-
-// nextHold prepares the next renewal.
-func (d *Dispatcher) nextHold(a *agent) (worker.Address, worker.Hold, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if a.entry == nil {
-		return worker.Address{}, worker.Hold{}, false
-	}
-	select { // a nudge from before this renewal is not for the next wait
-	case <-a.notify:
-	default:
-	}
-	h := worker.Hold{FencingToken: d.Token, Acknowledged: a.storedEnd, Wait: holdWait}
-	switch {
-	case len(a.runs) == 0:
-		h.Wait = idleHoldWait
-	case a.endsSoon():
-		h.Wait = busyHoldWait
-	}
-	// A worker that does not answer gets no longer lease: each call without an answer may still be carried out, and would
-	// put off the moment at which its runs count as lost.
-	if len(a.runs) > 0 && a.silentSince == 0 {
-		h.DeadlineMillis = d.lease(a)
-	}
-	if !a.contacted || a.silentSince != 0 || a.seenEnd > a.storedEnd {
-		h.Wait = 0
-	}
-	return a.address(), h, true
-}
-
-// endsSoon reports whether a run is at work that will end by itself. Callers hold mu.
-func (a *agent) endsSoon() bool {
-	for _, r := range a.runs {
-		if !r.Task.Step.Spec.LongRunning && r.Phase != workload.RunAssigned {
-			return true
-		}
-	}
-	return false
-}
-
-// silent notes a renewal without an answer.
-func (d *Dispatcher) silent(a *agent, err error, sent time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var refused *worker.RefusedError
-	if errors.As(err, &refused) && refused.Reason == worker.RefusedFence {
-		d.outranked(a)
-		return
-	}
-	if errors.Is(err, worker.ErrOtherWorker) {
-		d.lose(a, "another worker has its address")
-		return
-	}
-	if a.silentSince == 0 {
-		a.silentSince = sent
-		d.Log.Info().Str("event", "worker_silent").Str("worker", a.id).Err(err).Int("runs", len(a.runs)).Msg("worker does not answer")
-	}
-}
-
 // outranked ends the term, as a worker has seen a higher fencing token. Callers hold mu.
 func (d *Dispatcher) outranked(a *agent) {
 	d.Log.Info().Str("event", "outranked").Str("worker", a.id).Int64("token", d.Token).Msg("a worker has seen a higher fencing token")
--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -75,10 +75,7 @@
 }
 
 // fencedStore accepts the append that begins a term, and no other.
-type fencedStore struct {
-	idleStore
-	appends int
-}
+type fencedStore struct{ appends int }
 
 func (s *fencedStore) Append(context.Context, store.Append) (int64, error) {
 	s.appends++
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -17,10 +16,6 @@
 	// jobReadWait is how long one read waits for the next accepted job.
 	jobReadWait = 900 * time.Millisecond
 	loadRetry   = 100 * time.Millisecond
-	// maxPending bounds the cancellations of jobs that are not known.
-	maxPending = 10_000
-	// forgetBatch bounds the ended jobs that one append drops.
-	forgetBatch = 100
 )
 
 // jobTail follows one partition of the jobs.
@@ -231,57 +226,6 @@
 	})
 }
 
-// attach counts a run at its worker and for its team. Callers hold mu.
-func (d *Dispatcher) attach(r *workload.Run) {
-	a := d.agent(r.Worker)
-	a.runs[runKey{r.Task.Name(), r.Number}] = r
-	a.used = a.used.Add(r.Task.Step.Spec.Charge())
-	a.count(r, +1)
-	d.charge(r.Task.Step.Job.Team, r.Task.Step.Spec.Need, +1)
-}
-
-// detach takes a run away that is known not to be at work. Callers hold mu.
-func (d *Dispatcher) detach(a *agent, r *workload.Run) {
-	key := runKey{r.Task.Name(), r.Number}
-	if a.runs[key] != r {
-		return
-	}
-	delete(a.runs, key)
-	delete(d.unreleased, r)
-	a.used = a.used.Sub(r.Task.Step.Spec.Charge())
-	a.count(r, -1)
-	d.charge(r.Task.Step.Job.Team, r.Task.Step.Spec.Need, -1)
-	if len(a.runs) == 0 {
-		a.idleSince = d.now()
-	}
-	d.mark(a)
-}
-
-// apply applies a record of a job that an entry instance has written.
-func (d *Dispatcher) apply(partition int, r store.Record) {
-	kind, id := workload.ParseKey(r.Key)
-	if len(r.Value) == 0 {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch kind {
-	case workload.KeySubmission:
-		d.submitted(id, r)
-		d.note(id, partition)
-	case workload.KeyCancel:
-		var c workload.Cancellation
-		if err := json.Unmarshal(r.Value, &c); err != nil {
-			d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("cancellation cannot be read")
-			return
-		}
-		d.cancelled(id, c.Team)
-		d.note(id, partition)
-	case workload.KeyWave, workload.KeyHome:
-		d.applyFleet(kind, id, r.Value)
-	}
-}
-
 // applyFleet applies what an earlier leader stored of waves and of the sizes of pools. Callers hold mu.
 func (d *Dispatcher) applyFleet(kind workload.KeyKind, wave string, value []byte) {
 	if d.loaded {
@@ -297,128 +241,3 @@
 		d.Log.Warn().Err(err).Str("event", "bad_record").Str("wave", wave).Msg("what an earlier leader stored of the instances cannot be read")
 	}
 }
-
-// note remembers where a job has records. Callers hold mu.
-func (d *Dispatcher) note(id string, partition int) {
-	if j := d.jobs[id]; j != nil {
-		j.partitions |= 1 << partition
-	}
-	if read := d.reading[id]; read != nil {
-		read.partitions |= 1 << partition
-	}
-	if c, ok := d.pending[id]; ok {
-		c.partitions |= 1 << partition
-		d.pending[id] = c
-	}
-}
-
-// submitted adds a job. A repeat of a known job changes nothing. Callers hold mu.
-func (d *Dispatcher) submitted(id string, r store.Record) {
-	if !d.loaded {
-		if d.reading[id] == nil {
-			d.reading[id] = &loadedJob{value: r.Value}
-		}
-		return
-	}
-	if d.jobs[id] != nil {
-		return
-	}
-	w, err := workload.DecodeSubmission(id, r.Value)
-	if err != nil {
-		d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("submission cannot be read")
-		return
-	}
-	if q := d.queue(w.Queue); q.Pool != "" {
-		w.Pool = q.Pool
-	}
-	j := d.insert(w)
-	if c, ok := d.pending[id]; ok {
-		delete(d.pending, id)
-		j.partitions |= c.partitions
-		defer d.cancelled(id, c.team)
-	}
-	d.advance(j)
-	d.Log.Info().Str("event", "job_seen").Str("job", id).Str("queue", w.Queue).Str("team", w.Team).Str("pool", w.Pool).
-		Int("steps", len(w.Spec.Steps)).Int64("offset", r.Offset).Dur("age", time.Since(w.Submitted)).Msg("job taken over from the store")
-	d.mayWait(j)
-	d.signal()
-}
-
-// cancelled cancels a job for a team. Callers hold mu.
-func (d *Dispatcher) cancelled(id, team string) {
-	j := d.jobs[id]
-	if j == nil {
-		if len(d.pending) < maxPending || !d.loaded {
-			d.pending[id] = cancellation{team: team}
-		}
-		return
-	}
-	if j.Team != team || j.State.Ended() {
-		return
-	}
-	j.Cancel(d.now())
-	j.visible = j.State
-	d.Log.Info().Str("event", "job_cancelled").Str("job", id).Str("team", team).Msg("job cancelled")
-	d.touch(j)
-	d.stopRuns(j)
-}
-
-// stopRuns stops all runs of a job that has ended. Callers hold mu.
-func (d *Dispatcher) stopRuns(j *job) {
-	j.EachTask(func(t *workload.Task) {
-		for _, r := range t.Runs {
-			d.stopRun(r, "its job has ended")
-		}
-	})
-}
-
-// forget drops jobs whose state has been known for long enough. Callers hold mu.
-func (d *Dispatcher) forget(now time.Time) {
-	if !d.loaded || d.Bounds.StatusKept == 0 || d.forgetting {
-		return
-	}
-	var old []string
-	for id, j := range d.jobs {
-		if j.State.Ended() && !j.changed && now.Sub(j.EndedAt) >= d.Bounds.StatusKept+endedKeptMore && len(old) < forgetBatch {
-			old = append(old, id)
-		}
-	}
-	if len(old) > 0 {
-		d.forgetting = true
-		go d.dropSubmissions(old)
-	}
-}
-
-// dropSubmissions drops the submissions of jobs, and then their progress. In the other order a job could be taken for a new one.
-func (d *Dispatcher) dropSubmissions(ids []string) {
-	byPartition := map[int][]store.Record{}
-	d.mu.Lock()
-	for _, id := range ids {
-		j := d.jobs[id]
-		for n := range d.JobPartitions {
-			if j != nil && j.partitions&(1<<n) != 0 {
-				byPartition[n] = append(byPartition[n], store.Record{Key: workload.SubmissionKey(id)}, store.Record{Key: workload.CancelKey(id)})
-			}
-		}
-	}
-	d.mu.Unlock()
-	var failed error
-	for n, records := range byPartition {
-		ctx, cancel := context.WithTimeout(d.ctx, appendTimeout)
-		_, err := d.Store.Append(ctx, store.Append{Topic: d.JobTopic, Partition: n, Records: records})
-		cancel()
-		failed = errors.Join(failed, err)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.forgetting = false
-	if failed != nil {
-		d.Log.Info().Err(failed).Str("event", "forget_failed").Int("jobs", len(ids)).Msg("old jobs could not be dropped yet")
-		return
-	}
-	for _, id := range ids {
-		delete(d.jobs, id)
-		d.changed[id] = nil // a nil job is dropped from the store
-	}
-	d.signal()
-}
--- /dev/null
+++ b/internal/dispatch/renew.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/sleep"
+	"pollenlead/internal/worker"
+	"pollenlead/internal/workload"
+)
+
+// renew keeps one renewal open at the worker until ctx is done.
+func (d *Dispatcher) renew(ctx context.Context, a *agent) {
+	for ctx.Err() == nil {
+		to, h, ok := d.nextHold(a)
+		if !ok {
+			return
+		}
+		sent := bootclock.Now()
+		report, err := d.hold(ctx, to, h)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			d.silent(a, err, sent)
+			sleep.For(ctx, holdRetry)
+			continue
+		}
+		waiting := d.reported(a, report, sent)
+		sleep.For(ctx, holdPause)
+		if waiting {
+			a.await(ctx, storePause)
+		}
+	}
+}
+
+// await waits until the worker's ends are stored, or for at most limit.
+func (a *agent) await(ctx context.Context, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-a.notify:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Dispatcher) hold(ctx context.Context, to worker.Address, h worker.Hold) (worker.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.Wait+d.lag.timeout(holdTimeout))
+	defer cancel()
+	return d.Workers.Hold(ctx, to, h)
+}
+
+// nextHold prepares the next renewal.
+func (d *Dispatcher) nextHold(a *agent) (worker.Address, worker.Hold, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a.entry == nil {
+		return worker.Address{}, worker.Hold{}, false
+	}
+	select { // a nudge from before this renewal is not for the next wait
+	case <-a.notify:
+	default:
+	}
+	h := worker.Hold{FencingToken: d.Token, Acknowledged: a.storedEnd, Wait: holdWait}
+	switch {
+	case len(a.runs) == 0:
+		h.Wait = idleHoldWait
+	case a.endsSoon():
+		h.Wait = busyHoldWait
+	}
+	// A worker that does not answer gets no longer lease: each call without an answer may still be carried out, and would
+	// put off the moment at which its runs count as lost.
+	if len(a.runs) > 0 && a.silentSince == 0 {
+		h.DeadlineMillis = d.lease(a)
+	}
+	if !a.contacted || a.silentSince != 0 || a.seenEnd > a.storedEnd {
+		h.Wait = 0
+	}
+	return a.address(), h, true
+}
+
+// endsSoon reports whether a run is at work that will end by itself. Callers hold mu.
+func (a *agent) endsSoon() bool {
+	for _, r := range a.runs {
+		if !r.Task.Step.Spec.LongRunning && r.Phase != workload.RunAssigned {
+			return true
+		}
+	}
+	return false
+}
+
+// silent notes a renewal without an answer.
+func (d *Dispatcher) silent(a *agent, err error, sent time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var refused *worker.RefusedError
+	if errors.As(err, &refused) && refused.Reason == worker.RefusedFence {
+		d.outranked(a)
+		return
+	}
+	if errors.Is(err, worker.ErrOtherWorker) {
+		d.lose(a, "another worker has its address")
+		return
+	}
+	if a.silentSince == 0 {
+		a.silentSince = sent
+		d.Log.Info().Str("event", "worker_silent").Str("worker", a.id).Err(err).Int("runs", len(a.runs)).Msg("worker does not answer")
+	}
+}
