Show ends that are not stored also while only one partition is away

From 31 s a part of the partitions is away, among them that of the progress: the other entry instances read the configuration, so that the leader took itself for cut off. Change: if the leader itself reads the store since the append began, nobody can begin a term without the missing partition either.

--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -19,9 +19,12 @@
 const (
 	// unstoredAfter is the time after which an append under way no longer holds back starts.
 	unstoredAfter = 300 * time.Millisecond
-	// awayAfter is the time after which an append under way no longer holds back that a job is done, if the store is away for the other entry
-	// instances too. By then each of them has had the end of a read, if the store answers it.
+	// awayAfter is the time after which an append under way no longer holds back that a job is done, if nobody else can lead. By then each entry
+	// instance that the store answers has had the end of a read.
 	awayAfter = 800 * time.Millisecond
+	// contactSlack is how much later than the beginning of an append a contact of another entry instance may be that was before the store went
+	// away: the append was under way then, and the report has been under way since. Other reads end every 400 ms while the store answers.
+	contactSlack = 250 * time.Millisecond
 	// peerReportAge is the age up to which the reports of other entry instances count.
 	peerReportAge = time.Second
 )
@@ -46,7 +49,7 @@
 		d.send(r)
 		released++
 	}
-	if d.awayForAll(began) {
+	if d.noOtherLeads(began) {
 		d.showUnstored()
 	}
 	d.counters.unstoredStarts.Add(int64(released))
@@ -64,11 +67,18 @@
 	d.peersStored = max(d.peersStored, d.peersHeard-silent)
 }
 
-// awayForAll reports whether the store has answered nobody since an append began that is under way. If it answers others, only this entry
-// instance is cut off, and one of them is about to lead. Callers hold mu.
-func (d *Dispatcher) awayForAll(began time.Duration) bool {
+// noOtherLeads reports whether nobody else can be about to lead since an append began that is under way: the store answers nobody, or it answers
+// this entry instance and only the partition of the progress is away, which a leader has to read first. If the store answers others and not this
+// entry instance, one of them leads soon. Callers hold mu.
+func (d *Dispatcher) noOtherLeads(began time.Duration) bool {
 	now := bootclock.Now()
-	return now-began >= awayAfter && now-d.peersHeard <= peerReportAge && d.peersStored < began
+	if now-began < awayAfter {
+		return false
+	}
+	if silent, ok := d.Follower.Age(); ok && now-silent > began+contactSlack {
+		return true
+	}
+	return now-d.peersHeard <= peerReportAge && d.peersStored < began+contactSlack
 }
 
 // showUnstored shows the ends of jobs that are not stored. Callers hold mu.
