Give the maintenance orders of a wave together

Cause: the driver gave one order after the other, each after an append of the whole wave record. A wave of 287 instances had ten orders a second, drained instances stood idle, and no instance was moved meanwhile, as moves are decided by the same goroutine. Ruled out: the platform's rate of orders (310 a second there), the availability budget (120 at once, most of them drained). Change: one record and then all orders of a step at once; waves and moves draw from one budget of the platform's rate, a wave at most half of it. Tests: TestMaintenanceOrdersGoTogether fails with orders in sequence (2.0 s), TestWaveLeavesOrdersForMoves.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -15,23 +15,23 @@
 )
 
 const (
-	// movePart is the part of the platform's rate of orders that moves may take; the rest is for waves.
-	movePart = 0.9
-	// moveBurst is the time whose orders may be given at once after a pause.
-	moveBurst = 500 * time.Millisecond
-	// defaultMoveRate is the rate of moves a second where the platform names no bound.
-	defaultMoveRate = 60
+	// orderPart is the part of the platform's rate of orders that moves and waves take together; the rest is for orders that are repeated.
+	orderPart = 0.9
+	// orderBurst is the time whose orders may be given at once after a pause.
+	orderBurst = 500 * time.Millisecond
+	// defaultOrderRate is the rate of orders a second where the platform names no bound.
+	defaultOrderRate = 60
 )
 
-// moveBudget returns how many moves the platform's rate of orders allows now.
-func (w *instanceDriver) moveBudget(now time.Duration) int {
-	rate := w.d.Bounds.InstanceOrdersPerSecond * movePart
+// orderBudget returns how many orders the platform's rate allows now.
+func (w *instanceDriver) orderBudget(now time.Duration) int {
+	rate := w.d.Bounds.InstanceOrdersPerSecond * orderPart
 	if rate <= 0 {
-		rate = defaultMoveRate
+		rate = defaultOrderRate
 	}
-	w.moveTokens = min(w.moveTokens+rate*(now-w.movesAt).Seconds(), rate*moveBurst.Seconds())
-	w.movesAt = now
-	return int(w.moveTokens)
+	w.orderTokens = min(w.orderTokens+rate*(now-w.tokensAt).Seconds(), rate*orderBurst.Seconds())
+	w.tokensAt = now
+	return max(int(w.orderTokens), 0)
 }
 
 // arrivalTime is how long an instance on its way is expected in its new pool, beyond the time of the move.
@@ -53,9 +53,9 @@
 		return
 	}
 	policy := scheduling.DefaultBalance
-	policy.MaxMoves = w.moveBudget(bootclock.Now())
+	policy.MaxMoves = w.orderBudget(bootclock.Now())
 	moves := scheduling.Balance(pools, policy)
-	w.moveTokens -= float64(len(moves))
+	w.orderTokens -= float64(len(moves))
 	for _, m := range moves {
 		w.cordon(workers[m.Instance])
 		w.arrivals[m.Instance] = arrival{to: m.To, until: bootclock.Now() + w.d.Bounds.Move + arrivalTime}
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -32,9 +32,9 @@
 	// home is the number of instances that each pool had when it was first seen.
 	home     map[string]int
 	arrivals map[string]arrival // by instance
-	// moveTokens is the number of moves that the platform's rate allows at the boot clock movesAt.
-	moveTokens float64
-	movesAt    time.Duration
+	// orderTokens is the number of orders that the platform's rate allows at the boot clock tokensAt.
+	orderTokens float64
+	tokensAt    time.Duration
 	// quietUntil is the boot clock until which an instance may have had an order of an earlier leader so lately that another holder
 	// must not give one.
 	quietUntil time.Duration
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -260,16 +261,26 @@
 
 // drain moves long-running tasks away from draining instances, and orders the maintenance of those where nothing runs.
 func (w *instanceDriver) drain(ctx context.Context, x *wave) {
+	var ready []string
 	for id, i := range x.instances {
 		switch i.phase {
 		case scheduling.MaintenanceDraining:
 			if w.empty(i) && w.mayOrder(id) {
-				w.order(ctx, x, id, i)
+				ready = append(ready, id)
 			}
 		case scheduling.MaintenanceOrdered:
 			w.repeat(id, i)
 		}
 	}
+	w.order(ctx, x, ready[:w.waveBudget(len(ready))])
+}
+
+// waveBudget returns how many of the wanted orders a wave may give now: half of what the platform's rate allows, so that a wave and the moves
+// do not hold back each other.
+func (w *instanceDriver) waveBudget(wanted int) int {
+	n := min(wanted, max(w.orderBudget(bootclock.Now())/2, 1))
+	w.orderTokens -= float64(n)
+	return n
 }
 
 // mayOrder reports whether an instance of a wave may get an order now.
@@ -324,17 +335,46 @@
 	return bootclock.Now() >= w.stopsFrom && scheduling.MayStop(t, w.d.now())
 }
 
-// order gives the order to maintain an instance. That the order is on its way is stored before it is sent.
-func (w *instanceDriver) order(ctx context.Context, x *wave, id string, i *waveInstance) {
-	i.phase = scheduling.MaintenanceOrdered
+// order gives the orders to maintain instances, all at once: one after the other they would hold back the moves, and leave drained instances
+// idle. That they are on their way is stored before they are sent.
+func (w *instanceDriver) order(ctx context.Context, x *wave, ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	w.setPhases(x, ids, scheduling.MaintenanceOrdered)
 	if !w.store(ctx, x) {
-		i.phase = scheduling.MaintenanceDraining
+		w.setPhases(x, ids, scheduling.MaintenanceDraining)
 		return
 	}
-	i.orderedAt = bootclock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, instanceTimeout)
+	outcomes := make([]error, len(ids))
+	var sending sync.WaitGroup
+	for n, id := range ids {
+		x.instances[id].orderedAt = bootclock.Now()
+		sending.Go(func() { outcomes[n] = w.maintain(ctx, id, x.request.Number) })
+	}
+	sending.Wait()
+	for n, id := range ids {
+		w.ordered(x, id, outcomes[n])
+	}
+}
+
+// setPhases sets the phase of some instances of a wave.
+func (w *instanceDriver) setPhases(x *wave, ids []string, phase scheduling.MaintenancePhase) {
+	for _, id := range ids {
+		x.instances[id].phase = phase
+	}
+}
+
+// maintain sends the order to maintain one instance. It uses no field that the driver changes.
+func (w *instanceDriver) maintain(ctx context.Context, id string, wave int64) error {
+	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
 	defer cancel()
-	err := w.d.Instances.Maintain(callCtx, id, x.request.Number, w.d.Token)
+	return w.d.Instances.Maintain(ctx, id, wave, w.d.Token)
+}
+
+// ordered applies the outcome of an order.
+func (w *instanceDriver) ordered(x *wave, id string, err error) {
+	i := x.instances[id]
 	var refused *instances.RefusedError
 	if errors.As(err, &refused) && refused.Reason == instances.RefusedFence {
 		w.d.mu.Lock()
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/scheduling"
+	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
 )
@@ -69,18 +73,80 @@
 	is.True(w.orderable(fleet.Instance{Worker: "w1"}))
 }
 
-// TestMoveBudgetFollowsTheRate guards against more orders than the platform accepts, and against fewer because decisions come late.
-func TestMoveBudgetFollowsTheRate(t *testing.T) {
+// TestOrderBudgetFollowsTheRate guards against more orders than the platform accepts, and against fewer because decisions come late.
+func TestOrderBudgetFollowsTheRate(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(0)
 	defer d.stop()
 	d.Bounds.InstanceOrdersPerSecond = 100
 	w := newInstanceDriver(d)
 	now := bootclock.Now()
-	is.Equal(w.moveBudget(now), 45) // half a second's orders after a pause
-	w.moveTokens = 0
-	is.Equal(w.moveBudget(now+200*time.Millisecond), 18)
-	is.Equal(w.moveBudget(now+10*time.Second), 45)
+	is.Equal(w.orderBudget(now), 45) // half a second's orders after a pause
+	w.orderTokens = 0
+	is.Equal(w.orderBudget(now+200*time.Millisecond), 18)
+	is.Equal(w.orderBudget(now+10*time.Second), 45)
+}
+
+// slowInstances is an instances service that takes its time for each order.
+type slowInstances struct {
+	takes  time.Duration
+	orders atomic.Int32
+}
+
+func (*slowInstances) List(context.Context) ([]fleet.Instance, error)    { return nil, nil }
+func (*slowInstances) Move(context.Context, string, string, int64) error { return nil }
+func (s *slowInstances) Maintain(context.Context, string, int64, int64) error {
+	time.Sleep(s.takes)
+	s.orders.Add(1)
+	return nil
+}
+
+// countingStore counts appends.
+type countingStore struct {
+	idleStore
+	appends atomic.Int32
+}
+
+func (s *countingStore) Append(context.Context, store.Append) (int64, error) {
+	s.appends.Add(1)
+	return 0, nil
+}
+
+// TestMaintenanceOrdersGoTogether guards against a wave that gives its orders one after the other. On a fleet of 540 instances such a wave gave
+// ten a second, and for as long no instance was moved to the pools where work waited.
+func TestMaintenanceOrdersGoTogether(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	service, stored := &slowInstances{takes: 50 * time.Millisecond}, &countingStore{}
+	d.Instances, d.Store, d.Bounds.InstanceOrdersPerSecond = service, stored, 1000
+	w := newInstanceDriver(d)
+	x := &wave{request: fleet.WaveRequest{Number: 1}, instances: map[string]*waveInstance{}}
+	for n := range 40 {
+		x.instances[fmt.Sprintf("m%d", n)] = &waveInstance{phase: scheduling.MaintenanceDraining}
+	}
+	began := time.Now()
+	w.drain(t.Context(), x)
+	is.Equal(service.orders.Load(), int32(40))
+	is.True(time.Since(began) < 10*service.takes)
+	is.Equal(stored.appends.Load(), int32(1))
+	for _, i := range x.instances {
+		is.True(i.confirmed)
+	}
+}
+
+// TestWaveLeavesOrdersForMoves guards against a wave that takes all orders that the platform accepts while work waits for instances.
+func TestWaveLeavesOrdersForMoves(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	d.Bounds.InstanceOrdersPerSecond = 100
+	w := newInstanceDriver(d)
+	is.Equal(w.waveBudget(100), 22)
+	is.True(w.orderBudget(bootclock.Now()) >= 22)
+	w.orderTokens = 0
+	is.Equal(w.waveBudget(0), 0)
+	is.Equal(w.waveBudget(5), 1) // it goes on slowly where moves take all
 }
 
 // TestNewLeaderWaitsForStopsUnderWay guards against a planned stop right after a change of leaders: a task that the earlier leader has just
