Send the leader's calls to workers through delegates on large deployments

Change: package relay. From 16 entry instances on, one delegate for 16 instances of a zone passes on calls in CBOR batches over jsonrpc2; reports travel as changes; a call carries the time until which it may be sent on the delegate's boot clock; a delegate refuses earlier terms. At a first start nobody claims before the members are known: a small instance led first and handed over 2 s later. The set of workers is stored once a second at most (TestSetOfWorkersIsStoredSeldom fails without).

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -29,8 +29,6 @@
 	entryPause = 100 * time.Millisecond
 	// startsAtOnce bounds the orders that are on their way to one worker.
 	startsAtOnce = 4
-	// endsPerAnswer is the most ends that one answer lists.
-	endsPerAnswer = 500
 )
 
 // runKey names a run at a worker.
@@ -156,7 +154,7 @@
 	if a.entry == nil {
 		return worker.Address{ID: a.id}
 	}
-	return worker.Address{ID: a.id, Address: a.entry.Address}
+	return worker.Address{ID: a.id, Address: a.entry.Address, Zone: a.entry.Zone}
 }
 
 // clockNow estimates the worker's clock. Callers hold mu.
--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -112,3 +112,24 @@
 	}
 	is.Equal(s.appends, 2)
 }
+
+// TestSetOfWorkersIsStoredSeldom guards against a record of the whole set of workers with each append while instances move: on a fleet of 540
+// it was most of what a leader wrote.
+func TestSetOfWorkersIsStoredSeldom(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	first := &batch{}
+	d.addWorkers(first)
+	is.Equal(len(first.records), 1)
+	d.storedWorkers = first.workers
+	d.agent("w1").entry, d.agent("w1").contacted = d.agent("w0").entry, true
+	soon := &batch{}
+	d.addWorkers(soon)
+	is.Equal(len(soon.records), 0)
+	d.workersAt -= workersInterval
+	later := &batch{}
+	d.addWorkers(later)
+	is.Equal(len(later.records), 1)
+	is.Equal(len(later.workers), 2)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -120,8 +120,9 @@
 	withheld map[*workload.Run]bool
 	// forgetting means that old jobs are being dropped.
 	forgetting bool
-	// storedWorkers is the stored set of workers with their pools.
+	// storedWorkers is the stored set of workers with their pools, and workersAt the boot clock of its last record.
 	storedWorkers map[string]string
+	workersAt     time.Duration
 	// lastStored is the boot clock of the last append that succeeded, peersStored that of the last contact of any other entry instance to the
 	// store, and peersHeard when one has told so.
 	lastStored, peersStored, peersHeard time.Duration
--- a/internal/dispatch/renew.go
+++ b/internal/dispatch/renew.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollenlead/internal/bootclock"
+	"pollenlead/internal/relay"
 	"pollenlead/internal/sleep"
 	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
@@ -24,7 +25,9 @@
 			return
 		}
 		if err != nil {
-			d.silent(a, err, sent)
+			if !errors.Is(err, relay.ErrDelegate) { // that says nothing of the worker
+				d.silent(a, err, sent)
+			}
 			sleep.For(ctx, holdRetry)
 			continue
 		}
@@ -64,7 +67,10 @@
 	case <-a.notify:
 	default:
 	}
-	h := worker.Hold{FencingToken: d.Token, Acknowledged: a.storedEnd, Wait: holdWait}
+	h := worker.Hold{
+		FencingToken: d.Token, Acknowledged: a.storedEnd, Wait: holdWait,
+		Seen: a.seenEnd, Incarnation: a.incarnation, Detail: a.fillers > 0,
+	}
 	switch {
 	case len(a.runs) == 0:
 		h.Wait = idleHoldWait
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -117,7 +117,7 @@
 		}
 		d.observe(run, x, now)
 	}
-	if len(r.Ended) >= endsPerAnswer {
+	if r.MoreEnds {
 		return // the ends of missing runs may follow
 	}
 	for key, run := range a.runs {
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -25,6 +25,9 @@
 	// contactSlack is how much later than the beginning of an append a contact of another entry instance may be that was before the store went
 	// away: the append was under way then, and the report has been under way since. Other reads end every 400 ms while the store answers.
 	contactSlack = 250 * time.Millisecond
+	// workersInterval is the least time between two records of the set of workers. It grows with the fleet, and changes with each move; a worker
+	// that is not in it yet only gets no start while the store is away.
+	workersInterval = time.Second
 	// peerReportAge is the age up to which the reports of other entry instances count.
 	peerReportAge = time.Second
 )
@@ -117,12 +120,17 @@
 	return set
 }
 
-// addWorkers adds the set of workers to a batch if it has changed. Callers hold mu.
+// addWorkers adds the set of workers to a batch if it has changed and the last one is old enough. Callers hold mu.
 func (d *Dispatcher) addWorkers(b *batch) {
+	now := bootclock.Now()
+	if now-d.workersAt < workersInterval {
+		return
+	}
 	set := d.workerSet()
 	if maps.Equal(set, d.storedWorkers) {
 		return
 	}
+	d.workersAt = now
 	value, err := json.Marshal(set)
 	if err != nil {
 		d.Log.Error().Err(err).Str("event", "bad_workers").Msg("the set of workers cannot be encoded")
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -28,6 +28,7 @@
 	"pollenlead/internal/instances"
 	"pollenlead/internal/leader"
 	"pollenlead/internal/leaderrpc"
+	"pollenlead/internal/relay"
 	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
 )
@@ -67,6 +68,7 @@
 	log      zerolog.Logger
 	follower *follow.Follower
 	election *leader.Election
+	delegate *relay.Delegate
 	leading  atomic.Pointer[dispatch.Dispatcher]
 	draining atomic.Bool
 }
@@ -78,14 +80,37 @@
 	n.election = leader.New(leader.Options{
 		Store: p.Store, Topic: p.LeaderTopic, MemberTopic: p.MemberTopic, Name: s.Name, Holder: s.Name + "/" + rand.Text()[:8],
 		Peer: net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPort)), CPUShare: s.CPUShare, Lead: n.lead, Log: log,
+		Zone: s.Zone, Relay: n.relayAddress(),
 	})
+	n.delegate = &relay.Delegate{Workers: p.Workers, Token: n.newestToken, Log: log}
 	return n
 }
 
+// relayAddress is where this entry instance takes calls for workers on behalf of a leader.
+func (n *Node) relayAddress() string {
+	return net.JoinHostPort(n.settings.Address, strconv.Itoa(n.settings.RelayPort))
+}
+
+// newestToken is the fencing token of the newest term that the election has shown.
+func (n *Node) newestToken() int64 {
+	l, _ := n.election.Known()
+	return l.Token
+}
+
+// members returns the entry instances that may pass on calls for workers.
+func (n *Node) members() []relay.Member {
+	var list []relay.Member
+	for _, m := range n.election.Members() {
+		list = append(list, relay.Member{Name: m.Name, Zone: m.Zone, Address: m.Relay, CPUShare: m.CPUShare})
+	}
+	return list
+}
+
 // lead runs the leader's work for one term.
 func (n *Node) lead(ctx context.Context, token int64) {
+	workers := relay.NewClient(ctx, relay.Options{Direct: n.platform.Workers, Members: n.members, Self: n.relayAddress(), Token: token, Log: n.log})
 	d := dispatch.New(dispatch.Options{
-		Store: n.platform.Store, Workers: n.platform.Workers, Advisor: n.platform.Advisor, Instances: n.platform.Instances,
+		Store: n.platform.Store, Workers: workers, Advisor: n.platform.Advisor, Instances: n.platform.Instances,
 		Follower: n.follower, Bounds: n.settings.Bounds, JobTopic: n.platform.JobTopic,
 		JobPartitions: n.settings.StorePartitions, ProgressTopic: n.platform.ProgressTopic, WorkerTopic: n.platform.WorkerTopic,
 		StatusTopic: n.platform.StatusTopic, DecodeEntry: n.platform.DecodeEntry, WaveStatus: n.platform.WaveStatus,
@@ -174,6 +199,11 @@
 	}
 	server := &leaderrpc.Server{Leading: n.jobs, Log: n.log}
 	go server.Serve(ctx, peers)
+	calls, err := net.Listen("tcp", n.relayAddress())
+	if err != nil {
+		return nil, fmt.Errorf("entry instance: listen for calls to workers: %w", err)
+	}
+	go n.delegate.Serve(ctx, calls)
 	return callers, nil
 }
 
@@ -206,6 +236,7 @@
 func (n *Node) shutdown(ctx context.Context, callers *http.Server) {
 	n.log.Info().Str("event", "drain").Msg("entry instance leaves the rotation")
 	n.draining.Store(true)
+	n.delegate.Leave()
 	ctx, cancel := context.WithTimeout(ctx, max(n.settings.Bounds.Grace-stopMargin, stopMargin))
 	defer cancel()
 	n.election.Resign(ctx)
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -9,9 +9,10 @@
 	Zone    string
 	// FrontAddress serves callers and ReadyAddress the platform's readiness probes.
 	FrontAddress, ReadyAddress string
-	// PeerPort is where entry instances call each other, and MetricsPort where metrics are served.
-	PeerPort, MetricsPort int
-	StoreAddress          string
+	// PeerPort is where entry instances call each other, MetricsPort where metrics are served, and RelayPort where a leader's calls for workers
+	// are taken.
+	PeerPort, MetricsPort, RelayPort int
+	StoreAddress                     string
 	// StorePartitions is the number of partitions of each topic.
 	StorePartitions  int
 	InstancesAddress string
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -38,6 +38,8 @@
 	readWait = 500 * time.Millisecond
 	// callTimeout bounds a call to the store beyond its wait. A slow store answers after 240 ms and more.
 	callTimeout = 1200 * time.Millisecond
+	// membersWait is how long a read waits while the members are not known yet, before which nobody claims.
+	membersWait = 100 * time.Millisecond
 	// retryDelay is the pause after a failed call.
 	retryDelay = 100 * time.Millisecond
 	recordKey  = "leader"
@@ -72,7 +74,6 @@
 	holder    string
 	peer      string
 	spread    time.Duration
-	share     float64
 	members   *members
 	lead      Lead
 	log       zerolog.Logger
@@ -81,7 +82,6 @@
 	released  bool
 	changed   chan struct{} // closed and replaced when known changes
 	resigning bool
-	largest   float64 // the largest processor share of a member, as far as known
 	resigned  chan struct{}
 
 	// Only the goroutine of Run uses these.
@@ -101,10 +101,12 @@
 	// Holder is unique for each start of a process.
 	Holder string
 	// Peer is where other entry instances call this one.
-	Peer     string
-	CPUShare float64
-	Lead     Lead
-	Log      zerolog.Logger
+	Peer string
+	// Zone, Relay and CPUShare tell the others what this entry instance is (Member).
+	Zone, Relay string
+	CPUShare    float64
+	Lead        Lead
+	Log         zerolog.Logger
 }
 
 // New returns an election that has not begun.
@@ -112,28 +114,27 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(o.Holder))
 	e := &Election{
-		store: o.Store, topic: o.Topic, holder: o.Holder, peer: o.Peer, lead: o.Lead, log: o.Log, share: o.CPUShare, largest: o.CPUShare,
+		store: o.Store, topic: o.Topic, holder: o.Holder, peer: o.Peer, lead: o.Lead, log: o.Log,
 		spread:  claimSpread * time.Duration(h.Sum32()%100) / 100,
 		changed: make(chan struct{}), resigned: make(chan struct{}), end: -1,
 	}
-	e.members = &members{store: o.Store, topic: o.MemberTopic, name: o.Name, share: o.CPUShare, log: o.Log, publish: e.setLargest}
+	e.members = &members{
+		store: o.Store, topic: o.MemberTopic, self: Member{Name: o.Name, Zone: o.Zone, Relay: o.Relay, CPUShare: o.CPUShare}, log: o.Log,
+		began: bootclock.Now(),
+	}
 	return e
 }
 
-func (e *Election) setLargest(share float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.largest = share
-}
+// Members returns the entry instances that have told of themselves lately. While this one leads, the list is renewed every few seconds.
+func (e *Election) Members() []Member { return e.members.snapshot() }
 
 // part is this entry instance's processor share as a part of the largest one.
 func (e *Election) part() float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.largest <= 0 {
+	largest := e.members.largest()
+	if largest <= 0 {
 		return 1
 	}
-	return min(e.share/e.largest, 1)
+	return min(e.members.self.CPUShare/largest, 1)
 }
 
 // delay is how much later than the first this entry instance claims.
@@ -159,6 +160,9 @@
 		e.changed = make(chan struct{})
 	}
 	e.mu.Unlock()
+	if first {
+		go e.members.leave(ctx)
+	}
 	if !leading {
 		return
 	}
@@ -204,7 +208,7 @@
 
 // mayClaim reports whether the leader has been silent for long enough.
 func (e *Election) mayClaim() bool {
-	if !e.read || e.isResigning() {
+	if !e.read || e.isResigning() || !e.members.known() {
 		return false
 	}
 	none := e.vacant()
@@ -240,6 +244,9 @@
 
 // wait is how long the next read may wait: until a claim would be possible.
 func (e *Election) wait() time.Duration {
+	if !e.members.known() {
+		return membersWait
+	}
 	none := e.vacant()
 	limit := claimAfter + e.delay()
 	if none {
@@ -352,9 +359,12 @@
 func (e *Election) term(ctx context.Context, token int64) {
 	e.log.Info().Str("event", "term_begin").Int64("token", token).Msg("this entry instance leads")
 	work, stop := context.WithCancel(ctx)
+	e.members.setLeads(true)
+	defer e.members.setLeads(false)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		e.refreshMembers(work)
 		e.lead(work, token)
 	}()
 	reason := e.renew(ctx, token, done)
@@ -369,6 +379,13 @@
 	e.log.Info().Str("event", "term_end").Int64("token", token).Str("reason", string(reason)).Msg("this entry instance no longer leads")
 }
 
+// refreshMembers reads the members at the beginning of a term, for a short time: the list of before may be old.
+func (e *Election) refreshMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	_, _ = e.members.refresh(ctx)
+}
+
 // endReason says why a term ended.
 type endReason string
 
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,388 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/worker"
+)
+
+// fakeWorkers is a client of workers that notes its calls.
+type fakeWorkers struct {
+	mu     sync.Mutex // guards what follows
+	starts []worker.Start
+	holds  []worker.Hold
+	stops  []string
+	paces  []int
+	// start and hold answer calls; nil answers with a clock of 1.
+	start func(worker.Address, worker.Start) (int64, error)
+	hold  func(worker.Address, worker.Hold) (worker.Report, error)
+}
+
+func (f *fakeWorkers) Start(_ context.Context, to worker.Address, s worker.Start) (int64, error) {
+	f.mu.Lock()
+	f.starts = append(f.starts, s)
+	f.mu.Unlock()
+	if f.start != nil {
+		return f.start(to, s)
+	}
+	return 1, nil
+}
+
+func (f *fakeWorkers) Stop(_ context.Context, _ worker.Address, task string, _ int, _ int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, task)
+	return nil
+}
+
+func (f *fakeWorkers) Pace(_ context.Context, _ worker.Address, _ string, _, percent int, _ int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paces = append(f.paces, percent)
+	return nil
+}
+
+func (f *fakeWorkers) Hold(_ context.Context, to worker.Address, h worker.Hold) (worker.Report, error) {
+	f.mu.Lock()
+	f.holds = append(f.holds, h)
+	f.mu.Unlock()
+	if f.hold != nil {
+		return f.hold(to, h)
+	}
+	return worker.Report{ClockMillis: 1}, nil
+}
+
+func (f *fakeWorkers) started() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.starts)
+}
+
+// startDelegate serves a delegate on loopback and returns it with its address.
+func startDelegate(t testing.TB, workers worker.Client) (*Delegate, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	d := &Delegate{Workers: workers, Token: func() int64 { return 0 }, Log: zerolog.Nop()}
+	go d.Serve(t.Context(), l)
+	return d, l.Addr().String()
+}
+
+// newTestClient returns a client of a deployment of 16 entry instances, of which those at the addresses can be delegates.
+func newTestClient(t testing.TB, direct worker.Client, addresses ...string) *Client {
+	t.Helper()
+	return NewClient(t.Context(), Options{Direct: direct, Members: func() []Member { return testMembers(addresses...) }, Self: "self", Token: 7, Log: zerolog.Nop()})
+}
+
+func testMembers(addresses ...string) []Member {
+	var members []Member
+	for i := range leastMembers {
+		m := Member{Name: fmt.Sprintf("e%d", i), Zone: "z1", CPUShare: 0.1}
+		if i < len(addresses) {
+			m.Address, m.CPUShare = addresses[i], 1-float64(i)/10
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func address(n int) worker.Address {
+	return worker.Address{ID: fmt.Sprintf("w%d", n), Address: "127.0.0.1:1", Zone: "z1"}
+}
+
+// TestOutcomesKeepTheirMeaning guards against a refusal that arrives as a call without an answer, and the other way round: the leader would take a
+// task for started that was not, or start it elsewhere while it runs.
+func TestOutcomesKeepTheirMeaning(t *testing.T) {
+	is := is.New(t)
+	outcomes := []error{
+		nil, &worker.RefusedError{Reason: worker.RefusedRoom, ClockMillis: 77}, fmt.Errorf("x: %w", worker.ErrNotSent),
+		fmt.Errorf("x: %w", worker.ErrUnknown), worker.ErrOtherWorker, worker.ErrUnhealthy, worker.ErrInvalid, errors.New("status 500"),
+	}
+	for _, outcome := range outcomes {
+		_, at := startDelegate(t, &fakeWorkers{start: func(worker.Address, worker.Start) (int64, error) { return 55, outcome }})
+		clock, err := newTestClient(t, nil, at).Start(t.Context(), address(1), worker.Start{Task: "j.0.0.1", Run: 1})
+		if outcome == nil {
+			is.NoErr(err)
+			is.Equal(clock, int64(55))
+			continue
+		}
+		var refused *worker.RefusedError
+		if errors.As(outcome, &refused) {
+			var got *worker.RefusedError
+			is.True(errors.As(err, &got))
+			is.Equal(*got, *refused)
+			continue
+		}
+		is.True(!errors.Is(err, ErrDelegate))
+		for _, kind := range []error{worker.ErrNotSent, worker.ErrUnknown, worker.ErrOtherWorker, worker.ErrUnhealthy, worker.ErrInvalid} {
+			is.Equal(errors.Is(err, kind), errors.Is(outcome, kind)) // each kind of error stays what it is
+		}
+		is.True(err != nil)
+	}
+}
+
+// TestCallsPassOnEverything guards against an order that arrives without its checkpoint, ticket, lease, percentage or spec.
+func TestCallsPassOnEverything(t *testing.T) {
+	is := is.New(t)
+	workers := &fakeWorkers{}
+	_, at := startDelegate(t, workers)
+	c := newTestClient(t, nil, at)
+	want := worker.Start{Task: "j.0.0.1", Run: 2, Spec: "spec", DeadlineMillis: 5, FencingToken: 7, Checkpoint: "c", Ticket: "t"}
+	again := worker.Start{Task: "j.0.0.2", Run: 1, Spec: "spec", DeadlineMillis: 5, FencingToken: 7}
+	for _, s := range []worker.Start{want, again} {
+		_, err := c.Start(t.Context(), address(1), s)
+		is.NoErr(err)
+	}
+	is.Equal(workers.starts, []worker.Start{want, again}) // the second one's spec is not sent again, but passed on
+	_, err := c.Hold(t.Context(), address(1), worker.Hold{Acknowledged: 3, DeadlineMillis: 9, Wait: 20 * time.Millisecond})
+	is.NoErr(err)
+	is.Equal(workers.holds, []worker.Hold{{FencingToken: 7, Acknowledged: 3, DeadlineMillis: 9, Wait: 20 * time.Millisecond}})
+	is.NoErr(c.Stop(t.Context(), address(1), "j.0.0.1", 2, 7))
+	is.NoErr(c.Pace(t.Context(), address(1), "j.0.0.1", 2, 40, 7))
+	is.Equal(workers.stops, []string{"j.0.0.1"})
+	is.Equal(workers.paces, []int{40})
+}
+
+// TestLateCallIsNotSent guards against a delegate that was paused and then sends an order whose permission has run out meanwhile.
+func TestLateCallIsNotSent(t *testing.T) {
+	is := is.New(t)
+	workers := &fakeWorkers{}
+	s := &served{delegate: &Delegate{Workers: workers, Token: func() int64 { return 0 }, Log: zerolog.Nop()}, ctx: t.Context(), last: lists{}, specs: map[string]string{}, wake: make(chan struct{}, 1)}
+	spec := "spec"
+	x := &call{Number: 1, Worker: "w1", UntilMillis: millis(bootclock.Now()) - 1, TimeoutMillis: 100, Start: &startCall{Task: "j.0.0.1", Run: 1, Spec: &spec}}
+	s.pass(x, spec)
+	is.Equal(workers.started(), 0)
+	is.True(errors.Is(s.answers[0].decodeError("d"), worker.ErrNotSent))
+	x.UntilMillis = millis(bootclock.Now()) + 1000
+	s.pass(x, spec)
+	is.Equal(workers.started(), 1)
+}
+
+// TestPermissionRunsOutAtTheLeaderFirst guards against an order that a delegate still sends when its leader has given up on it.
+func TestPermissionRunsOutAtTheLeaderFirst(t *testing.T) {
+	is := is.New(t)
+	s := &session{clock: time.Hour, heard: bootclock.Now() - time.Second}
+	left := duration(s.until(time.Second)) - time.Hour
+	is.True(left <= 2*time.Second) // the delegate's clock shows at least so much by now
+	is.True(left >= 1900*time.Millisecond)
+}
+
+// TestEarlierTermIsRefused guards against orders of a leader whose successor has begun: the delegate knows by its own election, or by the
+// successor's session.
+func TestEarlierTermIsRefused(t *testing.T) {
+	is := is.New(t)
+	workers := &fakeWorkers{}
+	d, at := startDelegate(t, workers)
+	c := newTestClient(t, nil, at)
+	_, err := c.Start(t.Context(), address(1), worker.Start{Task: "j.0.0.1", Run: 1})
+	is.NoErr(err)
+	d.raise(8)
+	_, err = c.Start(t.Context(), address(1), worker.Start{Task: "j.0.0.2", Run: 1})
+	var refused *worker.RefusedError
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Reason, worker.RefusedFence)
+	is.Equal(workers.started(), 1)
+}
+
+// TestLostDelegateIsReplaced guards against workers that nobody speaks to after the end of a delegate, and against a call under way that counts as
+// not sent.
+func TestLostDelegateIsReplaced(t *testing.T) {
+	is := is.New(t)
+	held := make(chan struct{}, 1)
+	first := &fakeWorkers{hold: func(worker.Address, worker.Hold) (worker.Report, error) {
+		held <- struct{}{}
+		time.Sleep(time.Second)
+		return worker.Report{}, nil
+	}}
+	second := &fakeWorkers{}
+	_, at := startDelegate(t, first)
+	_, next := startDelegate(t, second)
+	c := newTestClient(t, nil, at, next)
+	go func() {
+		<-held
+		s := c.sessionFor(t.Context(), address(1))
+		_ = s.conn.Close()
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	began := time.Now()
+	_, err := c.Hold(ctx, address(1), worker.Hold{})
+	is.True(errors.Is(err, ErrDelegate))
+	is.True(errors.Is(err, worker.ErrUnknown))
+	is.True(time.Since(began) < 900*time.Millisecond) // it does not wait for the end of the call's time
+	_, err = c.Hold(ctx, address(1), worker.Hold{})
+	is.NoErr(err)
+	is.Equal(len(second.holds), 1)
+}
+
+// TestSilentDelegateIsReplaced guards against a delegate that is frozen or behind a silent connection, and against an order sent twice because of
+// it: the call has no answer, and whoever repeats it repeats the same run.
+func TestSilentDelegateIsReplaced(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() { // answers the opening of a session and falls silent
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		var open struct {
+			ID json.RawMessage `json:"id"`
+		}
+		_ = json.NewDecoder(conn).Decode(&open)
+		_, _ = fmt.Fprintf(conn, `{"jsonrpc":"2.0","id":%s,"result":{"clock_ms":1}}`, open.ID)
+	}()
+	sound := &fakeWorkers{}
+	_, at := startDelegate(t, sound)
+	c := newTestClient(t, nil, l.Addr().String(), at)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	began := time.Now()
+	_, err = c.Start(ctx, address(1), worker.Start{Task: "j.0.0.1", Run: 1})
+	is.True(errors.Is(err, ErrDelegate))
+	is.True(time.Since(began) < 2*silentAfter)
+	_, err = c.Start(ctx, address(1), worker.Start{Task: "j.0.0.1", Run: 1})
+	is.NoErr(err)
+	is.Equal(sound.started(), 1)
+}
+
+// TestLeavingDelegateFinishesItsCalls guards against a planned stop of a delegate that costs a call its answer.
+func TestLeavingDelegateFinishesItsCalls(t *testing.T) {
+	is := is.New(t)
+	held := make(chan struct{}, 1)
+	first := &fakeWorkers{hold: func(worker.Address, worker.Hold) (worker.Report, error) {
+		held <- struct{}{}
+		time.Sleep(2 * aliveInterval)
+		return worker.Report{ClockMillis: 3}, nil
+	}}
+	second := &fakeWorkers{}
+	d, at := startDelegate(t, first)
+	_, next := startDelegate(t, second)
+	c := newTestClient(t, nil, at, next)
+	go func() {
+		<-held
+		d.Leave()
+	}()
+	r, err := c.Hold(t.Context(), address(1), worker.Hold{})
+	is.NoErr(err)
+	is.Equal(r.ClockMillis, int64(3))
+	_, err = c.Start(t.Context(), address(1), worker.Start{Task: "j.0.0.1", Run: 1})
+	is.NoErr(err)
+	is.Equal(second.started(), 1)
+}
+
+// TestWorkersAreCalledDirectlyWithoutDelegates guards against a leader that reaches no worker because no other entry instance is there.
+func TestWorkersAreCalledDirectlyWithoutDelegates(t *testing.T) {
+	is := is.New(t)
+	for _, members := range [][]Member{nil, testMembers(), testMembers("127.0.0.1:1")} {
+		direct := &fakeWorkers{}
+		c := NewClient(t.Context(), Options{Direct: direct, Members: func() []Member { return members }, Self: "self", Token: 7, Log: zerolog.Nop()})
+		_, err := c.Start(t.Context(), address(1), worker.Start{Task: "j.0.0.1", Run: 1})
+		is.NoErr(err)
+		is.Equal(direct.started(), 1)
+	}
+}
+
+// TestMalformedBatchesHarmNobody guards against a process that goes down, or a delegate that stops serving, for bytes that it cannot read.
+func TestMalformedBatchesHarmNobody(t *testing.T) {
+	is := is.New(t)
+	workers := &fakeWorkers{}
+	_, at := startDelegate(t, workers)
+	bad := []string{
+		`{"jsonrpc":"2.0","method":"calls","params":{"body":"AAAA"}}`, `{"jsonrpc":"2.0","method":"calls","params":{"body":7}}`,
+		`{"jsonrpc":"2.0","method":"open","params":[]}`, `{"jsonrpc":"2.0","method":"calls"}`, `{"jsonrpc":"2.0","method":"other","params":{}}`, "no JSON",
+	}
+	for _, text := range bad {
+		conn, err := net.Dial("tcp", at)
+		is.NoErr(err)
+		_, err = conn.Write([]byte(text))
+		is.NoErr(err)
+		is.NoErr(conn.Close())
+	}
+	_, err := newTestClient(t, nil, at).Start(t.Context(), address(1), worker.Start{Task: "j.0.0.1", Run: 1})
+	is.NoErr(err)
+	is.Equal(workers.started(), 1)
+}
+
+// FuzzBatches guards against a panic for any bytes that another entry instance may send.
+func FuzzBatches(f *testing.F) {
+	for _, batch := range []any{callBatch{Calls: []call{{Number: 1, Worker: "w", Hold: &holdCall{Seen: 3}}}}, answerBatch{Answers: []answer{{Number: 1, Report: &report{Gone: []runKey{{"a", 1}}}}}}} {
+		p, err := encodePayload(batch)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(p.Body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		text, err := json.Marshal(payload{Body: body})
+		if err != nil {
+			t.Fatal(err)
+		}
+		params := json.RawMessage(text)
+		d := &Delegate{Workers: &fakeWorkers{}, Token: func() int64 { return 1 }, Log: zerolog.Nop()} // refuses each call
+		served := &served{delegate: d, ctx: t.Context(), last: lists{}, specs: map[string]string{}, wake: make(chan struct{}, 1)}
+		var calls callBatch
+		if decodePayload(&params, &calls) == nil {
+			served.take(calls)
+		}
+		s := &session{calls: map[uint64]*pending{1: {answer: make(chan answered, 1)}}, last: lists{}}
+		var answers answerBatch
+		if decodePayload(&params, &answers) == nil {
+			for i := range answers.Answers {
+				s.answered(&answers.Answers[i])
+			}
+		}
+	})
+}
+
+// BenchmarkHold is one renewal of a worker with 16 runs through a delegate, of which one has ended and one begun since the last one.
+func BenchmarkHold(b *testing.B) {
+	var mu sync.Mutex
+	turn := map[string]int{}
+	workers := &fakeWorkers{hold: func(to worker.Address, _ worker.Hold) (worker.Report, error) {
+		mu.Lock()
+		turn[to.ID]++
+		n := turn[to.ID]
+		mu.Unlock()
+		r := worker.Report{ClockMillis: int64(n), Incarnation: 5, Ended: []worker.End{{Number: int64(n), Task: fmt.Sprintf("0011223344556677.0.0.%d", n), Run: 1, Kind: worker.EndDone}}}
+		for i := range 16 {
+			r.Running = append(r.Running, worker.Running{Task: fmt.Sprintf("0011223344556677.0.0.%d", n+1+i), Run: 1, Percent: i, Load: int64(n)})
+		}
+		return r, nil
+	}}
+	_, at := startDelegate(b, workers)
+	c := newTestClient(b, workers, at)
+	var callers sync.WaitGroup
+	next := make(chan int)
+	for w := range 200 {
+		callers.Go(func() {
+			for range next {
+				ctx, cancel := context.WithTimeout(b.Context(), time.Second)
+				if _, err := c.Hold(ctx, address(w), worker.Hold{Seen: 0}); err != nil {
+					b.Error(err)
+				}
+				cancel()
+			}
+		})
+	}
+	for b.Loop() {
+		next <- 1
+	}
+	close(next)
+	callers.Wait()
+}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -13,6 +13,8 @@
 type Address struct {
 	ID      string
 	Address string
+	// Zone is the worker's availability zone.
+	Zone string
 }
 
 // Start orders one run of a task.
@@ -105,6 +107,10 @@
 	Acknowledged   int64
 	DeadlineMillis int64 // 0 leaves the lease as it is
 	Wait           time.Duration
+	// Seen is the highest end of the incarnation that the leader has seen; one that passes the report on may leave out what it has.
+	Seen, Incarnation int64
+	// Detail asks for every change of progress and load, also where the report is passed on.
+	Detail bool
 }
 
 // Report is the answer to a Hold.
@@ -114,6 +120,8 @@
 	Incarnation int64
 	Running     []Running
 	Ended       []End
+	// MoreEnds means that the worker has more ends than it has listed.
+	MoreEnds bool
 }
 
 // Client calls workers. Every call is bounded by its context.
