Test how long a worker that a leader has not reached keeps its runs

Cause: with renewWithoutStore taken out of leaseExpired, all tests passed: a task could have run at two workers after a predecessor had renewed leases without the store. Ruled out: a fault in the code; the sum is as it has to be. Change: three tests. Each of five changes to the sums (renewWithoutStore, drift in both sums, margin, the stop of renewals without the store) on a scratch edit makes one of them fail. Before: none of these five was found.

--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
@@ -175,3 +176,52 @@
 	ends.Task(0, 0, 0).Runs[0].Phase = workload.RunActive
 	is.Equal(wait(), busyHoldWait)
 }
+
+// TestUnreachedWorkerKeepsItsRuns guards against a task that runs at two workers: a predecessor may have renewed the lease of a worker that this
+// leader has not reached, without contact to the store, until renewWithoutStore after its last one.
+func TestUnreachedWorkerKeepsItsRuns(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	d.Bounds.MaxLease = 10 * time.Second
+	a := d.agent("w0")
+	a.contacted, a.clockAt = false, 0
+	slowest := time.Duration(float64(renewWithoutStore+leaseDuration) * (1 + clockDrift))
+	is.True(!d.leaseExpired(a, d.begunAt+slowest)) // the worker's clock may be slow by clockDrift
+	is.True(d.leaseExpired(a, d.begunAt+slowest+2*leaseMargin))
+	d.Bounds.MaxLease = time.Second // a worker that shortens leases
+	slowest = time.Duration(float64(renewWithoutStore+time.Second) * (1 + clockDrift))
+	is.True(!d.leaseExpired(a, d.begunAt+slowest))
+	is.True(d.leaseExpired(a, d.begunAt+slowest+2*leaseMargin))
+}
+
+// TestReachedWorkerKeepsItsRunsUntilItsLeaseEnds guards against a task that is started elsewhere while a worker that has fallen silent still runs
+// it: its clock may be slow, and it takes a moment to end what has lapsed.
+func TestReachedWorkerKeepsItsRunsUntilItsLeaseEnds(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	now := bootclock.Now()
+	a.clock, a.clockAt, a.deadline, a.silentSince = 1000, now, 1000+leaseDuration.Milliseconds(), now
+	slow := (leaseDuration * 100 / 98).Truncate(time.Millisecond) // by a clock that is 2% slow
+	is.True(!d.leaseExpired(a, now+slow+leaseMargin*9/10)) // it ends what has lapsed within leaseMargin
+	is.True(d.leaseExpired(a, now+slow+2*leaseMargin))
+	a.silentSince = 0
+	is.True(!d.leaseExpired(a, now+time.Minute)) // of one that answers its reports tell what runs
+}
+
+// TestTermRenewsNoLeasesWithoutTheStore guards against a leader that was paused or cut off and goes on renewing leases while a successor counts on
+// their end.
+func TestTermRenewsNoLeasesWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	d.Bounds.MaxLease = 10 * time.Second
+	a := d.agent("w0")
+	a.clockAt = bootclock.Now()
+	d.lastStored = bootclock.Now() - renewWithoutStore/2
+	is.True(d.lease(a) > 0)
+	d.lastStored = bootclock.Now() - renewWithoutStore - time.Millisecond
+	is.Equal(d.lease(a), int64(0))
+}
