Wait less for the answer of an append of progress

Cause: a try of an append without an answer took 1.2 s, and all starts and ends wait for it. Ruled out: a shorter fixed time (a slow store answers after 240 ms and more); counting lost answers as slowness (with a third lost the time grows to 1.2 s again). Change: store.Pace, which the heartbeats had, for appends too: three times the smoothed time of answered calls, 250 ms at least, doubled with each unanswered try. The repeat has the same number, so the store answers it as the first. Tests: TestLostAnswerOfAnAppendShowsSoon (fails with 1.2 s), TestSlowStoreGetsItsTime.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -18,6 +18,9 @@
 	// producerName identifies the leader's appends; their epoch is the term's fencing token.
 	producerName  = "dispatcher"
 	appendTimeout = 1200 * time.Millisecond
+	// leastAppendTimeout is the least time that a try of an append of progress may take. All starts wait for it, and the repeat of a try whose
+	// answer was lost gets the answer of the first.
+	leastAppendTimeout = 250 * time.Millisecond
 	// appendRetry is the pause after the first append without success; it grows with each up to maxAppendRetry, as refused
 	// calls are priced too.
 	appendRetry    = 30 * time.Millisecond
@@ -39,9 +42,13 @@
 	// end is the offset at which the partition has to end before the next append. Another end means that an append of an earlier
 	// leader was carried out after this one had read the partition.
 	end int64
+	// pace is how fast the store takes appends.
+	pace store.Pace
 }
 
-func newCommitter(d *Dispatcher) *committer { return &committer{d: d} }
+func newCommitter(d *Dispatcher) *committer {
+	return &committer{d: d, pace: store.Pace{Least: leastAppendTimeout, Most: appendTimeout}}
+}
 
 // batch is what one append stores.
 type batch struct {
@@ -96,10 +103,10 @@
 	if len(records) > 0 {
 		c.sequence++
 	}
-	unanswered := false
+	unanswered := 0
 	began := bootclock.Now()
 	for tries := 1; ctx.Err() == nil; tries++ {
-		first, err := c.try(ctx, records)
+		first, err := c.try(ctx, records, unanswered)
 		c.watch(tries, len(records), bootclock.Now()-began, err)
 		var unexpected *store.SequenceError
 		switch {
@@ -108,7 +115,7 @@
 			return c.advance(first, len(records))
 		case errors.Is(err, store.ErrFenced):
 			return err
-		case errors.As(err, &unexpected) && unanswered:
+		case errors.As(err, &unexpected) && unanswered > 0:
 			// A try without an answer may be carried out later under its number, and would then pass for the next append.
 			return fmt.Errorf("%w: sequence %d sent, %d expected", errForeignRecords, c.sequence, unexpected.Expected)
 		case errors.As(err, &unexpected):
@@ -119,7 +126,9 @@
 		case !errors.Is(err, store.ErrBusy) && !errors.Is(err, store.ErrUnknown):
 			c.d.Log.Error().Err(err).Str("event", "append_failed").Int("records", len(records)).Msg("progress cannot be stored")
 		}
-		unanswered = unanswered || errors.Is(err, store.ErrUnknown)
+		if errors.Is(err, store.ErrUnknown) {
+			unanswered++
+		}
 		c.d.counters.appendRetries.Add(1)
 		sleep.For(ctx, min(appendRetry*time.Duration(tries), maxAppendRetry))
 	}
@@ -136,13 +145,19 @@
 	c.d.Log.Info().Str("event", "append_slow").Int("try", tries).Dur("took", took).Int("records", records).AnErr("outcome", outcome).Msg("the store takes long to append progress")
 }
 
-func (c *committer) try(ctx context.Context, records []store.Record) (first int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+// try sends an append once. Its time counts only if it has an answer: lost answers are no sign of a slow store.
+func (c *committer) try(ctx context.Context, records []store.Record, unanswered int) (first int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.pace.Timeout(unanswered)+c.d.lag.timeout(0))
 	defer cancel()
-	return c.d.Store.Append(ctx, store.Append{
+	began := bootclock.Now()
+	first, err = c.d.Store.Append(ctx, store.Append{
 		Topic: c.d.ProgressTopic, Records: records,
 		Producer: &store.Producer{Name: producerName, Epoch: c.d.Token, Sequence: c.sequence},
 	})
+	if !errors.Is(err, store.ErrUnknown) {
+		c.pace.Observe(bootclock.Now() - began)
+	}
+	return first, err
 }
 
 // advance checks that nobody else has written since the last append.
--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -133,3 +133,56 @@
 	is.Equal(len(later.records), 1)
 	is.Equal(len(later.workers), 2)
 }
+
+// losingStore carries out appends and loses the answers of some.
+type losingStore struct {
+	sequenceStore
+	// lost is how many more answers are lost, and delay how long the others take.
+	lost  int
+	delay time.Duration
+}
+
+func (s *losingStore) Append(ctx context.Context, a store.Append) (int64, error) {
+	if s.lost > 0 {
+		s.lost--
+		<-ctx.Done()
+		return 0, store.ErrUnknown
+	}
+	select {
+	case <-time.After(s.delay):
+		return s.sequenceStore.Append(ctx, a)
+	case <-ctx.Done():
+		return 0, store.ErrUnknown
+	}
+}
+
+// TestLostAnswerOfAnAppendShowsSoon guards against a leader that waits 1.2 s for each lost answer, and with it all starts and ends: while the
+// store loses a third of them, little runs.
+func TestLostAnswerOfAnAppendShowsSoon(t *testing.T) {
+	is := is.New(t)
+	s := &losingStore{lost: 1}
+	c := newCommitterFixture(&s.sequenceStore)
+	defer c.d.stop()
+	c.d.Store = s
+	began := time.Now()
+	is.NoErr(c.append(t.Context(), oneRecord))
+	is.True(time.Since(began) < 2*leastAppendTimeout)
+	for range 5 { // lost answers do not make it more patient
+		s.lost = 1
+		is.NoErr(c.append(t.Context(), oneRecord))
+	}
+	is.Equal(c.pace.Timeout(0), leastAppendTimeout)
+}
+
+// TestSlowStoreGetsItsTime guards against a leader that gives up each append at a slow store.
+func TestSlowStoreGetsItsTime(t *testing.T) {
+	is := is.New(t)
+	s := &losingStore{delay: 300 * time.Millisecond}
+	c := newCommitterFixture(&s.sequenceStore)
+	defer c.d.stop()
+	c.d.Store = s
+	for range 4 {
+		is.NoErr(c.append(t.Context(), oneRecord))
+	}
+	is.True(c.pace.Timeout(0) > s.delay) // the first try is enough from now on
+}
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -205,7 +205,7 @@
 	now := bootclock.Now()
 	a.clock, a.clockAt, a.deadline, a.silentSince = 1000, now, 1000+leaseDuration.Milliseconds(), now
 	slow := (leaseDuration * 100 / 98).Truncate(time.Millisecond) // by a clock that is 2% slow
-	is.True(!d.leaseExpired(a, now+slow+leaseMargin*9/10)) // it ends what has lapsed within leaseMargin
+	is.True(!d.leaseExpired(a, now+slow+leaseMargin*9/10))        // it ends what has lapsed within leaseMargin
 	is.True(d.leaseExpired(a, now+slow+2*leaseMargin))
 	a.silentSince = 0
 	is.True(!d.leaseExpired(a, now+time.Minute)) // of one that answers its reports tell what runs
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -38,6 +38,9 @@
 	readWait = 500 * time.Millisecond
 	// callTimeout bounds a call to the store beyond its wait. A slow store answers after 240 ms and more.
 	callTimeout = 1200 * time.Millisecond
+	// leastTimeout and callTimeout bound the time that a heartbeat may take: a lost answer has to show soon enough for another heartbeat before the
+	// others claim.
+	leastTimeout = 450 * time.Millisecond
 	// membersWait is how long a read waits while the members are not known yet, before which nobody claims.
 	membersWait = 100 * time.Millisecond
 	// retryDelay is the pause after a failed call.
@@ -88,7 +91,7 @@
 	end      int64         // end of the partition, as far as read
 	lastSeen time.Duration // boot clock at the newest record's receipt
 	read     bool          // the last read succeeded
-	pace     pace          // how fast the store takes heartbeats
+	pace     store.Pace    // how fast the store takes heartbeats
 }
 
 // Options configures an election.
@@ -117,6 +120,7 @@
 		store: o.Store, topic: o.Topic, holder: o.Holder, peer: o.Peer, lead: o.Lead, log: o.Log,
 		spread:  claimSpread * time.Duration(h.Sum32()%100) / 100,
 		changed: make(chan struct{}), resigned: make(chan struct{}), end: -1,
+		pace: store.Pace{Least: leastTimeout, Most: callTimeout},
 	}
 	e.members = &members{
 		store: o.Store, topic: o.MemberTopic, self: Member{Name: o.Name, Zone: o.Zone, Relay: o.Relay, CPUShare: o.CPUShare}, log: o.Log,
@@ -435,8 +439,8 @@
 // another's claim does.
 func (e *Election) heartbeat(ctx context.Context, token int64) (lost bool) {
 	began := bootclock.Now()
-	_, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer, Token: token}, e.pace.timeout())
-	e.pace.observe(bootclock.Now() - began)
+	_, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer, Token: token}, e.pace.Timeout(0))
+	e.pace.Observe(bootclock.Now() - began)
 	if err == nil {
 		return false
 	}
--- a/internal/leader/members_test.go
+++ b/internal/leader/members_test.go
@@ -61,15 +61,15 @@
 // up on a slow store.
 func TestPaceFollowsTheStore(t *testing.T) {
 	is := is.New(t)
-	var p pace
-	is.Equal(p.timeout(), leastTimeout)
+	p := store.Pace{Least: leastTimeout, Most: callTimeout}
+	is.Equal(p.Timeout(0), leastTimeout)
 	is.True(2*leastTimeout+heartbeatInterval < claimAfter)
 	for range 10 {
-		p.observe(300 * time.Millisecond)
+		p.Observe(300 * time.Millisecond)
 	}
-	is.True(p.timeout() > 800*time.Millisecond)
+	is.True(p.Timeout(0) > 800*time.Millisecond)
 	for range 30 {
-		p.observe(5 * time.Millisecond)
+		p.Observe(5 * time.Millisecond)
 	}
-	is.Equal(p.timeout(), leastTimeout)
+	is.Equal(p.Timeout(0), leastTimeout)
 }
