Count reports from the question, and let only a confirmed leader order instances

Reading the path showed two faults of the kind: a leader that was paused takes reports of before the pause for new ones (a run counted as seen when the answer was read), and it gives orders for instances before it knows whether another one leads; on deployments without a check of fencing tokens these would be carried out. Ruled out: waves' own count of what may be away (TestMayStopOneAtATime), stops under way of a predecessor (TestNewLeaderWaitsForStopsUnderWay).

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -77,7 +77,10 @@
 func (w *instanceDriver) move(ctx context.Context, m scheduling.Move, worker string) {
 	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
 	defer cancel()
-	err := w.d.Instances.Move(ctx, m.Instance, m.To, w.d.Token)
+	err := errUnconfirmed
+	if w.confirmed() {
+		err = w.d.Instances.Move(ctx, m.Instance, m.To, w.d.Token)
+	}
 	w.d.counters.moves.Add(1)
 	w.d.Log.Info().Str("event", "move").Str("instance", m.Instance).Str("worker", worker).Str("from", m.From).Str("to", m.To).Err(err).Msg("instance moved to another pool")
 	var refused *instances.RefusedError
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -69,7 +69,9 @@
 	WaveStatus  func(wave int64, done bool) (key string, value []byte)
 	// Token is the term's fencing token.
 	Token int64
-	Log   zerolog.Logger
+	// Confirmed returns the boot clock of a moment until which no other term had begun. Nil counts as now.
+	Confirmed func() time.Duration
+	Log       zerolog.Logger
 }
 
 // job is a job with what the dispatcher knows of its record.
@@ -168,7 +170,10 @@
 }
 
 // now returns the time of day at the term's beginning plus the time since. Callers may hold mu.
-func (d *Dispatcher) now() time.Time { return d.wall.Add(bootclock.Now() - d.begunAt) }
+func (d *Dispatcher) now() time.Time { return d.at(bootclock.Now()) }
+
+// at returns the time of day at a moment of the boot clock, counted like now. Callers may hold mu.
+func (d *Dispatcher) at(boot time.Duration) time.Time { return d.wall.Add(boot - d.begunAt) }
 
 // Run works until ctx is done or the term turns out to be over.
 func (d *Dispatcher) Run(ctx context.Context) {
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
+	"pollenlead/internal/instances"
 	"pollenlead/internal/sleep"
 )
 
@@ -17,6 +19,9 @@
 	// stopSettles is added to the longest time of a stop before a new leader stops runs itself: its predecessor's last orders may have been
 	// on their way, and the workers have to report once more.
 	stopSettles = time.Second
+	// confirmedFor is how long after the last confirmation of the term orders go out where the instances service does not compare fencing tokens.
+	// It is shorter than the silence after which another entry instance claims.
+	confirmedFor = time.Second
 	// instanceTimeout bounds a call to the instances service.
 	instanceTimeout = time.Second
 )
@@ -71,10 +76,22 @@
 	if w.home == nil && !w.settleHome(ctx) {
 		return
 	}
-	w.stepWaves(ctx)
-	w.balance(ctx)
+	if w.confirmed() {
+		w.stepWaves(ctx)
+		w.balance(ctx)
+	}
 }
 
+// confirmed reports whether an order may go out. A leader that was paused does not know yet whether another one has given orders meanwhile, and
+// where nobody compares fencing tokens its own would be carried out.
+func (w *instanceDriver) confirmed() bool {
+	d := w.d
+	return d.Bounds.InstancesFenced || d.Confirmed == nil || bootclock.Now()-d.Confirmed() < confirmedFor
+}
+
+// errUnconfirmed means that an order was not sent.
+var errUnconfirmed = fmt.Errorf("dispatch: the term is not confirmed: %w", instances.ErrBusy)
+
 // clockSkew is how much the clocks of instances and entry instances may differ.
 const clockSkew = time.Second
 
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -67,13 +67,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.sending, r)
-	if r.Phase == workload.RunStopping && r.StopAckedAt.IsZero() && d.at(r) {
+	if r.Phase == workload.RunStopping && r.StopAckedAt.IsZero() && d.counts(r) {
 		d.stopRun(r, "its order has ended")
 	}
 }
 
-// at reports whether the run still counts at its worker. Callers hold mu.
-func (d *Dispatcher) at(r *workload.Run) bool {
+// counts reports whether the run still counts at its worker. Callers hold mu.
+func (d *Dispatcher) counts(r *workload.Run) bool {
 	a := d.agents[r.Worker]
 	return a != nil && a.runs[runKey{r.Task.Name(), r.Number}] == r
 }
@@ -83,7 +83,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := r.Task
-	if r.Phase != workload.RunAssigned || !d.at(r) {
+	if r.Phase != workload.RunAssigned || !d.counts(r) {
 		return worker.Address{}, worker.Start{}, false
 	}
 	deadline := d.lease(a)
@@ -182,7 +182,7 @@
 	name := r.Task.Name()
 	for d.ctx.Err() == nil {
 		d.mu.Lock()
-		gone := !d.at(r)
+		gone := !d.counts(r)
 		to := a.address()
 		d.mu.Unlock()
 		if gone {
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -225,3 +225,21 @@
 	d.lastStored = bootclock.Now() - renewWithoutStore - time.Millisecond
 	is.Equal(d.lease(a), int64(0))
 }
+
+// TestSilentWorkerGetsNoLongerLease guards against renewals that are carried out late and put off the moment from which the runs of a silent
+// worker may start elsewhere.
+func TestSilentWorkerGetsNoLongerLease(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	d.Bounds.MaxLease = 10 * time.Second
+	j := d.addJob("0011223344556677", fleet.Step{Count: 1, LongRunning: true})
+	a := d.agent("w0")
+	a.clockAt = bootclock.Now()
+	d.attach(j.Task(0, 0, 0).Assign("w0", 1, d.now()))
+	_, h, _ := d.nextHold(a)
+	is.True(h.DeadlineMillis > 0)
+	a.silentSince = bootclock.Now()
+	_, h, _ = d.nextHold(a)
+	is.Equal(h.DeadlineMillis, int64(0))
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -101,7 +101,7 @@
 
 // compare sets what the worker says is running against what should be. Callers hold mu.
 func (d *Dispatcher) compare(a *agent, r worker.Report, sent time.Duration) {
-	now := d.now()
+	now, asked := d.now(), d.at(sent)
 	listed := make(map[runKey]bool, len(r.Running))
 	for i := range r.Running {
 		x := &r.Running[i]
@@ -115,7 +115,7 @@
 			d.stopStray(a, key)
 			continue
 		}
-		d.observe(run, x, now)
+		d.observe(run, x, asked, now)
 	}
 	if r.MoreEnds {
 		return // the ends of missing runs may follow
@@ -127,13 +127,14 @@
 	}
 }
 
-// observe applies what a worker says of a run. Callers hold mu.
-func (d *Dispatcher) observe(run *workload.Run, x *worker.Running, now time.Time) {
+// observe applies what a worker says of a run. The worker said it after it was asked, and perhaps long before now: a process that was paused finds
+// answers of before. Callers hold mu.
+func (d *Dispatcher) observe(run *workload.Run, x *worker.Running, asked, now time.Time) {
 	if run.Phase == workload.RunAssigned && run.Released {
 		run.Phase = workload.RunActive
 		run.ActiveSince = now
 	}
-	run.Percent, run.SeenAt, run.Load = x.Percent, now, x.Load
+	run.Percent, run.SeenAt, run.Load = x.Percent, asked, x.Load
 	if x.Checkpoint != "" {
 		run.Checkpoint = x.Checkpoint
 	}
@@ -141,7 +142,7 @@
 
 // missing handles a run that the worker neither lists as running nor has listed as ended. Callers hold mu.
 func (d *Dispatcher) missing(a *agent, run *workload.Run, sent time.Duration) {
-	asked := d.wall.Add(sent - d.begunAt)
+	asked := d.at(sent)
 	switch run.Phase {
 	case workload.RunAssigned:
 		// An earlier leader stored the assignment. The same run is started again, which the worker takes as one start; but a later run of the
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -45,7 +45,7 @@
 	released := 0
 	for r := range d.unreleased {
 		a := d.agents[r.Worker]
-		if a == nil || d.storedWorkers[a.id] == "" || r.Phase != workload.RunAssigned || !d.at(r) {
+		if a == nil || d.storedWorkers[a.id] == "" || r.Phase != workload.RunAssigned || !d.counts(r) {
 			continue
 		}
 		delete(d.unreleased, r)
@@ -164,7 +164,7 @@
 			continue
 		}
 		delete(d.withheld, r)
-		if r.Phase == workload.RunAssigned && d.at(r) {
+		if r.Phase == workload.RunAssigned && d.counts(r) {
 			d.send(r)
 		}
 	}
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -367,6 +367,9 @@
 
 // maintain sends the order to maintain one instance. It uses no field that the driver changes.
 func (w *instanceDriver) maintain(ctx context.Context, id string, wave int64) error {
+	if !w.confirmed() {
+		return errUnconfirmed
+	}
 	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
 	defer cancel()
 	return w.d.Instances.Maintain(ctx, id, wave, w.d.Token)
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
+	"pollenlead/internal/instances"
 	"pollenlead/internal/scheduling"
 	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
@@ -93,8 +95,11 @@
 	orders atomic.Int32
 }
 
-func (*slowInstances) List(context.Context) ([]fleet.Instance, error)    { return nil, nil }
-func (*slowInstances) Move(context.Context, string, string, int64) error { return nil }
+func (*slowInstances) List(context.Context) ([]fleet.Instance, error) { return nil, nil }
+func (s *slowInstances) Move(context.Context, string, string, int64) error {
+	s.orders.Add(1)
+	return nil
+}
 func (s *slowInstances) Maintain(context.Context, string, int64, int64) error {
 	time.Sleep(s.takes)
 	s.orders.Add(1)
@@ -189,3 +194,48 @@
 	off.Phase = fleet.InstanceMaintenance
 	is.True(!w.returned(i, off))
 }
+
+// TestReportsOfBeforeAPauseAreOld guards against a planned stop by a leader that was paused: the reports that it finds afterwards are as old as its
+// questions, and tasks may have gone since.
+func TestReportsOfBeforeAPauseAreOld(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	defer d.stop()
+	j := d.addJob("0011223344556677", fleet.Step{Count: 2, LongRunning: true, MayMiss: 1})
+	report := func(id string, index int, sent time.Duration) {
+		a := d.agent(id)
+		d.reported(a, worker.Report{ClockMillis: 1, Running: []worker.Running{{Task: j.Task(0, 0, index).Name(), Run: 1, Percent: 100}}}, sent)
+	}
+	for i, id := range []string{"w0", "w1"} {
+		r := j.Task(0, 0, i).Assign(id, 1, d.now())
+		r.Released = true
+		d.attach(r)
+		report(id, i, bootclock.Now()-time.Second) // a long poll of one second
+	}
+	w := newInstanceDriver(d)
+	is.True(w.mayStop(j.Task(0, 0, 0)))
+	report("w1", 1, bootclock.Now()-4*time.Second)
+	is.True(!w.mayStop(j.Task(0, 0, 0)))
+}
+
+// TestPausedLeaderGivesNoOrders guards against an order of a leader that was paused, after its successor's order for the same instance, where the
+// service does not compare fencing tokens.
+func TestPausedLeaderGivesNoOrders(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	service := &slowInstances{}
+	d.Instances = service
+	confirmed := bootclock.Now()
+	d.Confirmed = func() time.Duration { return confirmed }
+	w := newInstanceDriver(d)
+	is.NoErr(w.maintain(t.Context(), "m0", 1))
+	w.move(t.Context(), scheduling.Move{Instance: "m0", To: "desk"}, "")
+	is.Equal(service.orders.Load(), int32(2))
+	confirmed -= 2 * time.Second
+	is.True(errors.Is(w.maintain(t.Context(), "m0", 1), instances.ErrBusy)) // nothing was done
+	w.move(t.Context(), scheduling.Move{Instance: "m0", To: "desk"}, "")
+	is.Equal(service.orders.Load(), int32(2))
+	d.Bounds.InstancesFenced = true
+	is.NoErr(w.maintain(t.Context(), "m0", 1))
+}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -114,7 +114,7 @@
 		Follower: n.follower, Bounds: n.settings.Bounds, JobTopic: n.platform.JobTopic,
 		JobPartitions: n.settings.StorePartitions, ProgressTopic: n.platform.ProgressTopic, WorkerTopic: n.platform.WorkerTopic,
 		StatusTopic: n.platform.StatusTopic, DecodeEntry: n.platform.DecodeEntry, WaveStatus: n.platform.WaveStatus,
-		Token: token, Log: n.log,
+		Token: token, Confirmed: n.election.Confirmed, Log: n.log,
 	})
 	n.leading.Store(d)
 	defer n.leading.Store(nil)
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -39,6 +39,8 @@
 	Early time.Duration
 	// Heartbeat is the time between two heartbeats of a worker.
 	Heartbeat time.Duration
+	// InstancesFenced means that the instances service refuses orders with an older fencing token.
+	InstancesFenced bool
 	// InstanceLease is the time in which two holders must not give orders for one instance by turns.
 	InstanceLease time.Duration
 	// AwayNotice is how long a task that is not at work counts as away.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -86,6 +86,8 @@
 	changed   chan struct{} // closed and replaced when known changes
 	resigning bool
 	resigned  chan struct{}
+	// confirmed is the boot clock at which the last record of ours that was accepted had been sent.
+	confirmed time.Duration
 
 	// Only the goroutine of Run uses these.
 	end      int64         // end of the partition, as far as read
@@ -153,6 +155,14 @@
 	return e.known, e.changed
 }
 
+// Confirmed returns the boot clock of a moment until which nobody else had begun a term, if this entry instance leads. Nobody else begins one
+// earlier than claimAfter later.
+func (e *Election) Confirmed() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.confirmed
+}
+
 // Resign gives up leadership and takes part in no further election. It returns when a term under way has been given up.
 func (e *Election) Resign(ctx context.Context) {
 	e.mu.Lock()
@@ -348,7 +358,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	at := e.end
+	at, sent := e.end, bootclock.Now()
 	offset, err := e.store.Append(ctx, store.Append{
 		Topic: e.topic, Partition: partition, At: &at, Records: []store.Record{{Key: recordKey, Value: value}},
 	})
@@ -356,6 +366,9 @@
 		return 0, err
 	}
 	e.observe(store.Record{Offset: offset, Key: recordKey, Value: value})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.confirmed = sent
 	return offset, nil
 }
 
--- a/internal/scheduling/wave.go
+++ b/internal/scheduling/wave.go
@@ -159,8 +159,9 @@
 	}
 }
 
-// reportAge is the age up to which a worker's report counts. A run at a worker that has fallen silent may be gone.
-const reportAge = 2 * time.Second
+// reportAge is the age up to which a worker's report counts, from the moment at which it was asked. A run at a worker that has fallen silent may be
+// gone. A sound worker is asked every second and answers within another.
+const reportAge = 3 * time.Second
 
 // MayStop reports whether a long-running task at work may be stopped for the sake of an instance: only while fewer of the
 // other tasks of its step are away than may be.
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -104,7 +104,7 @@
 	Phase  RunPhase
 	// Since is when the run was assigned, and ActiveSince when the worker accepted it.
 	Since, ActiveSince time.Time
-	// Percent is the progress that the worker last reported, at SeenAt.
+	// Percent is the progress that the worker last reported, and SeenAt when it was asked.
 	Percent    int
 	SeenAt     time.Time
 	Checkpoint string
