Give up a delegate that answers too late

Cause: found by reading. A delegate on a slow machine shows that it is there and passes on starts too late; each is withdrawn after three tries, and its workers are avoided, for as long as it is slow. Ruled out: the time for a call itself (it grows with the leader's lag already). Change: a session counts calls that ran out against calls that were answered. TestSlowDelegateIsReplaced fails without. Before: no limit. After: given up after eight.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -261,6 +261,37 @@
 	is.Equal(sound.started(), 1)
 }
 
+// TestSlowDelegateIsReplaced guards against a delegate that is there and passes on nothing in time: the starts at all of its workers would be
+// withdrawn as long as it is slow.
+func TestSlowDelegateIsReplaced(t *testing.T) {
+	is := is.New(t)
+	slow := &fakeWorkers{start: func(worker.Address, worker.Start) (int64, error) {
+		time.Sleep(3 * time.Second)
+		return 1, nil
+	}}
+	sound := &fakeWorkers{}
+	_, at := startDelegate(t, slow)
+	_, next := startDelegate(t, sound)
+	c := newTestClient(t, nil, at, next)
+	var calls sync.WaitGroup
+	for n := range mostMissed + 1 {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			_, err := c.Start(ctx, address(n), worker.Start{Task: "j.0.0.1", Run: 1})
+			if !errors.Is(err, ErrDelegate) {
+				t.Errorf("a call without an answer ends with %v", err)
+			}
+		})
+	}
+	calls.Wait()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, err := c.Start(ctx, address(1), worker.Start{Task: "j.0.0.2", Run: 1})
+	is.NoErr(err)
+	is.Equal(sound.started(), 1)
+}
+
 // TestLeavingDelegateFinishesItsCalls guards against a planned stop of a delegate that costs a call its answer.
 func TestLeavingDelegateFinishesItsCalls(t *testing.T) {
 	is := is.New(t)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -21,6 +21,9 @@
 	openTimeout = 500 * time.Millisecond
 	// silentAfter is the time without a batch of a delegate after which it is given up. It sends one every aliveInterval.
 	silentAfter = time.Second
+	// mostMissed is how many more calls a delegate may leave without an answer than it answers in time before it is given up: it is there, but too
+	// slow. An answer that the worker is silent is an answer.
+	mostMissed = 8
 )
 
 // pending is a call under way.
@@ -54,6 +57,7 @@
 	specs   map[string]bool // jobs whose spec the delegate knows
 	forget  bool
 	last    lists
+	missed  int
 	// clock is the delegate's boot clock when heard was this one's.
 	clock, heard time.Duration
 }
@@ -117,6 +121,7 @@
 	case a := <-p.answer:
 		return a
 	case <-timer.C:
+		defer s.miss()
 	case <-s.broken:
 	case <-ctx.Done():
 	}
@@ -131,6 +136,17 @@
 	return answered{err: s.lost(ctx.Err())}
 }
 
+// miss counts a call that the delegate has not answered in time.
+func (s *session) miss() {
+	s.mu.Lock()
+	s.missed++
+	slow := s.missed > mostMissed
+	s.mu.Unlock()
+	if slow {
+		s.close(errors.New("it is too slow"))
+	}
+}
+
 // lost is the error of a call without an answer of the delegate.
 func (s *session) lost(cause error) error {
 	if cause == nil {
@@ -235,6 +251,7 @@
 	}
 	if p := s.calls[a.Number]; p != nil {
 		delete(s.calls, a.Number)
+		s.missed = max(s.missed-1, 0)
 		p.answer <- out
 	}
 }
