Let a new leader on a narrow link load the jobs

Cause: on the small twin of the large deployment (2 Mbit/s) each new leader read all 16 partitions at once. A page that took longer than 0.6 s was read anew each time, with twice the time. Ruled out: the store and the processor (0.05 of 0.12 cores); a longer silence before a claim (it would cost every change of leaders).

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -16,6 +16,9 @@
 	// jobReadWait is how long one read waits for the next accepted job.
 	jobReadWait = 900 * time.Millisecond
 	loadRetry   = 100 * time.Millisecond
+	// loadReads is how many partitions are read at once at the beginning of a term. With all of them on a narrow link the answers to heartbeats
+	// wait behind seconds of records, and another entry instance claims before anything is loaded.
+	loadReads = 2
 )
 
 // jobTail follows one partition of the jobs.
@@ -54,9 +57,14 @@
 	d.tailFresh = make([]time.Duration, d.JobPartitions)
 	tails := make([]*jobTail, d.JobPartitions)
 	var reading sync.WaitGroup
+	slots := make(chan struct{}, loadReads)
 	for i := range tails {
 		tails[i] = d.jobTail(i)
-		reading.Go(func() { tails[i].end, tails[i].newest = catchUp(ctx, &tails[i].Tail) })
+		reading.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			tails[i].end, tails[i].newest = catchUp(ctx, &tails[i].Tail)
+		})
 	}
 	progress := map[string][]byte{}
 	own := store.Tail{Store: d.Store, Topic: d.ProgressTopic, Log: d.Log, Apply: func(r store.Record) { d.applyOwn(r, progress) }}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -55,7 +55,8 @@
 	Append(ctx context.Context, a Append) (first int64, err error)
 	// Read returns the records from an offset on and waits up to wait for one.
 	Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (Page, error)
-	// ReadNewest returns a page of the newest records whose keys follow after.
+	// ReadNewest returns a page of the newest records whose keys follow after. The deadline of ctx bounds the time until the answer begins: a page
+	// may be large and the link narrow.
 	ReadNewest(ctx context.Context, topic string, partition int, after string) (Newest, error)
 }
 
--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -30,8 +30,8 @@
 const (
 	// tailTimeout bounds a read beyond its wait. A slow store answers after 240 ms and more.
 	tailTimeout = 1200 * time.Millisecond
-	// newestTimeout bounds the first read of a page of newest records; each further one may take twice as long, as a page may hold 1 MB
-	// and the store may be slow. newestTries bounds the reads of one page.
+	// newestTimeout bounds the time until a page of newest records begins to arrive; each further try may take twice as long, as the store may be
+	// slow. newestTries bounds the reads of one page.
 	newestTimeout = 600 * time.Millisecond
 	newestTries   = 4
 	// tailRetry is the pause after a failed read.
