Keep delegates when the leader itself is slow, and count leases from what the store can vouch for

Reading the path showed two more faults: lastStored was the moment of the answer, which comes late behind a full link or after a pause, so leases could be renewed past what a successor counts with; and a successor counted from its claim, while appends of the predecessor are accepted until the fence. Ruled out: reports told as changes (TestReportsArriveWhole), orders sent twice (each repeat has the same run). Change: a slow delegate is given up only while most are not slow; lastStored is when the accepted try was sent; unreached workers count from the fence. Tests: TestSlowLeaderKeepsItsDelegates, TestLateAnswerRenewsNothing, TestUnreachedWorkerKeepsItsRuns (extended); each fails without. TestOlderJobsGoOnAfterTheLease moves the fence in place of the claim: the bound is the same.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -253,5 +253,5 @@
 	}
 	longest := renewWithoutStore + min(leaseDuration, d.Bounds.MaxLease)
 	longest += time.Duration(float64(longest)*clockDrift) + leaseMargin
-	return now-d.begunAt > longest
+	return now-d.fencedAt > longest
 }
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -106,12 +106,13 @@
 	unanswered := 0
 	began := bootclock.Now()
 	for tries := 1; ctx.Err() == nil; tries++ {
+		sent := bootclock.Now()
 		first, err := c.try(ctx, records, unanswered)
 		c.watch(tries, len(records), bootclock.Now()-began, err)
 		var unexpected *store.SequenceError
 		switch {
 		case err == nil:
-			c.d.stored()
+			c.d.stored(sent)
 			return c.advance(first, len(records))
 		case errors.Is(err, store.ErrFenced):
 			return err
@@ -172,11 +173,12 @@
 	return nil
 }
 
-// stored notes contact with the store.
-func (d *Dispatcher) stored() {
+// stored notes that the store has accepted an append that was sent at a moment of the boot clock. When the answer arrived does not count: behind a
+// narrow link or after a pause another leader may have begun meanwhile.
+func (d *Dispatcher) stored(sent time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lastStored = bootclock.Now()
+	d.lastStored = sent
 }
 
 // gather takes what has to be stored, or returns nil if nothing has.
--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/follow"
 	"pollenlead/internal/store"
 )
@@ -186,3 +187,21 @@
 	}
 	is.True(c.pace.Timeout(0) > s.delay) // the first try is enough from now on
 }
+
+// TestLateAnswerRenewsNothing guards against a leader that renews leases beyond what its successor counts with: the answer to its last append has
+// arrived late, behind a narrow link or after a pause, and the fence was set meanwhile.
+func TestLateAnswerRenewsNothing(t *testing.T) {
+	is := is.New(t)
+	s := &losingStore{delay: 200 * time.Millisecond}
+	c := newCommitterFixture(&s.sequenceStore)
+	defer c.d.stop()
+	c.d.Store = s
+	sent := bootclock.Now()
+	is.NoErr(c.append(t.Context(), oneRecord))
+	is.True(c.d.lastStored < sent+s.delay/2)
+	s.lost = 1
+	sent = bootclock.Now()
+	is.NoErr(c.append(t.Context(), oneRecord)) // the try that was answered counts
+	is.True(c.d.lastStored >= sent+leastAppendTimeout)
+	is.True(c.d.lastStored < sent+leastAppendTimeout+s.delay)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -125,7 +125,9 @@
 	// storedWorkers is the stored set of workers with their pools, and workersAt the boot clock of its last record.
 	storedWorkers map[string]string
 	workersAt     time.Duration
-	// lastStored is the boot clock of the last append that succeeded, peersStored that of the last contact of any other entry instance to the
+	// fencedAt is the boot clock from which on no earlier leader's append is accepted.
+	fencedAt time.Duration
+	// lastStored is the boot clock at which the last append that succeeded was sent, peersStored that of the last contact of any other entry instance to the
 	// store, and peersHeard when one has told so.
 	lastStored, peersStored, peersHeard time.Duration
 
@@ -193,6 +195,7 @@
 	if !ok {
 		return
 	}
+	d.fencedAt = bootclock.Now()
 	tails, ok := d.load(ctx, fenced)
 	if !ok {
 		return
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -30,7 +30,7 @@
 func newFixture(workers int) *Dispatcher {
 	d := New(Options{Store: idleStore{}, Follower: follow.New(idleStore{}, follow.Decoder{}, zerolog.Nop()), Log: zerolog.Nop()})
 	d.begunAt, d.wall = bootclock.Now(), time.Now()
-	d.lastStored = d.begunAt
+	d.lastStored, d.fencedAt = d.begunAt, d.begunAt
 	d.loaded = true
 	ctx, stop := context.WithCancel(context.Background())
 	d.ctx, d.stop = ctx, stop
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -38,6 +38,6 @@
 	tails, ok := d.load(t.Context(), 0)
 	is.True(ok)
 	is.Equal(len(tails), 16)
-	is.Equal(s.pages.Load(), int32(17))   // each partition of the jobs, and the progress
-	is.True(s.most.Load() <= 3) // the progress is read beside
+	is.Equal(s.pages.Load(), int32(17)) // each partition of the jobs, and the progress
+	is.True(s.most.Load() <= 3)         // the progress is read beside
 }
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -193,6 +193,9 @@
 	slowest = time.Duration(float64(renewWithoutStore+time.Second) * (1 + clockDrift))
 	is.True(!d.leaseExpired(a, d.begunAt+slowest))
 	is.True(d.leaseExpired(a, d.begunAt+slowest+2*leaseMargin))
+	d.fencedAt += 2 * time.Second // until the fence the predecessor's appends were accepted
+	is.True(!d.leaseExpired(a, d.begunAt+2*time.Second+slowest))
+	is.True(d.leaseExpired(a, d.begunAt+2*time.Second+slowest+2*leaseMargin))
 }
 
 // TestReachedWorkerKeepsItsRunsUntilItsLeaseEnds guards against a task that is started elsewhere while a worker that has fallen silent still runs
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -71,7 +71,7 @@
 	d.expireLeases()
 	d.place()
 	is.Equal(len(older.Task(0, 0, 0).Runs), 0)
-	d.begunAt -= renewWithoutStore + 2*leaseDuration
+	d.fencedAt -= renewWithoutStore + 2*leaseDuration
 	d.expireLeases()
 	d.place()
 	is.Equal(len(older.Task(0, 0, 0).Runs), 1)
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -190,7 +190,7 @@
 			break
 		}
 		var err error
-		if s, err = openSession(c.ctx, m, c.Token, c.Log); err == nil {
+		if s, err = openSession(c.ctx, m, c.Token, c.mostAreFast, c.Log); err == nil {
 			break
 		}
 		c.Log.Info().Str("event", "delegate_unreachable").Str("delegate", m.Name).Err(err).Msg("an entry instance cannot be a delegate now")
@@ -241,19 +241,40 @@
 
 // busy returns the addresses of the present delegates.
 func (c *Client) busy() map[string]bool {
+	busy := map[string]bool{}
+	for _, s := range c.sessions() {
+		busy[s.member.Address] = true
+	}
+	return busy
+}
+
+// sessions returns the present session of each place that has one.
+func (c *Client) sessions() []*session {
 	c.mu.Lock()
 	var all []*delegatePlace
 	for _, places := range c.places {
 		all = append(all, places...)
 	}
 	c.mu.Unlock()
-	busy := map[string]bool{}
+	var sessions []*session
 	for _, p := range all {
 		p.mu.Lock()
 		if p.session != nil {
-			busy[p.session.member.Address] = true
+			sessions = append(sessions, p.session)
 		}
 		p.mu.Unlock()
 	}
-	return busy
+	return sessions
+}
+
+// mostAreFast reports whether at most half of the delegates are slow. If more are, it is this entry instance or its link that is slow, and new
+// connections would make that worse.
+func (c *Client) mostAreFast() bool {
+	slow, all := 0, c.sessions()
+	for _, s := range all {
+		if s.slow() {
+			slow++
+		}
+	}
+	return len(all) == 1 || 2*slow <= len(all)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -292,6 +292,26 @@
 	is.Equal(sound.started(), 1)
 }
 
+// TestSlowLeaderKeepsItsDelegates guards against a leader behind a narrow link that gives up all of its delegates, and then speaks to each worker
+// over the same link.
+func TestSlowLeaderKeepsItsDelegates(t *testing.T) {
+	is := is.New(t)
+	c := &Client{places: map[string][]*delegatePlace{"z1": {}}}
+	var sessions []*session
+	for range 4 {
+		s := &session{broken: make(chan struct{}), mayGiveUp: c.mostAreFast}
+		sessions = append(sessions, s)
+		c.places["z1"] = append(c.places["z1"], &delegatePlace{session: s})
+	}
+	sessions[0].missed = mostMissed + 1
+	is.True(c.mostAreFast()) // one of four is slow, and may go
+	for _, s := range sessions[1:] {
+		s.missed = mostMissed + 1
+	}
+	sessions[0].miss()
+	is.True(!sessions[0].closed)
+}
+
 // TestLeavingDelegateFinishesItsCalls guards against a planned stop of a delegate that costs a call its answer.
 func TestLeavingDelegateFinishesItsCalls(t *testing.T) {
 	is := is.New(t)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -21,8 +21,8 @@
 	openTimeout = 500 * time.Millisecond
 	// silentAfter is the time without a batch of a delegate after which it is given up. It sends one every aliveInterval.
 	silentAfter = time.Second
-	// mostMissed is how many more calls a delegate may leave without an answer than it answers in time before it is given up: it is there, but too
-	// slow. An answer that the worker is silent is an answer.
+	// mostMissed is how many more calls a delegate may leave without an answer than it answers in time before it is slow. An answer that the worker
+	// is silent is an answer.
 	mostMissed = 8
 )
 
@@ -46,6 +46,8 @@
 	conn   *jsonrpc2.Conn
 	wake   chan struct{}
 	broken chan struct{}
+	// mayGiveUp reports whether the session may end because its delegate is slow.
+	mayGiveUp func() bool
 
 	mu     sync.Mutex // guards what follows
 	closed bool
@@ -63,14 +65,14 @@
 }
 
 // openSession connects to a delegate.
-func openSession(ctx context.Context, m Member, token int64, log zerolog.Logger) (*session, error) {
+func openSession(ctx context.Context, m Member, token int64, mayGiveUp func() bool, log zerolog.Logger) (*session, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", m.Address)
 	if err != nil {
 		return nil, fmt.Errorf("relay: connect to %s: %w", m.Name, err)
 	}
 	s := &session{
-		member: m, log: log, wake: make(chan struct{}, 1), broken: make(chan struct{}), calls: map[uint64]*pending{},
+		member: m, log: log, mayGiveUp: mayGiveUp, wake: make(chan struct{}, 1), broken: make(chan struct{}), calls: map[uint64]*pending{},
 		specs: map[string]bool{}, last: lists{},
 	}
 	stream := jsonrpc2.NewPlainObjectStream(timedConn{raw})
@@ -142,11 +144,18 @@
 	s.missed++
 	slow := s.missed > mostMissed
 	s.mu.Unlock()
-	if slow {
+	if slow && s.mayGiveUp() {
 		s.close(errors.New("it is too slow"))
 	}
 }
 
+// slow reports whether the delegate leaves calls without an answer.
+func (s *session) slow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.missed > mostMissed/2
+}
+
 // lost is the error of a call without an answer of the delegate.
 func (s *session) lost(cause error) error {
 	if cause == nil {
