Wait for silent workers that still write their entries

Ruled out: waiting without end (a cut may last); longer leases (a worker that is dead would keep its tasks as long). A worker that crashed has stopped writing before its lease ends, so nothing changes for it. TestSilentWorkerThatLivesKeepsItsRuns fails without.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -27,6 +27,10 @@
 	holdRetry = 150 * time.Millisecond
 	// entryPause is the time between two reads of the workers' entries.
 	entryPause = 100 * time.Millisecond
+	// aliveWait is how long a silent worker that still writes its entry is waited for before its runs start elsewhere, and entriesMissed how many of
+	// its intervals may pass without an entry.
+	aliveWait     = 2 * leaseDuration
+	entriesMissed = 2
 	// startsAtOnce bounds the orders that are on their way to one worker.
 	startsAtOnce = 4
 )
@@ -41,6 +45,8 @@
 type agent struct {
 	id    string
 	entry *fleet.WorkerEntry // nil if the worker is not listed
+	// entryAt is the boot clock at which the worker's entry was last seen to be new.
+	entryAt time.Duration
 	// firstSeen is the boot clock at which the worker became known.
 	firstSeen time.Duration
 	runs      map[runKey]*workload.Run
@@ -236,12 +242,21 @@
 			}
 			continue
 		}
-		if d.leaseExpired(a, now) {
+		if d.leaseExpired(a, now) && !d.alive(a, now) {
 			d.lose(a, "its lease has expired")
 		}
 	}
 }
 
+// alive reports whether a silent worker still writes its entry, so that only the way to it is broken. It ends what has lapsed by itself, and lists how
+// each run has ended as soon as it can be reached: until then some of them may be done. Callers hold mu.
+func (d *Dispatcher) alive(a *agent, now time.Duration) bool {
+	if a.entry == nil || a.silentSince == 0 || now-a.silentSince > aliveWait {
+		return false
+	}
+	return now-a.entryAt < entriesMissed*d.Bounds.Heartbeat
+}
+
 // leaseExpired reports whether nothing can run at a worker any more. Of a worker that answers its reports tell what runs.
 func (d *Dispatcher) leaseExpired(a *agent, now time.Duration) bool {
 	if a.contacted && a.entry != nil && a.silentSince == 0 {
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/store"
 )
@@ -51,6 +52,9 @@
 	a := d.agent(e.ID)
 	old := a.entry
 	a.entry = e
+	if old == nil || old.Sequence != e.Sequence {
+		a.entryAt = bootclock.Now()
+	}
 	if a.idleSince.IsZero() {
 		a.idleSince = d.now()
 	}
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -246,3 +246,31 @@
 	_, h, _ = d.nextHold(a)
 	is.Equal(h.DeadlineMillis, int64(0))
 }
+
+// TestSilentWorkerThatLivesKeepsItsRuns guards against tasks that run again elsewhere because only the way to their worker is broken: some of them may
+// be done, and the worker says so when it is reached.
+func TestSilentWorkerThatLivesKeepsItsRuns(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	d.Bounds.Heartbeat = 1500 * time.Millisecond
+	j := d.addJob("0011223344556677", fleet.Step{Count: 1})
+	a := d.agent("w0")
+	d.attach(j.Task(0, 0, 0).Assign("w0", 1, d.now()))
+	now := bootclock.Now()
+	a.clock, a.clockAt, a.deadline = 1000, now-2*leaseDuration, 1000+leaseDuration.Milliseconds()
+	a.silentSince = now - leaseDuration
+	entry := *a.entry
+	entry.Sequence++
+	d.entrySeen(&entry)
+	d.expireLeases()
+	is.Equal(len(a.runs), 1)
+	a.entryAt = now - entriesMissed*d.Bounds.Heartbeat // it has stopped writing, too
+	d.expireLeases()
+	is.Equal(len(a.runs), 0)
+
+	d.attach(j.Task(0, 0, 0).Assign("w0", 2, d.now()))
+	a.entryAt, a.silentSince = now, now-aliveWait-time.Second // it is not waited for without end
+	d.expireLeases()
+	is.Equal(len(a.runs), 0)
+}
