Survive garbage from a delegate whose session is not open yet

Cause: found by reading. The connection's reading goroutine can be faster than the assignment of the connection, and closing the session then used a nil pointer: one malformed message would have taken the leader down. Ruled out: the delegate's side, which is given the connection with each message. Change: the handler waits for the connection. TestGarbageAtOnceHarmsNobody panics without. Two types and a function of the package got names that say which side of a session they are (delegateSession, runLists, placeOf). Before: panic. After: the session is refused.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -74,8 +74,8 @@
 // weight is a number that depends on two names only, as rendezvous hashing needs it.
 func weight(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
 
-// place returns which of n places has a worker. Only the workers of a place that comes or goes change theirs.
-func place(worker string, n int) int {
+// placeOf returns which of n places has a worker. Only the workers of a place that comes or goes change theirs.
+func placeOf(worker string, n int) int {
 	best, most := 0, uint64(0)
 	for i := range n {
 		if w := weight(worker, string(rune('0'+i))); i == 0 || w > most {
--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -45,7 +45,7 @@
 	moved, count := 0, map[int]int{}
 	for i := range 1000 {
 		id := fmt.Sprintf("i-%08x", i*7919)
-		before, after := place(id, 4), place(id, 5)
+		before, after := placeOf(id, 4), placeOf(id, 5)
 		count[after]++
 		if before != after {
 			moved++
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -149,7 +149,7 @@
 	if len(places) == 0 {
 		return nil
 	}
-	return c.sessionAt(ctx, places[place(to.ID, len(places))])
+	return c.sessionAt(ctx, places[placeOf(to.ID, len(places))])
 }
 
 // sessionAt returns the session of a place and connects to a delegate if there is none.
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -41,7 +41,7 @@
 		if err != nil {
 			return
 		}
-		s := &served{delegate: d, ctx: ctx, last: lists{}, specs: map[string]string{}, wake: make(chan struct{}, 1)}
+		s := &delegateSession{delegate: d, ctx: ctx, last: runLists{}, specs: map[string]string{}, wake: make(chan struct{}, 1)}
 		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(timedConn{conn}), jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(quietLog{d.Log}))
 	}
 }
@@ -64,8 +64,8 @@
 	}
 }
 
-// served is one session of a leader.
-type served struct {
+// delegateSession is the delegate's side of one session of a leader.
+type delegateSession struct {
 	delegate *Delegate
 	ctx      context.Context
 	wake     chan struct{}
@@ -76,11 +76,11 @@
 	specs map[string]string // by job
 
 	mu      sync.Mutex // guards what follows
-	last    lists
+	last    runLists
 	answers []answer
 }
 
-func (s *served) handle(_ context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (s *delegateSession) handle(_ context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	if r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "parameters are missing"}
 	}
@@ -113,7 +113,7 @@
 }
 
 // opened begins the session.
-func (s *served) opened(conn *jsonrpc2.Conn, p openParams) (openResult, error) {
+func (s *delegateSession) opened(conn *jsonrpc2.Conn, p openParams) (openResult, error) {
 	if s.open {
 		return openResult{}, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "the session is open already"}
 	}
@@ -125,7 +125,7 @@
 }
 
 // take begins the calls of a batch.
-func (s *served) take(b callBatch) {
+func (s *delegateSession) take(b callBatch) {
 	if b.Forget {
 		clear(s.specs)
 	}
@@ -147,7 +147,7 @@
 }
 
 // pass sends one call, unless the permission for it has run out.
-func (s *served) pass(x *call, spec string) {
+func (s *delegateSession) pass(x *call, spec string) {
 	a := answer{Number: x.Number}
 	switch {
 	case s.delegate.outdated(s.token):
@@ -168,7 +168,7 @@
 }
 
 // call sends a call and answers with its outcome.
-func (s *served) call(ctx context.Context, x *call, spec string, a *answer) {
+func (s *delegateSession) call(ctx context.Context, x *call, spec string, a *answer) {
 	to, workers := worker.Address{ID: x.Worker, Address: x.Address}, s.delegate.Workers
 	switch {
 	case x.Hold != nil:
@@ -192,7 +192,7 @@
 }
 
 // hold asks a worker for its report. The changes of reports have to be worked out in the order in which they are sent.
-func (s *served) hold(ctx context.Context, to worker.Address, h *holdCall, a *answer) {
+func (s *delegateSession) hold(ctx context.Context, to worker.Address, h *holdCall, a *answer) {
 	r, err := s.delegate.Workers.Hold(ctx, to, worker.Hold{
 		FencingToken: s.token, Acknowledged: h.Acknowledged, DeadlineMillis: h.DeadlineMillis, Wait: duration(h.WaitMillis),
 	})
@@ -208,14 +208,14 @@
 }
 
 // answer queues an answer.
-func (s *served) answer(a answer) {
+func (s *delegateSession) answer(a answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers = append(s.answers, a)
 	s.signal()
 }
 
-func (s *served) signal() {
+func (s *delegateSession) signal() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -223,7 +223,7 @@
 }
 
 // write sends the answers in batches until the connection ends.
-func (s *served) write(conn *jsonrpc2.Conn) {
+func (s *delegateSession) write(conn *jsonrpc2.Conn) {
 	alive := time.NewTicker(aliveInterval)
 	defer alive.Stop()
 	defer func() { _ = conn.Close() }()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -161,7 +161,7 @@
 func TestLateCallIsNotSent(t *testing.T) {
 	is := is.New(t)
 	workers := &fakeWorkers{}
-	s := &served{delegate: &Delegate{Workers: workers, Token: func() int64 { return 0 }, Log: zerolog.Nop()}, ctx: t.Context(), last: lists{}, specs: map[string]string{}, wake: make(chan struct{}, 1)}
+	s := &delegateSession{delegate: &Delegate{Workers: workers, Token: func() int64 { return 0 }, Log: zerolog.Nop()}, ctx: t.Context(), last: runLists{}, specs: map[string]string{}, wake: make(chan struct{}, 1)}
 	spec := "spec"
 	x := &call{Number: 1, Worker: "w1", UntilMillis: millis(bootclock.Now()) - 1, TimeoutMillis: 100, Start: &startCall{Task: "j.0.0.1", Run: 1, Spec: &spec}}
 	s.pass(x, spec)
@@ -370,6 +370,27 @@
 	is.Equal(workers.started(), 1)
 }
 
+// TestGarbageAtOnceHarmsNobody guards against a leader that goes down because the other side sends what cannot be read before the session is open.
+func TestGarbageAtOnceHarmsNobody(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write([]byte(`{"jsonrpc":"2.0","method":"answers","params":{"body":"AAAA"}}` + "no JSON"))
+		}
+	}()
+	for range 20 {
+		_, err := openSession(t.Context(), Member{Name: "d", Address: l.Addr().String()}, 7, func() bool { return true }, zerolog.Nop())
+		is.True(err != nil)
+	}
+}
+
 // FuzzBatches guards against a panic for any bytes that another entry instance may send.
 func FuzzBatches(f *testing.F) {
 	for _, batch := range []any{callBatch{Calls: []call{{Number: 1, Worker: "w", Hold: &holdCall{Seen: 3}}}}, answerBatch{Answers: []answer{{Number: 1, Report: &report{Gone: []runKey{{"a", 1}}}}}}} {
@@ -386,12 +407,12 @@
 		}
 		params := json.RawMessage(text)
 		d := &Delegate{Workers: &fakeWorkers{}, Token: func() int64 { return 1 }, Log: zerolog.Nop()} // refuses each call
-		served := &served{delegate: d, ctx: t.Context(), last: lists{}, specs: map[string]string{}, wake: make(chan struct{}, 1)}
+		served := &delegateSession{delegate: d, ctx: t.Context(), last: runLists{}, specs: map[string]string{}, wake: make(chan struct{}, 1)}
 		var calls callBatch
 		if decodePayload(&params, &calls) == nil {
 			served.take(calls)
 		}
-		s := &session{calls: map[uint64]*pending{1: {answer: make(chan answered, 1)}}, last: lists{}}
+		s := &session{calls: map[uint64]*pending{1: {answer: make(chan answered, 1)}}, last: runLists{}}
 		var answers answerBatch
 		if decodePayload(&params, &answers) == nil {
 			for i := range answers.Answers {
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -2,12 +2,12 @@
 
 import "pollenlead/internal/worker"
 
-// lists holds the last list of runs of each worker in a session, on both sides of it. A worker without runs has no entry.
-type lists map[string]map[runKey]worker.Running
+// runLists holds the last list of runs of each worker in a session, on both sides of it. A worker without runs has no entry.
+type runLists map[string]map[runKey]worker.Running
 
 // encode returns a worker's report as the changes since the last one. Ends that the leader has seen are left out. Changes of progress and load
 // are told only if it asks for detail, or when a run begins to be at work or no longer is.
-func (l lists) encode(id string, r worker.Report, h *holdCall) *report {
+func (l runLists) encode(id string, r worker.Report, h *holdCall) *report {
 	out := &report{Incarnation: r.Incarnation, MoreEnds: r.MoreEnds}
 	seen := h.Seen
 	if r.Incarnation != h.Incarnation {
@@ -51,7 +51,7 @@
 }
 
 // decode returns the whole report that encode was given, but for what it left out.
-func (l lists) decode(id string, clockMillis int64, r *report) worker.Report {
+func (l runLists) decode(id string, clockMillis int64, r *report) worker.Report {
 	now := l[id]
 	if now == nil {
 		now = map[runKey]worker.Running{}
@@ -76,7 +76,7 @@
 	return out
 }
 
-func (l lists) set(id string, runs map[runKey]worker.Running) {
+func (l runLists) set(id string, runs map[runKey]worker.Running) {
 	if len(runs) == 0 {
 		delete(l, id)
 		return
--- a/internal/relay/report_test.go
+++ b/internal/relay/report_test.go
@@ -17,7 +17,7 @@
 // again. Reports are told as changes, so that one lost change would stay.
 func TestReportsArriveWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sent, received := lists{}, lists{}
+		sent, received := runLists{}, runLists{}
 		for range rapid.IntRange(1, 20).Draw(t, "reports") {
 			id := rapid.SampledFrom([]string{"w1", "w2"}).Draw(t, "worker")
 			r := worker.Report{ClockMillis: 9, Incarnation: rapid.Int64Range(1, 2).Draw(t, "incarnation"), MoreEnds: rapid.Bool().Draw(t, "more")}
@@ -61,7 +61,7 @@
 // TestWorkersWithoutRunsAreForgotten guards against sessions that grow with each worker that has ever been there.
 func TestWorkersWithoutRunsAreForgotten(t *testing.T) {
 	is := is.New(t)
-	l := lists{}
+	l := runLists{}
 	l.encode("w1", worker.Report{Running: []worker.Running{{Task: "a", Run: 1}}}, &holdCall{})
 	is.Equal(len(l), 1)
 	l.encode("w1", worker.Report{}, &holdCall{})
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -39,13 +39,15 @@
 	err         error
 }
 
-// session is a leader's connection to one delegate.
+// session is the leader's side of a session: its connection to one delegate.
 type session struct {
 	member Member
 	log    zerolog.Logger
 	conn   *jsonrpc2.Conn
-	wake   chan struct{}
-	broken chan struct{}
+	// connected is closed when conn is set: the connection's reading goroutine may be faster.
+	connected chan struct{}
+	wake      chan struct{}
+	broken    chan struct{}
 	// mayGiveUp reports whether the session may end because its delegate is slow.
 	mayGiveUp func() bool
 
@@ -58,7 +60,7 @@
 	queue   []call
 	specs   map[string]bool // jobs whose spec the delegate knows
 	forget  bool
-	last    lists
+	last    runLists
 	missed  int
 	// clock is the delegate's boot clock when heard was this one's.
 	clock, heard time.Duration
@@ -72,11 +74,12 @@
 		return nil, fmt.Errorf("relay: connect to %s: %w", m.Name, err)
 	}
 	s := &session{
-		member: m, log: log, mayGiveUp: mayGiveUp, wake: make(chan struct{}, 1), broken: make(chan struct{}), calls: map[uint64]*pending{},
-		specs: map[string]bool{}, last: lists{},
+		member: m, log: log, mayGiveUp: mayGiveUp, connected: make(chan struct{}), wake: make(chan struct{}, 1), broken: make(chan struct{}), calls: map[uint64]*pending{},
+		specs: map[string]bool{}, last: runLists{},
 	}
 	stream := jsonrpc2.NewPlainObjectStream(timedConn{raw})
 	s.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(quietLog{log}))
+	close(s.connected)
 	opening, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	var opened openResult
@@ -233,6 +236,7 @@
 
 // handle applies what the delegate sends.
 func (s *session) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	<-s.connected
 	if r.Method != methodAnswers || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 	}
