--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,8 +26,8 @@
 )
 
 const (
-	// callPause and answerPause are the least times between two batches of a session. Calls and answers gather meanwhile: a batch costs about as
-	// much as ten of them. A start waits for its place in a batch, an answer delays nothing that a caller waits for.
+	// callPause and answerPause are the least times between two batches of a session. Calls and answers gather meanwhile, as each
+	// batch has a cost of its own. Calls go out sooner: a start waits for its batch, while an answer delays nothing that a caller waits for.
 	callPause   = 15 * time.Millisecond
 	answerPause = 20 * time.Millisecond
 	// aliveInterval is the longest time between two batches of a delegate; an empty one shows that it is there.
