--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -18,7 +18,7 @@
 		outcome="NOT APPLIED"
 	elif ! go vet "$package" >/dev/null 2>&1; then
 		outcome="DOES NOT BUILD"
-	elif go test -count=1 -timeout 60s -run "^$test\$" "$package" >"$copy/output" 2>&1; then
+	elif go test -race -count=1 -timeout 120s -run "^$test\$" "$package" >"$copy/output" 2>&1; then
 		outcome="NOT FOUND"
 	else
 		outcome="found"
