Account for the time of instances by state and of late jobs by phase

Change: package usage divides each instance's time into states (pure); the leader adds them up by pool twelve times in two seconds and publishes them in /debug/vars and in a line pool_usage every 5 s. job_ended names the phases of the job's time. Measured: TestStatesSumToTheTotal, TestUsageSumsToTheInstances and TestPhasesOfALateJobSumToItsTime pass.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -54,6 +54,7 @@
 	if len(pools) == 0 {
 		return
 	}
+	w.recordUsage(pools)
 	policy := scheduling.DefaultBalance
 	policy.MaxMoves = w.orderBudget(bootclock.Now())
 	moves := scheduling.Balance(pools, policy)
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -17,6 +17,8 @@
 	// doneMillis is the time from acceptance to the end of jobs that were done, and startMillis the time from
 	// acceptance to the first start of a job.
 	doneMillis, startMillis *metrics.Histogram
+	usage                   *usageCounter
+	late                    lateCounter
 }
 
 var sharedCounters = newCounters()
@@ -38,6 +40,9 @@
 	c.doneMillis, c.startMillis = metrics.NewHistogram(), metrics.NewHistogram()
 	m.Set("job_done_milliseconds", c.doneMillis)
 	m.Set("job_first_start_milliseconds", c.startMillis)
+	c.usage = newUsageCounter()
+	m.Set("instance_seconds", c.usage)
+	c.late.publish(m)
 	return c
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -89,7 +89,9 @@
 	// firstStart is the time from the acceptance to the first assignment, objective the time in which the job should
 	// be done according to its estimates, and failures the number of its runs that did not end done.
 	firstStart, objective time.Duration
-	failures              int
+	// readAfter is the time from the acceptance until this leader had read the submission.
+	readAfter time.Duration
+	failures  int
 	// partitions is a bit set of the partitions in which the job's submission or cancellation was read.
 	partitions uint64
 }
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -41,6 +41,8 @@
 	// orderTokens is the number of orders that the platform's rate limit allows at the boot clock tokensAt.
 	orderTokens float64
 	tokensAt    time.Duration
+	// usageAt and usageLoggedAt are the boot clocks of the last record and the last log of the use of instance time.
+	usageAt, usageLoggedAt time.Duration
 	// inheritedLeaseUntil is the boot clock until which an instance may still be leased to an earlier leader by a
 	// recent order. Another holder must not send an order during that lease.
 	inheritedLeaseUntil time.Duration
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -70,6 +70,7 @@
 		w.Pool = q.Pool
 	}
 	j := d.insert(w)
+	j.readAfter = max(d.now().Sub(w.Submitted), 0)
 	if c, ok := d.pendingCancels[id]; ok {
 		delete(d.pendingCancels, id)
 		j.partitions |= c.partitions
--- a/internal/scheduling/balance.go
+++ b/internal/scheduling/balance.go
@@ -112,6 +112,13 @@
 	return p.Size - max(b.required(p), b.reserve(p))
 }
 
+// Surplus returns the number of instances that exceed both the work and the reserve of a pool, or a negative number if
+// it has fewer.
+func Surplus(p *BalancePool, policy BalancePolicy) int {
+	b := balance{policy: policy}
+	return b.surplus(p)
+}
+
 // fillShortages moves instances to the pools whose work needs them, one per pool in turn, and then to the pools below
 // their reserve.
 func (b *balance) fillShortages() {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -45,6 +45,9 @@
 	Occurrences []*Occurrence
 	// NextOccurrence is the number of the first occurrence that has not been added yet.
 	NextOccurrence int
+	// Waited is the time for which ready steps had tasks that were never assigned, summed over the steps. It counts
+	// from the restoration of a job.
+	Waited time.Duration
 }
 
 // Occurrence is one execution of the steps of a job.
@@ -62,6 +65,8 @@
 	Tasks      []*Task
 	// Open is the number of tasks that are not done.
 	Open int
+	// Unassigned is the number of tasks that have never had a run.
+	Unassigned int
 	// ReadyAt is the time at which the last step that this one depends on was done.
 	ReadyAt time.Time
 }
@@ -195,7 +200,7 @@
 	o := &Occurrence{Number: number}
 	for i := range j.Spec.Steps {
 		spec := &j.Spec.Steps[i]
-		s := &Step{Job: j, Occurrence: o, Index: i, Spec: spec, Open: spec.Count, ReadyAt: now}
+		s := &Step{Job: j, Occurrence: o, Index: i, Spec: spec, Open: spec.Count, Unassigned: spec.Count, ReadyAt: now}
 		tasks := make([]Task, spec.Count)
 		s.Tasks = make([]*Task, spec.Count)
 		for n := range tasks {
@@ -252,6 +257,9 @@
 
 // Assign adds a run on a worker.
 func (t *Task) Assign(worker string, number int, now time.Time) *Run {
+	if t.LastRun == 0 {
+		t.Step.countAssigned(now)
+	}
 	t.LastRun = max(t.LastRun, number)
 	r := &Run{Task: t, Number: number, Worker: worker, Since: now, Pace: 100}
 	t.Runs = append(t.Runs, r)
@@ -262,6 +270,15 @@
 	return r
 }
 
+// countAssigned records the first assignment of a task. With the last one, the step has got all the capacity it waited
+// for.
+func (s *Step) countAssigned(now time.Time) {
+	s.Unassigned--
+	if s.Unassigned == 0 {
+		s.Job.Waited += max(now.Sub(s.ReadyAt), 0)
+	}
+}
+
 // Remove removes a run that is known to have ended and keeps its checkpoint.
 func (t *Task) Remove(run *Run) {
 	for i, r := range t.Runs {
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -199,6 +199,12 @@
 			})
 		}
 	}
+	s.Unassigned = 0
+	for _, t := range s.Tasks {
+		if !t.Done && t.LastRun == 0 {
+			s.Unassigned++
+		}
+	}
 	return nil
 }
 
