Confirm the term by heartbeats whose answers are lost or late

Cause: without fencing of the instances service, orders are sent only within 1 s of the last confirmed heartbeat. Change: a heartbeat that a read of the chain shows counts as sent at the time of the oldest one without an answer. The interval between heartbeats counts from their sending. Measured: TestUnansweredHeartbeatConfirmsTheTerm failed before; TestLateHeartbeatConfirmsFromItsSending guards the other side, that a late heartbeat is not taken for a newer one.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -89,14 +89,18 @@
 	changed   chan struct{} // closed and replaced when current or released changes, or on resignation
 	resigning bool
 	resigned  chan struct{}
-	// confirmed is the boot clock at the time of sending the most recent accepted record of this entry instance.
+	// confirmed is the boot clock at the time of sending the most recent accepted record of this entry instance. If the
+	// answer to that record was lost, it may be the time of an earlier one.
 	confirmed time.Duration
 
 	// The following fields are used only by the goroutine of Run.
-	nextOffset int64                  // end of the partition, as far as read
-	lastSeen   time.Duration          // boot clock at the newest record's receipt
-	lastReadOK bool                   // the last read succeeded
-	pace       store.TimeoutEstimator // determines the timeout of heartbeats
+	nextOffset int64         // end of the partition, as far as read
+	lastSeen   time.Duration // boot clock at the newest record's receipt
+	lastReadOK bool          // the last read succeeded
+	// unconfirmedSince is the boot clock at the time of sending the first heartbeat since the last one that is known to
+	// be stored; 0 if there is none.
+	unconfirmedSince time.Duration
+	pace             store.TimeoutEstimator // determines the timeout of heartbeats
 }
 
 // Options configures an election.
@@ -376,8 +380,14 @@
 		return 0, err
 	}
 	e.observe(store.Record{Offset: offset, Key: recordKey, Value: value})
+	e.confirm(sent)
+	return offset, nil
+}
+
+// confirm records that a record of this entry instance that was sent at the given boot clock or later was accepted.
+func (e *Election) confirm(sent time.Duration) {
+	e.unconfirmedSince = 0
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.confirmed = sent
-	return offset, nil
+	e.confirmed = max(e.confirmed, sent)
 }
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -76,12 +76,13 @@
 			continue
 		case <-next.C:
 		}
-		seen := e.lastSeen
+		seen, sent := e.lastSeen, bootclock.Now()
 		if lost := e.heartbeat(ctx, token); lost {
 			return endLost
 		}
 		if e.lastSeen > seen {
-			next.Reset(heartbeatInterval)
+			// The interval counts from the sending: on a slow store the term would otherwise be confirmed too rarely.
+			next.Reset(max(heartbeatInterval-(bootclock.Now()-sent), heartbeatRetryDelay))
 		} else {
 			next.Reset(heartbeatRetryDelay) // the other entry instances have not read a heartbeat either
 		}
@@ -92,6 +93,9 @@
 // instance has claimed, not when the store fails to answer.
 func (e *Election) heartbeat(ctx context.Context, token int64) (lost bool) {
 	began := bootclock.Now()
+	if e.unconfirmedSince == 0 {
+		e.unconfirmedSince = began
+	}
 	_, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer, Token: token}, e.pace.Timeout(0))
 	e.pace.Observe(bootclock.Now() - began)
 	if err == nil {
@@ -110,7 +114,13 @@
 		e.observe(r)
 	}
 	l, _ := e.Current()
-	return l.Token != token
+	if l.Token != token {
+		return true
+	}
+	if len(page.Records) > 0 { // a heartbeat without an answer was stored
+		e.confirm(e.unconfirmedSince)
+	}
+	return false
 }
 
 // release appends a record that allows the others to claim at once.
--- /dev/null
+++ b/internal/leader/term_test.go
@@ -0,0 +1,74 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/store"
+)
+
+// slowStore stores records whose appends get no answer, as a store does that answers after the timeout of the call.
+type slowStore struct {
+	store.Store
+	records []store.Record
+	// conflict means that an append is refused because the partition does not end where the caller expects.
+	conflict error
+}
+
+func (s *slowStore) Append(_ context.Context, a store.Append) (int64, error) {
+	if *a.At != int64(len(s.records)) {
+		return 0, s.conflict
+	}
+	r := a.Records[0]
+	r.Offset = int64(len(s.records))
+	s.records = append(s.records, r)
+	return 0, store.ErrUnknown
+}
+
+func (s *slowStore) Read(_ context.Context, _ string, _ int, from int64, _ time.Duration) (store.Page, error) {
+	return store.Page{Records: s.records[from:], End: int64(len(s.records))}, nil
+}
+
+// TestUnansweredHeartbeatConfirmsTheTerm guards against a leader that gives no order to instances for seconds while a
+// slow store accepts its heartbeats, but answers them too late.
+func TestUnansweredHeartbeatConfirmsTheTerm(t *testing.T) {
+	is := is.New(t)
+	s := &slowStore{}
+	e := New(Options{Store: s, Holder: "h"})
+	e.nextOffset = 0
+	e.publish(Leader{Holder: "h", Token: 1}, false)
+	before := e.ConfirmedAt()
+	is.True(!e.heartbeat(t.Context(), 1))
+	first := e.ConfirmedAt()
+	is.True(first > before)
+	time.Sleep(2 * time.Millisecond)
+	is.True(!e.heartbeat(t.Context(), 1))
+	is.True(e.ConfirmedAt() > first)
+}
+
+// TestLateHeartbeatConfirmsFromItsSending guards against a leader that takes a heartbeat that was carried out late for
+// the one that it has sent since, and so gives orders although another entry instance may have claimed.
+func TestLateHeartbeatConfirmsFromItsSending(t *testing.T) {
+	is := is.New(t)
+	s := &slowStore{conflict: store.ErrUnknown}
+	e := New(Options{Store: s, Holder: "h"})
+	e.nextOffset = 0
+	e.publish(Leader{Holder: "h", Token: 1}, false)
+	delayed := *s
+	e.store = &lostStore{slowStore: s}
+	is.True(!e.heartbeat(t.Context(), 1)) // sent, not carried out yet
+	sent := e.unconfirmedSince
+	is.Equal(e.ConfirmedAt(), time.Duration(0))
+	e.store = &delayed
+	time.Sleep(5 * time.Millisecond)
+	is.True(!e.heartbeat(t.Context(), 1))
+	is.Equal(e.ConfirmedAt(), sent)
+}
+
+// lostStore loses every append.
+type lostStore struct{ *slowStore }
+
+func (*lostStore) Append(context.Context, store.Append) (int64, error) { return 0, store.ErrUnknown }
