Move instances while the progress of a wave is being stored

Cause: one goroutine stepped waves and moves. Change: waves and moves step in a goroutine each, under one mutex that is released during calls. Waves use a list of at most 1.5 s of age, and an order counts from its answer, as a list may now be requested while it is in flight.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -48,7 +48,7 @@
 	until time.Duration // boot clock
 }
 
-// balance moves instances between pools.
+// balance moves instances between pools. Callers hold mu.
 func (w *instanceDriver) balance(ctx context.Context) {
 	pools, workers := w.balancePools()
 	if len(pools) == 0 {
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -19,6 +20,8 @@
 	// stopMargin is added to the longest duration of a stop before a new leader stops runs itself: the last orders of
 	// its predecessor may have been in flight, and the workers have to report once more.
 	stopMargin = time.Second
+	// maxListAge is the age of the list of instances up to which waves use it.
+	maxListAge = listInterval + instanceTimeout
 	// confirmationTTL is how long after the last confirmation of the term orders are sent if the instances service
 	// does not compare fencing tokens. It is shorter than the silence after which another entry instance claims
 	// leadership.
@@ -27,10 +30,12 @@
 	instanceTimeout = time.Second
 )
 
-// instanceDriver carries out maintenance waves and moves instances between pools. Only its own goroutine uses its
-// fields.
+// instanceDriver carries out maintenance waves and moves instances between pools, in one goroutine each: the progress
+// of a wave is stored before its orders, and on a slow store the moves would wait for it.
 type instanceDriver struct {
-	d     *Dispatcher
+	d *Dispatcher
+
+	mu    sync.Mutex // guards the fields below; it is released during calls and locked before the dispatcher's mu
 	waves map[int64]*wave
 	// listed is the latest list of instances, requested at the boot clock listedAt.
 	listed   map[string]fleet.Instance
@@ -64,15 +69,31 @@
 		w.inheritedLeaseUntil = bootclock.Now() + w.d.Bounds.InstanceLease
 		w.stopsAllowedFrom = bootclock.Now() + w.d.Bounds.MaxStopTime + stopMargin
 	}
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { w.repeat(ctx, w.stepWaves) })
+	w.repeat(ctx, w.stepBalance)
+}
+
+// repeat calls step at every instanceInterval until ctx is done.
+func (w *instanceDriver) repeat(ctx context.Context, step func(context.Context)) {
 	for ctx.Err() == nil {
-		w.step(ctx)
+		w.mu.Lock()
+		step(ctx)
+		w.mu.Unlock()
 		sleep.For(ctx, instanceInterval)
 	}
 }
 
-// step refreshes the list of instances, and advances the waves and the balance of the pools by one step.
-func (w *instanceDriver) step(ctx context.Context) {
-	w.addWaves()
+// unlocked calls f without holding mu. Callers hold mu.
+func (w *instanceDriver) unlocked(f func()) {
+	w.mu.Unlock()
+	defer w.mu.Lock()
+	f()
+}
+
+// stepBalance refreshes the list of instances and moves instances between pools. Callers hold mu.
+func (w *instanceDriver) stepBalance(ctx context.Context) {
 	if bootclock.Now()-w.listedAt >= listInterval && !w.refresh(ctx) {
 		return
 	}
@@ -80,11 +101,20 @@
 		return
 	}
 	if w.termConfirmed() {
-		w.stepWaves(ctx)
 		w.balance(ctx)
 	}
 }
 
+// stepWaves advances the waves by one step, if the list of instances is new enough. Callers hold
+// mu.
+func (w *instanceDriver) stepWaves(ctx context.Context) {
+	if w.homeSizes == nil || bootclock.Now()-w.listedAt > maxListAge || !w.termConfirmed() {
+		return
+	}
+	w.addWaves()
+	w.advanceWaves(ctx)
+}
+
 // termConfirmed reports whether orders may be sent. A leader that was paused does not know whether another leader has
 // sent orders in the meantime. If the instances service does not compare fencing tokens, it would carry out the
 // orders of both.
@@ -114,12 +144,14 @@
 	return time.Since(time.UnixMilli(a.incarnation)) > w.d.Bounds.InstanceLease+maxClockSkew
 }
 
-// refresh reads the list of instances and reports whether that succeeded.
+// refresh reads the list of instances and reports whether that succeeded. Callers hold mu.
 func (w *instanceDriver) refresh(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
 	defer cancel()
 	sent := bootclock.Now()
-	all, err := w.d.Instances.List(ctx)
+	var all []fleet.Instance
+	var err error
+	w.unlocked(func() { all, err = w.d.Instances.List(ctx) })
 	if err != nil {
 		w.d.Log.Info().Str("event", "instances_unlisted").Err(err).Msg("instances could not be listed")
 		return false
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -91,7 +91,8 @@
 }
 
 // orderMaintenance sends the orders to maintain instances concurrently: one after the other they would delay the
-// moves, and leave drained instances idle. The instances are stored as ordered before the orders are sent.
+// moves, and leave drained instances idle. The instances are stored as ordered before the orders are sent. Callers hold
+// mu.
 func (w *instanceDriver) orderMaintenance(ctx context.Context, x *wave, ids []string) {
 	if len(ids) == 0 {
 		return
@@ -107,7 +108,7 @@
 		x.instances[id].orderedAt = bootclock.Now()
 		sending.Go(func() { outcomes[n] = w.maintain(ctx, id, x.request.Number) })
 	}
-	sending.Wait()
+	w.unlocked(sending.Wait)
 	for n, id := range ids {
 		w.applyOrderOutcome(x, id, outcomes[n])
 	}
@@ -144,6 +145,7 @@
 		return
 	}
 	i.confirmed = err == nil
+	i.orderedAt = bootclock.Now() // a list that was requested before the answer may show the state before the order
 	if i.worker == "" && refused != nil && refused.Reason == instances.RefusedBusy {
 		i.phase, i.refusedOff = scheduling.MaintenancePending, true
 	}
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -99,8 +99,8 @@
 	return x
 }
 
-// stepWaves advances each open wave by one step.
-func (w *instanceDriver) stepWaves(ctx context.Context) {
+// advanceWaves advances each open wave by one step. Callers hold mu.
+func (w *instanceDriver) advanceWaves(ctx context.Context) {
 	numbers := make([]int64, 0, len(w.waves))
 	for n, x := range w.waves {
 		if !x.endReported {
@@ -113,7 +113,7 @@
 	}
 }
 
-// advance advances one wave by one step.
+// advance advances one wave by one step. Callers hold mu.
 func (w *instanceDriver) advance(ctx context.Context, x *wave) {
 	if !x.startReported {
 		if !w.store(ctx, x) || !w.report(ctx, x, false) {
@@ -294,10 +294,15 @@
 	return w.append(ctx, w.d.StatusTopic, store.Record{Key: key, Value: value})
 }
 
+// append stores one record and reports whether that succeeded. Callers hold mu.
 func (w *instanceDriver) append(ctx context.Context, topic string, r store.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if _, err := w.d.Store.Append(ctx, store.Append{Topic: topic, Records: []store.Record{r}}); err != nil {
+	var err error
+	w.unlocked(func() {
+		_, err = w.d.Store.Append(ctx, store.Append{Topic: topic, Records: []store.Record{r}})
+	})
+	if err != nil {
 		w.d.Log.Info().Str("event", "wave_not_stored").Str("key", r.Key).Err(err).Msg("wave record could not be stored")
 		return false
 	}
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -135,6 +135,8 @@
 		x.instances[fmt.Sprintf("m%d", n)] = &waveInstance{phase: scheduling.MaintenanceDraining}
 	}
 	began := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.drain(t.Context(), x)
 	is.Equal(service.orders.Load(), int32(40))
 	is.True(time.Since(began) < 10*service.orderDuration)
@@ -144,6 +146,48 @@
 	}
 }
 
+// blockingStore blocks every append until the test ends.
+type blockingStore struct {
+	emptyStore
+	blocked chan struct{}
+}
+
+func (s *blockingStore) Append(ctx context.Context, _ store.Append) (int64, error) {
+	s.blocked <- struct{}{}
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// listingInstances counts the lists of instances.
+type listingInstances struct {
+	slowInstances
+	lists atomic.Int32
+}
+
+func (s *listingInstances) List(context.Context) ([]fleet.Instance, error) {
+	s.lists.Add(1)
+	return []fleet.Instance{{ID: "m0", Pool: "pool", Phase: fleet.InstanceUp}}, nil
+}
+
+// TestWaveOnSlowStoreDelaysNoMoves guards against pools that get no instances while the progress of a wave is being
+// stored: on a slow store, no instance was moved for 2.4 s.
+func TestWaveOnSlowStoreDelaysNoMoves(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	service, slow := &listingInstances{}, &blockingStore{blocked: make(chan struct{}, 10)}
+	d.Instances, d.Store, d.Bounds.InstancesFenced = service, slow, true
+	d.driver.homeSizes = map[string]int{"pool": 1}
+	d.driver.waves[1] = &wave{request: fleet.WaveRequest{Number: 1}}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go d.driver.run(ctx)
+	<-slow.blocked
+	before := service.lists.Load()
+	time.Sleep(listInterval + 2*instanceInterval) // less than the timeout of the append
+	is.True(service.lists.Load() > before)
+}
+
 // TestWaveLeavesOrdersForMoves guards against a wave that uses up the platform's rate limit while work waits for
 // instances.
 func TestWaveLeavesOrdersForMoves(t *testing.T) {
