Log no silence of workers whose instance was ordered away

Change: the silence of a cordoned worker without runs is not logged. It is recorded as before. Measured: TestSilenceOfARemovedWorkerIsNotLogged failed before.

--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -1,13 +1,16 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
@@ -276,3 +279,21 @@
 	d.expireLeases()
 	is.Equal(len(a.runs), 0)
 }
+
+// TestSilenceOfARemovedWorkerIsNotLogged guards against false alarms: a worker falls silent whenever its instance is
+// moved or maintained, which happened 176 times on a calm day.
+func TestSilenceOfARemovedWorkerIsNotLogged(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	d := newFixture(2)
+	defer d.stop()
+	d.Log = zerolog.New(&log)
+	moved, other := d.agent("w0"), d.agent("w1")
+	moved.cordoned = true
+	for _, a := range []*agent{moved, other} {
+		d.recordSilence(a, worker.ErrUnknown, bootclock.Now())
+		is.True(a.silentSince != 0)
+	}
+	is.Equal(strings.Count(log.String(), "worker_silent"), 1)
+	is.True(strings.Contains(log.String(), `"worker":"w1"`))
+}
--- a/internal/dispatch/renew.go
+++ b/internal/dispatch/renew.go
@@ -113,6 +113,9 @@
 	}
 	if a.silentSince == 0 {
 		a.silentSince = sent
+		if a.cordoned && len(a.runs) == 0 {
+			return // its instance was ordered away, which ends the worker
+		}
 		d.Log.Info().Str("event", "worker_silent").Str("worker", a.id).Err(err).Int("runs", len(a.runs)).
 			Msg("worker does not answer")
 	}
