--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -290,3 +290,21 @@
 	d.Bounds.InstancesFenced = true
 	is.NoErr(w.maintain(t.Context(), "m0", 1))
 }
+
+// TestListDuringAnOrderShowsNoReturn guards against an instance that counts as maintained because of a list that was
+// requested while its order was in flight: a worker that started before the order looks like the one after it.
+func TestListDuringAnOrderShowsNoReturn(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	w := newInstanceDriver(d)
+	i := &waveInstance{phase: scheduling.MaintenanceOrdered, worker: "w-before", orderedAt: bootclock.Now()}
+	x := &wave{instances: map[string]*waveInstance{"m0": i}}
+	w.listedAt = bootclock.Now()
+	restarted := fleet.Instance{ID: "m0", Phase: fleet.InstanceUp, Worker: "w-after"}
+	time.Sleep(time.Millisecond)
+	w.applyOrderOutcome(x, "m0", nil)
+	is.True(!w.isBack(i, restarted))
+	w.listedAt = bootclock.Now()
+	is.True(w.isBack(i, restarted))
+}
