--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -79,16 +79,6 @@
 	return sum * a.actual / a.estimated
 }
 
-// remainingWork returns the expected processor time of the unfinished tasks of an occurrence, in thousandths of a core
-// times seconds.
-func (e *estimates) remainingWork(o *workload.Occurrence) float64 {
-	sum := 0.0
-	for _, s := range o.Steps {
-		sum += float64(s.Spec.Charge().CPUMilli) * float64(s.Open) * e.stepDuration(s).Seconds()
-	}
-	return sum
-}
-
 // remaining returns the length of the critical path through the unfinished steps of an occurrence.
 func (e *estimates) remaining(o *workload.Occurrence) time.Duration {
 	return e.criticalPath(o, func(s *workload.Step) bool { return s.Open > 0 })
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -177,10 +177,7 @@
 		begin = due
 	}
 	slack := begin.Add(d.objective(o, q)).Sub(now) - d.estimates.remaining(o)
-	r := scheduling.Rank{
-		Tier: scheduling.TierOnTime, Priority: q.Priority, Work: d.estimates.remainingWork(o), Slack: slack,
-		Submitted: j.Submitted,
-	}
+	r := scheduling.Rank{Tier: scheduling.TierOnTime, Priority: q.Priority, Slack: slack, Submitted: j.Submitted}
 	if slack < 0 {
 		r.Tier = scheduling.TierLate
 	}
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -4,7 +4,6 @@
 package scheduling
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -47,12 +46,7 @@
 	Tier Tier
 	// Priority is the queue's priority; 0 comes first.
 	Priority int
-	// Work is the expected remaining work, in thousandths of a core times seconds. Among work that can still meet its
-	// objective the smallest comes first: at the start of a burst, when there is more work than room, the order by slack
-	// serves each job a moment too late, and this order serves as many as the room allows. A large job waits for at most
-	// the time to its objective before it counts as late, where Work has no effect.
-	Work float64
-	// Slack is the time until the objective minus the remaining duration.
+	// Slack is the time until the objective minus the remaining work.
 	Slack time.Duration
 	// Submitted breaks ties in favor of the older job.
 	Submitted time.Time
@@ -78,11 +72,11 @@
 	if r.Priority != o.Priority {
 		return r.Priority - o.Priority
 	}
-	if r.Tier == TierOnTime && r.Work != o.Work {
-		return cmp.Compare(r.Work, o.Work)
-	}
 	if r.Slack != o.Slack {
-		return cmp.Compare(r.Slack, o.Slack)
+		if r.Slack < o.Slack {
+			return -1
+		}
+		return 1
 	}
 	return r.Submitted.Compare(o.Submitted)
 }
