--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -105,8 +105,7 @@
 	}
 }
 
-// stepWaves advances the waves by one step, if the list of instances is new enough. Callers hold
-// mu.
+// stepWaves advances the waves by one step if the list of instances is new enough. Callers hold mu.
 func (w *instanceDriver) stepWaves(ctx context.Context) {
 	if w.homeSizes == nil || bootclock.Now()-w.listedAt > maxListAge || !w.termConfirmed() {
 		return
