Leave half of the order rate to waves with drained instances

Cause: since moves and waves step in goroutines of their own, moves take the whole rate limit in each step of a burst and leave a wave one order a step, where it had half. Change: moves use half of what the rate allows while a wave has drained instances to order.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -35,6 +35,20 @@
 	return max(int(w.orderTokens), 0)
 }
 
+// moveBudget returns how many moves may be ordered now: what the platform's rate limit allows, or half of it while a
+// wave has drained instances to order, so that waves and moves do not delay each other. Callers hold mu.
+func (w *instanceDriver) moveBudget() int {
+	n := w.orderBudget(bootclock.Now())
+	for _, x := range w.waves {
+		for _, i := range x.instances {
+			if i.phase == scheduling.MaintenanceDraining {
+				return n / 2
+			}
+		}
+	}
+	return n
+}
+
 // arrivalTimeout is how long, in addition to the duration of a move, an instance is expected to arrive in its new
 // pool.
 const arrivalTimeout = 3 * time.Second
@@ -56,7 +70,7 @@
 	}
 	w.recordUsage(pools)
 	policy := scheduling.DefaultBalance
-	policy.MaxMoves = w.orderBudget(bootclock.Now())
+	policy.MaxMoves = w.moveBudget()
 	moves := scheduling.Balance(pools, policy)
 	w.orderTokens -= float64(len(moves))
 	for _, m := range moves {
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -203,6 +203,22 @@
 	is.Equal(w.waveBudget(5), 1) // the wave proceeds slowly while moves use the whole rate
 }
 
+// TestMovesLeaveOrdersForWaves guards against moves that use up the platform's rate limit in every step, so that drained
+// instances wait for their maintenance until the wave is late.
+func TestMovesLeaveOrdersForWaves(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	d.Bounds.InstanceOrdersPerSecond = 100
+	w := newInstanceDriver(d)
+	is.Equal(w.moveBudget(), 45)
+	i := &waveInstance{phase: scheduling.MaintenanceDraining}
+	w.waves[1] = &wave{instances: map[string]*waveInstance{"m0": i}}
+	is.Equal(w.moveBudget(), 22)
+	i.phase = scheduling.MaintenanceDone
+	is.Equal(w.moveBudget(), 45)
+}
+
 // TestNewLeaderWaitsForStopsInFlight guards against a planned stop right after a change of leader: a task that the
 // earlier leader has just stopped is still listed as running.
 func TestNewLeaderWaitsForStopsInFlight(t *testing.T) {
