--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,12 +86,11 @@
 	// published is the state that is returned to clients. It is the stored state, or an end that is published while
 	// the store does not answer.
 	published workload.State
-	// firstStart is the time from the acceptance to the first assignment, objective the time in which the job should
-	// be done according to its estimates, and failures the number of its runs that did not end done.
-	firstStart, objective time.Duration
-	// readAfter is the time from the acceptance until this leader had read the submission.
-	readAfter time.Duration
-	failures  int
+	// firstStart is the time from the acceptance to the first assignment, readAfter the time until this leader had read
+	// the submission, and objective the time in which the job should be done according to its estimates.
+	firstStart, readAfter, objective time.Duration
+	// failures is the number of the job's runs that did not end done.
+	failures int
 	// partitions is a bit set of the partitions in which the job's submission or cancellation was read.
 	partitions uint64
 }
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -40,7 +40,7 @@
 }
 
 // pools returns the instance-seconds by pool and state.
-func (c *usageCounter) pools() map[string]map[usage.State]float64 {
+func (c *usageCounter) pools() map[string]usage.Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.account.Pools()
@@ -99,7 +99,9 @@
 
 // instanceUsage returns the state of a listed instance for the account of instance time. Callers hold the
 // dispatcher's mu.
-func (w *instanceDriver) instanceUsage(x fleet.Instance, standby bool, now time.Time, boot time.Duration) usage.Instance {
+func (w *instanceDriver) instanceUsage(
+	x fleet.Instance, standby bool, now time.Time, boot time.Duration,
+) usage.Instance {
 	i := usage.Instance{Phase: x.Phase, Standby: standby, CPU: x.Capacity.CPUMilli}
 	a := w.d.agents[x.Worker]
 	if a == nil || a.entry == nil {
@@ -119,14 +121,12 @@
 func (w *instanceDriver) logUsage() {
 	for pool, seconds := range w.d.counters.usage.pools() {
 		states := zerolog.Dict()
-		total := 0.0
 		for _, s := range usage.States {
 			if seconds[s] > 0 {
 				states.Float64(string(s), seconds[s])
 			}
-			total += seconds[s]
 		}
-		w.d.Log.Info().Str("event", "pool_usage").Str("pool", pool).Float64("total", total).
+		w.d.Log.Info().Str("event", "pool_usage").Str("pool", pool).Float64("total", seconds.Sum()).
 			Dict("instance_seconds", states).Msg("use of instance time")
 	}
 }
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -203,8 +203,8 @@
 	is.Equal(w.waveBudget(5), 1) // the wave proceeds slowly while moves use the whole rate
 }
 
-// TestMovesLeaveOrdersForWaves guards against moves that use up the platform's rate limit in every step, so that drained
-// instances wait for their maintenance until the wave is late.
+// TestMovesLeaveOrdersForWaves guards against moves that use up the platform's rate limit in every step, so that
+// drained instances wait for their maintenance until the wave is late.
 func TestMovesLeaveOrdersForWaves(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(0)
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -3,6 +3,7 @@
 package usage
 
 import (
+	"maps"
 	"time"
 
 	"pollenlead/internal/fleet"
@@ -94,7 +95,8 @@
 	return min(max(float64(i.UsedCPU)/float64(i.CPU), 0), 1)
 }
 
-// Snapshot is the number of instances of one pool in each state at one moment. Parts of instances count as fractions.
+// Snapshot is an amount for each state of the instances of one pool: their number at one moment, in which parts of
+// instances count as fractions, or instance-seconds.
 type Snapshot map[State]float64
 
 // Add counts an instance.
@@ -116,8 +118,8 @@
 	s[Surplus] += n
 }
 
-// Instances returns the number of instances in the snapshot.
-func (s Snapshot) Instances() float64 {
+// Sum returns the sum over all states.
+func (s Snapshot) Sum() float64 {
 	sum := 0.0
 	for _, n := range s {
 		sum += n
@@ -143,20 +145,11 @@
 	}
 }
 
-// Seconds returns the instance-seconds of a pool in a state.
-func (a *Account) Seconds(pool string, state State) float64 { return a.pools[pool][state] }
-
-// Total returns the instance-seconds of a pool in all states.
-func (a *Account) Total(pool string) float64 { return a.pools[pool].Instances() }
-
-// Pools returns a copy of the instance-seconds by pool and state.
-func (a *Account) Pools() map[string]map[State]float64 {
-	pools := make(map[string]map[State]float64, len(a.pools))
+// Pools returns a copy of the instance-seconds by pool.
+func (a *Account) Pools() map[string]Snapshot {
+	pools := make(map[string]Snapshot, len(a.pools))
 	for name, sums := range a.pools {
-		pools[name] = make(map[State]float64, len(sums))
-		for state, seconds := range sums {
-			pools[name][state] = seconds
-		}
+		pools[name] = maps.Clone(sums)
 	}
 	return pools
 }
