Log what a new leader believes about open jobs, and each end published unstored

The logs of the incident could not show whether the new leader lacked a progress record, did not ask a worker, or ignored an end. New lines, each at a change of state: job_restored (open jobs, offset of the progress record), pool_unchecked and pool_checked, worker_given_up with its reason, unknown_end, unstored_end with the workers that hold the ends and the ages of the reports that decided it. job_ended says whether the state was stored. Counters: unstored_ends_total, unknown_ends_total, workers_given_up_total. No decision changes; the check of the predecessor's workers moves to a file of its own.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -211,7 +211,8 @@
 	d.dropRuns(a, "the worker has started again")
 	a.incarnation = incarnation
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
-	a.clockAt, a.contacted, a.unchecked = 0, false, false
+	a.clockAt, a.contacted = 0, false
+	d.endCheck(a, checkRestarted)
 }
 
 // dropRuns drops all runs of a worker on which none of them is running any more. Callers hold mu.
@@ -242,7 +243,7 @@
 	now := bootclock.Now()
 	for id, a := range d.agents {
 		if a.unchecked && d.leaseExpired(a, now) {
-			a.unchecked = false
+			d.endCheck(a, checkExpired)
 			d.markAllDirty()
 		}
 		if len(a.runs) == 0 {
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -293,5 +293,5 @@
 	d.Log.Info().Str("event", "job_ended").Str("job", j.ID).Str("queue", j.Queue).Str("team", j.Team).
 		Str("state", string(state)).
 		Dur("took", took).Dur("first_start_after", j.firstStart).Dur("objective", j.objective).
-		Int("runs_failed", j.failures).Bool("late", late).Object("phases", phases).Msg("job ended")
+		Int("runs_failed", j.failures).Bool("late", late).Bool("stored", !d.unpublished[j]).Object("phases", phases).Msg("job ended")
 }
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -185,7 +185,7 @@
 		if current[id] || a.firstSeen >= w.listedAt || !a.unchecked && len(a.runs) == 0 {
 			continue
 		}
-		a.unchecked = false
+		d.endCheck(a, checkReplaced)
 		d.dropRuns(a, "its instance has another worker or none")
 		d.markAllDirty()
 	}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -68,7 +68,7 @@
 			tails[i].end, tails[i].newest = catchUp(ctx, &tails[i].Tail)
 		})
 	}
-	progress := map[string][]byte{}
+	progress := map[string]store.Record{}
 	own := store.Tail{
 		Store: d.Store, Topic: d.ProgressTopic, Log: d.Log,
 		Apply: func(r store.Record) { d.applyProgressRecord(r, progress) },
@@ -84,7 +84,8 @@
 		return nil, false
 	}
 	d.restore(progress)
-	d.Log.Info().Str("event", "jobs_loaded").Int("jobs", len(d.jobs)).Int("open", d.openJobs()).
+	d.Log.Info().Str("event", "jobs_loaded").Int64("token", d.Token).Int64("fenced", fenced).Int("jobs", len(d.jobs)).
+		Int("open", d.openJobs()).
 		Dur("took", d.now().Sub(began)).Msg("jobs read from the store")
 	return tails, true
 }
@@ -113,7 +114,7 @@
 }
 
 // applyProgressRecord applies a record that an earlier leader wrote to the progress topic.
-func (d *Dispatcher) applyProgressRecord(r store.Record, progress map[string][]byte) {
+func (d *Dispatcher) applyProgressRecord(r store.Record, progress map[string]store.Record) {
 	kind, id := workload.ParseKey(r.Key)
 	if len(r.Value) == 0 {
 		return
@@ -123,7 +124,7 @@
 	var err error
 	switch kind {
 	case workload.KeyProgress:
-		progress[id] = r.Value
+		progress[id] = r
 	case workload.KeyWorkers:
 		err = json.Unmarshal(r.Value, &d.storedWorkers)
 	}
@@ -154,13 +155,18 @@
 }
 
 // restore creates the jobs that were read, with their stored progress.
-func (d *Dispatcher) restore(progress map[string][]byte) {
+func (d *Dispatcher) restore(progress map[string]store.Record) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
 	for id, read := range d.loadedJobs {
-		if j := d.restoreJob(id, read.value, progress[id], now); j != nil {
-			j.partitions |= read.partitions
+		j := d.restoreJob(id, read.value, progress[id].Value, now)
+		if j == nil {
+			continue
+		}
+		j.partitions |= read.partitions
+		if !j.State.Ended() {
+			d.logRestored(j, progress[id])
 		}
 	}
 	for id := range progress {
@@ -177,6 +183,16 @@
 	d.signal()
 }
 
+// logRestored logs what this leader believes about an open job at the beginning of its term. The offset is that of the
+// progress record; 0 means that an earlier leader stored none. Callers hold mu.
+func (d *Dispatcher) logRestored(j *job, progress store.Record) {
+	runs := 0
+	j.EachTask(func(t *workload.Task) { runs += len(t.Runs) })
+	d.Log.Info().Str("event", "job_restored").Str("job", j.ID).Str("pool", j.Pool).Str("state", string(j.State)).
+		Bool("stored", len(progress.Value) > 0).Int64("offset", progress.Offset).Int("runs", runs).
+		Msg("open job read from the store at the beginning of the term")
+}
+
 // restoreJob creates one job, or returns nil if its submission cannot be decoded. Callers hold mu.
 func (d *Dispatcher) restoreJob(id string, submission, progress []byte, now time.Time) *job {
 	w, ended := workload.DecodeEnded(id, submission, progress)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -20,7 +20,8 @@
 		a.incarnation = r.Incarnation
 	}
 	first := !a.contacted
-	a.contacted, a.unchecked = true, false
+	a.contacted = true
+	d.endCheck(a, checkAnswered)
 	a.clock, a.clockAt = r.ClockMillis, bootclock.Now()
 	if first {
 		// An earlier leader may have renewed the lease up to this moment.
@@ -64,6 +65,7 @@
 		d.detach(a, run)
 	}
 	if j == nil {
+		d.logUnknownEnd(a, e, "its job is not known")
 		return
 	}
 	t := j.Task(k, step, index)
@@ -71,6 +73,7 @@
 		t = run.Task
 	}
 	if t == nil {
+		d.logUnknownEnd(a, e, "its occurrence is not in progress")
 		return
 	}
 	if run == nil && e.Kind == worker.EndFailed && e.Run <= t.RestoredRun {
@@ -103,6 +106,13 @@
 	}
 }
 
+// logUnknownEnd logs an end that is not applied to any task. Callers hold mu.
+func (d *Dispatcher) logUnknownEnd(a *agent, e worker.End, why string) {
+	d.counters.unknownEnds.Add(1)
+	d.Log.Info().Str("event", "unknown_end").Str("worker", a.id).Str("task", e.Task).Int("run", e.Run).
+		Int64("number", e.Number).Str("how", string(e.Kind)).Str("why", why).Msg("worker listed an end of an unknown task")
+}
+
 // reconcileRuns compares the runs that a worker lists with those that are assigned to it. Callers hold mu.
 func (d *Dispatcher) reconcileRuns(a *agent, r worker.Report, sent time.Duration) {
 	now, asked := d.now(), d.at(sent)
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -56,7 +56,7 @@
 		released++
 	}
 	if d.noOtherLeader(began) {
-		d.publishUnstored()
+		d.publishUnstored(began)
 	}
 	d.counters.unstoredStarts.Add(int64(released))
 	if now := bootclock.Now(); released > 0 && now-d.unstoredLogged > poolLogInterval {
@@ -90,16 +90,37 @@
 }
 
 // publishUnstored publishes the ends of jobs that are not stored.
-func (d *Dispatcher) publishUnstored() {
+func (d *Dispatcher) publishUnstored(began time.Duration) {
 	for j := range d.unpublished {
 		if d.endMayBeLost(j) {
 			continue
 		}
+		if j.published != j.State {
+			d.logUnstoredEnd(j, began)
+		}
 		d.publish(j, j.State)
 		delete(d.unpublished, j)
 	}
 }
 
+// logUnstoredEnd logs that the end of a job is published before it is stored, and what the leader knows of the store.
+// Callers hold mu.
+func (d *Dispatcher) logUnstoredEnd(j *job, began time.Duration) {
+	d.counters.unstoredEnds.Add(1)
+	now := bootclock.Now()
+	var holders []string
+	for _, a := range d.agents {
+		if a.unstoredJobs[j.ID] {
+			holders = append(holders, a.id)
+		}
+	}
+	silent, _ := d.Follower.Age()
+	d.Log.Info().Str("event", "unstored_end").Str("job", j.ID).Str("state", string(j.State)).
+		Strs("workers", holders).Dur("append_took", now-began).Dur("store_silent", silent).
+		Dur("peer_report_age", now-d.lastPeerReport).Dur("peer_contact_age", now-d.lastPeerContact).
+		Msg("end of a job is published before it is stored")
+}
+
 // endMayBeLost reports whether an end of the job that is not stored is known only to a worker that is leaving or
 // silent. A new leader would not learn of it and would run the task again after clients were told that the job is
 // done. Callers hold mu.
@@ -146,37 +167,6 @@
 	b.workers = set
 }
 
-// restoreWorkers marks the workers that an earlier leader may have used as unchecked. Callers hold mu.
-func (d *Dispatcher) restoreWorkers() {
-	for id := range d.storedWorkers {
-		d.agent(id).unchecked = true
-	}
-}
-
-// hasUncheckedWorker reports whether a worker of the pool has to answer before anything is started there. Callers
-// hold mu.
-func (d *Dispatcher) hasUncheckedWorker(pool string) bool {
-	for id, a := range d.agents {
-		if a.unchecked && d.storedWorkers[id] == pool {
-			return true
-		}
-	}
-	return false
-}
-
-// sendWithheld starts the inherited runs that waited until every worker of their pool had answered. Callers hold mu.
-func (d *Dispatcher) sendWithheld() {
-	for r := range d.withheld {
-		if d.hasUncheckedWorker(r.Task.Step.Job.Pool) {
-			continue
-		}
-		delete(d.withheld, r)
-		if r.Phase == workload.RunAssigned && d.attached(r) {
-			d.sendStart(r)
-		}
-	}
-}
-
 // adoptRun takes over a run that an earlier leader started without storing it. It returns nil if the run does not
 // belong to a task that may still run. Callers hold mu.
 func (d *Dispatcher) adoptRun(a *agent, x *worker.Running) *workload.Run {
