Keep ends and runs of jobs that the leader has not read yet

Callers saw tasks run again after they were done. applyEnd counted an end as seen even if the leader did not know its job, or the occurrence of a timed job; with nothing to store, the end was acknowledged at once and the worker forgot it. When the submission was read afterwards, all tasks of the job started again. A run of such a job was stopped as unassigned, and its task could start elsewhere before the stop arrived. Both need an earlier leader that started tasks without storing them, and a read of the submission's partition that arrives late, for example because an answer of the store was lost (2.1 s).

Ruled out for these tests: the store and the worker work as specified; a job whose assignment is stored is not affected.

An end without a known task is now kept unclaimed and not acknowledged, and a run is neither stopped nor taken over, until the job or occurrence is known, or until every partition has been read up to a moment after the report: a job of which a worker reports something had been accepted before, so it would have been read by then. Workers with unclaimed runs get no starts, as what they use is not counted, and their instances are not moved.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -70,6 +70,9 @@
 	seenEnd, storedEnd int64
 	// unstoredJobs holds the IDs of the jobs to which ends that are not stored belong.
 	unstoredJobs map[string]bool
+	// unclaimedEnds, by number, and unclaimedRuns belong to tasks that are not known yet.
+	unclaimedEnds map[int64]unclaimedEnd
+	unclaimedRuns map[runKey]unclaimedRun
 	// silentSince is the boot clock at which the first unanswered renewal since the last answer was sent; 0 while the
 	// worker answers.
 	silentSince time.Duration
@@ -96,7 +99,7 @@
 		a = &agent{
 			id: id, firstSeen: bootclock.Now(), pace: fullPace, runs: map[runKey]*workload.Run{}, notify: make(chan struct{}, 1),
 			orders: make(chan struct{}, maxConcurrentStarts), strayStops: map[runKey]time.Duration{},
-			unstoredJobs: map[string]bool{},
+			unstoredJobs: map[string]bool{}, unclaimedEnds: map[int64]unclaimedEnd{}, unclaimedRuns: map[runKey]unclaimedRun{},
 		}
 		d.agents[id] = a
 	}
@@ -149,7 +152,9 @@
 
 // vacant reports whether the worker may be removed: it has no runs, and every end that it has listed is stored. An
 // end that is not stored would be lost with the worker. Callers hold mu.
-func (a *agent) vacant() bool { return len(a.runs) == 0 && a.seenEnd == a.storedEnd }
+func (a *agent) vacant() bool {
+	return len(a.runs) == 0 && len(a.unclaimedRuns) == 0 && a.seenEnd == a.storedEnd
+}
 
 // wakeRenewal wakes the renewal goroutine. Callers hold mu.
 func (a *agent) wakeRenewal() {
@@ -211,6 +216,8 @@
 	d.dropRuns(a, "the worker has started again")
 	a.incarnation = incarnation
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
+	clear(a.unclaimedEnds)
+	clear(a.unclaimedRuns)
 	a.clockAt, a.contacted = 0, false
 	d.endCheck(a, checkRestarted)
 }
@@ -247,7 +254,7 @@
 			d.markAllDirty()
 		}
 		if len(a.runs) == 0 {
-			if a.entry == nil && !a.renewing && !a.unchecked {
+			if a.entry == nil && !a.renewing && !a.unchecked && len(a.unclaimedEnds) == 0 {
 				delete(d.agents, id)
 			}
 			continue
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -212,8 +212,8 @@
 		d.signal()
 	} else {
 		for _, a := range d.agents {
-			if a.seenEnd > a.storedEnd {
-				b.ends[a] = a.seenEnd
+			if applied := a.appliedEnd(); applied > a.storedEnd {
+				b.ends[a] = applied
 			}
 		}
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -302,6 +302,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expireLeases()
+	d.dropUnclaimed()
 	now := d.now()
 	for _, pool := range d.active {
 		for _, j := range pool {
@@ -324,6 +325,7 @@
 		return false
 	}
 	d.recordInflow(j, first)
+	d.claim(j.ID)
 	return true
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -67,6 +67,9 @@
 
 // usable reports whether a listed worker may get tasks. Callers hold mu.
 func (d *Dispatcher) usable(a *agent, now time.Time, boot time.Duration) bool {
+	if len(a.unclaimedRuns) > 0 { // what they use is not counted yet
+		return false
+	}
 	if a.entry.Draining || a.cordoned || !a.contacted || a.silentSince != 0 || !a.health.usable(now) {
 		return false
 	}
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -26,7 +25,7 @@
 		return "", ErrNotLoaded
 	}
 	j := d.jobs[id]
-	if j == nil && bootclock.Now()-slices.Min(d.jobsReadAt) > maxTailAge {
+	if j == nil && bootclock.Now()-d.jobsReadThrough() > maxTailAge {
 		return "", ErrNotLoaded // the job may have been accepted meanwhile, in any partition
 	}
 	if j == nil || j.Queue != queue || j.Team != team {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -52,6 +52,11 @@
 	}
 	a.seenEnd = e.Number
 	d.signal()
+	d.settleEnd(a, unclaimedEnd{End: e, reported: bootclock.Now()})
+}
+
+// settleEnd applies an end to its task. If the task is not known yet, the end stays unclaimed. Callers hold mu.
+func (d *Dispatcher) settleEnd(a *agent, e unclaimedEnd) {
 	id, k, step, index, err := workload.ParseTaskName(e.Task)
 	if err != nil {
 		d.Log.Warn().Err(err).Str("event", "bad_end").Str("worker", a.id).
@@ -64,8 +69,14 @@
 	if run != nil {
 		d.detach(a, run)
 	}
+	if run == nil && d.mayAppear(id, k, e.reported) {
+		a.unclaimedEnds[e.Number] = e
+		d.Log.Info().Str("event", "end_unclaimed").Str("worker", a.id).Str("task", e.Task).Int("run", e.Run).
+			Int64("number", e.Number).Str("how", string(e.Kind)).Msg("worker lists an end of a task that is not known yet")
+		return
+	}
 	if j == nil {
-		d.logUnknownEnd(a, e, "its job is not known")
+		d.logUnknownEnd(a, e.End, "its job is not known")
 		return
 	}
 	t := j.Task(k, step, index)
@@ -73,7 +84,7 @@
 		t = run.Task
 	}
 	if t == nil {
-		d.logUnknownEnd(a, e, "its occurrence is not in progress")
+		d.logUnknownEnd(a, e.End, "its occurrence is not in progress")
 		return
 	}
 	if run == nil && e.Kind == worker.EndFailed && e.Run <= t.RestoredRun {
@@ -106,13 +117,6 @@
 	}
 }
 
-// logUnknownEnd logs an end that is not applied to any task. Callers hold mu.
-func (d *Dispatcher) logUnknownEnd(a *agent, e worker.End, why string) {
-	d.counters.unknownEnds.Add(1)
-	d.Log.Info().Str("event", "unknown_end").Str("worker", a.id).Str("task", e.Task).Int("run", e.Run).
-		Int64("number", e.Number).Str("how", string(e.Kind)).Str("why", why).Msg("worker listed an end of an unknown task")
-}
-
 // reconcileRuns compares the runs that a worker lists with those that are assigned to it. Callers hold mu.
 func (d *Dispatcher) reconcileRuns(a *agent, r worker.Report, sent time.Duration) {
 	now, asked := d.now(), d.at(sent)
@@ -126,11 +130,14 @@
 			run = d.adoptRun(a, x)
 		}
 		if run == nil {
-			d.stopStray(a, key)
+			if !d.keepUnclaimedRun(a, x) {
+				d.stopStray(a, key)
+			}
 			continue
 		}
 		d.updateRun(run, x, asked, now)
 	}
+	a.forgetUnlistedRuns(listed)
 	if r.MoreEnds {
 		return // the ends of missing runs may follow
 	}
