Report contact of a tail only when it has read everything

Callers could be told that an accepted job does not exist, and the leader could take a job for removed that it had not read: a tail reported that all records before a read had been applied after the first page of the newest records, and after each page of the log, also one that the store had cut at its size limit.

Found by reading, while the leader's rule for unknown ends was built on this time. Evidence before: TestNoContactBeforeTheLastPage "[1] != [3] // newest records". Now the time of the first request counts, and only once the last page has been applied; a page of the log counts only if it reaches the end of the partition.

--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -23,7 +23,7 @@
 	// Synced is called after the newest records have been read. keys maps each key that was read to whether it has a
 	// value.
 	Synced func(keys map[string]bool)
-	// Contact is called after each successful read. All records that were appended before the time at of the boot
+	// Contact is called after each read that reached the end of the partition. All records that were appended before the time at of the boot
 	// clock have been read.
 	Contact func(at time.Duration)
 	Log     zerolog.Logger
@@ -59,8 +59,8 @@
 	newest = make(map[string]int64)
 	keys := make(map[string]bool)
 	after, first := "", true
+	sent := bootclock.Now()
 	for {
-		sent := bootclock.Now()
 		page, err := t.readNewest(ctx, after)
 		if err != nil {
 			return 0, nil, err
@@ -73,15 +73,15 @@
 			keys[r.Key] = len(r.Value) > 0
 			t.Apply(r)
 		}
-		if first && t.Contact != nil {
-			t.Contact(sent)
-		}
 		first = false
 		if page.After == "" || page.After == after {
 			break
 		}
 		after = page.After
 	}
+	if t.Contact != nil {
+		t.Contact(sent)
+	}
 	if t.Synced != nil {
 		t.Synced(keys)
 	}
@@ -134,7 +134,9 @@
 				t.Apply(r)
 			}
 		}
-		t.reportContact(sent, len(page.Records) == 0)
+		if from >= page.End { // otherwise the page was cut at its size limit
+			t.reportContact(sent, len(page.Records) == 0)
+		}
 		if t.Pause > 0 {
 			sleep.For(ctx, t.Pause)
 		}
