Ask the workers of every pool that a queue has led to

Callers saw tasks run again after they were done. While the store is away the leader starts tasks without storing the assignment. A new leader gives a job the pool to which its queue leads now, and waited only for the stored workers of that pool. If a configuration had moved the queue, the workers with the unstored runs and ends were not asked, and the whole job started again at once in the new pool. This fits the record: a store that failed some entry instances, a change of the leader, hundreds of configurations, and several tasks of one job at workers of different zones.

Ruled out: waiting for all stored workers would be safe too, but one worker that cannot be reached would hold up every pool for 10 s instead of its own. The submission's pool is not enough either, as a repeated submission may carry a newer one.

Evidence before: TestNewLeaderAsksThePoolThatTheQueueLeftBefore "1 != 0" (the task starts at once).

The leader now stores, by queue, the pools of the jobs that it starts (record k/queues, written with the first assignment in a new pool). Unstored starts need the pool stored in this way, as they need the worker stored, and a new leader starts no task of a queue before the workers of all its stored pools have answered or can hold no lease any more. A worker without an entry that lists ends which are not stored stays in the stored set of workers as well (TestWorkerWithUnstoredEndsStaysInTheStoredSet, failed before with "" != "pool").

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -251,7 +251,6 @@
 	for id, a := range d.agents {
 		if a.unchecked && d.leaseExpired(a, now) {
 			d.endCheck(a, checkExpired)
-			d.markAllDirty()
 		}
 		if len(a.runs) == 0 {
 			if a.entry == nil && !a.renewing && !a.unchecked && len(a.unclaimedEnds) == 0 {
--- a/internal/dispatch/check.go
+++ b/internal/dispatch/check.go
@@ -1,9 +1,16 @@
 package dispatch
 
-import "pollenlead/internal/workload"
+import (
+	"iter"
+	"maps"
+	"slices"
 
-// A new leader checks the workers that its predecessor may have used before it starts anything in their pools: their
-// reports show the runs that are not stored.
+	"pollenlead/internal/workload"
+)
+
+// A new leader checks the workers at which its predecessor may have started tasks without storing the assignment, before
+// it starts these tasks: their reports show such runs. A job may have been in another pool then, because its queue led
+// there, so the pools to which each queue has led are stored as well.
 
 // checkOutcome is the reason for which the leader no longer waits for a worker's report.
 type checkOutcome string
@@ -23,21 +30,72 @@
 	d.logUnchecked()
 }
 
-// hasUncheckedWorker reports whether a worker of the pool has to answer before anything is started there. Callers
-// hold mu.
-func (d *Dispatcher) hasUncheckedWorker(pool string) bool {
+// uncheckedPools returns the pools with a worker that has to answer. Callers hold mu.
+func (d *Dispatcher) uncheckedPools() map[string]bool {
+	pools := map[string]bool{}
 	for id, a := range d.agents {
-		if a.unchecked && d.storedWorkers[id] == pool {
-			return true
+		if a.unchecked {
+			pools[d.storedWorkers[id]] = true
+		}
+	}
+	return pools
+}
+
+// awaitsCheck reports whether a worker at which an earlier leader may have started a task of the job has to answer
+// before any task of the job starts. Callers hold mu.
+func (d *Dispatcher) awaitsCheck(j *workload.Job, unchecked map[string]bool) bool {
+	if len(unchecked) == 0 {
+		return false
+	}
+	return unchecked[j.Pool] || slices.ContainsFunc(d.storedQueuePools[j.Queue], func(pool string) bool { return unchecked[pool] })
+}
+
+// isQueuePoolStored reports whether the next leader will look for unstored runs of the job in its pool. Callers hold mu.
+func (d *Dispatcher) isQueuePoolStored(j *workload.Job) bool {
+	return slices.Contains(d.storedQueuePools[j.Queue], j.Pool)
+}
+
+// nextQueuePools returns the pools to which queues have led, with those of the given jobs, or nil if they are stored
+// already. A queue that the configuration has removed is left out once every worker has been checked. Callers hold mu.
+func (d *Dispatcher) nextQueuePools(jobs iter.Seq[*job]) map[string][]string {
+	var next map[string][]string
+	for j := range jobs {
+		if d.isQueuePoolStored(j.Job) || slices.Contains(next[j.Queue], j.Pool) {
+			continue
+		}
+		if next == nil {
+			next = d.retainedQueuePools()
+		}
+		next[j.Queue] = slices.Sorted(slices.Values(append(slices.Clone(next[j.Queue]), j.Pool)))
+	}
+	return next
+}
+
+// retainedQueuePools returns the stored pools of the queues that may still have unstored runs. Callers hold mu.
+func (d *Dispatcher) retainedQueuePools() map[string][]string {
+	retained := maps.Clone(d.storedQueuePools)
+	config := d.Follower.Config()
+	if config == nil || len(d.uncheckedPools()) > 0 {
+		return retained
+	}
+	open := map[string]bool{}
+	for _, jobs := range d.active {
+		for _, j := range jobs {
+			open[j.Queue] = true
 		}
 	}
-	return false
+	for j := range d.unpublished {
+		open[j.Queue] = true
+	}
+	maps.DeleteFunc(retained, func(queue string, _ []string) bool { return !open[queue] && config.Queue(queue) == nil })
+	return retained
 }
 
-// sendWithheld starts the inherited runs that waited until every worker of their pool had answered. Callers hold mu.
-func (d *Dispatcher) sendWithheld() {
+// sendWithheld starts the inherited runs that waited until every worker at which a later run may be active had answered.
+// Callers hold mu.
+func (d *Dispatcher) sendWithheld(unchecked map[string]bool) {
 	for r := range d.withheld {
-		if d.hasUncheckedWorker(r.Task.Step.Job.Pool) {
+		if d.awaitsCheck(r.Task.Step.Job, unchecked) {
 			continue
 		}
 		delete(d.withheld, r)
@@ -57,7 +115,7 @@
 	}
 	for pool, workers := range byPool {
 		d.Log.Info().Str("event", "pool_unchecked").Str("pool", pool).Strs("workers", workers).
-			Msg("nothing starts in the pool until its workers have answered")
+			Msg("no job that may have runs in the pool is started until these workers have answered")
 	}
 }
 
@@ -73,7 +131,8 @@
 		d.Log.Info().Str("event", "worker_given_up").Str("worker", a.id).Str("pool", pool).Str("why", string(how)).
 			Msg("no longer waiting for the report of a worker")
 	}
-	if !d.hasUncheckedWorker(pool) {
+	d.markAllDirty()
+	if !d.uncheckedPools()[pool] {
 		d.Log.Info().Str("event", "pool_checked").Str("pool", pool).Msg("the pool waits for no worker any more")
 	}
 }
--- /dev/null
+++ b/internal/dispatch/check_test.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/store"
+	"pollenlead/internal/worker"
+	"pollenlead/internal/workload"
+)
+
+// TestNewLeaderAsksThePoolThatTheQueueLeftBefore guards against a second start of a task whose queue has been moved to
+// another pool: an earlier leader started the task in the former pool without storing the assignment.
+func TestNewLeaderAsksThePoolThatTheQueueLeftBefore(t *testing.T) {
+	is := is.New(t)
+	earlier := newFixture(1)
+	earlier.agent("w0").entry.Pool = "former"
+	job := earlier.addJob(unreadJob, oneTask)
+	job.Pool = "former"
+	earlier.markChanged(job)
+	stored := map[string]store.Record{}
+	b := earlier.collectBatch()
+	earlier.applyCommitted(b)
+	earlier.stop()
+
+	d := newFixture(2)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	for _, r := range b.records {
+		d.applyProgressRecord(r, stored)
+	}
+	d.restoreWorkers()
+	former := d.agent("w0")
+	former.entry.Pool, former.contacted = "former", false
+	j := d.addJob(unreadJob, oneTask) // the queue leads to another pool now
+	d.place()
+	is.Equal(len(j.Task(0, 0, 0).Runs), 0)
+
+	d.applyReport(former, worker.Report{ClockMillis: 1, Ended: []worker.End{
+		{Number: 1, Task: workload.TaskName(unreadJob, 0, 0, 0), Run: 1, Kind: worker.EndDone},
+	}}, bootclock.Now())
+	d.place()
+	is.Equal(j.State, workload.StateDone)
+}
+
+// TestUnstoredStartsNeedStoredQueuePools guards against an unstored start in a pool in which the next leader would not
+// look for runs of the job.
+func TestUnstoredStartsNeedStoredQueuePools(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	d.storedWorkers["w0"] = "pool"
+	delete(d.storedQueuePools, "queue")
+	j := d.addJob(unreadJob, oneTask)
+	d.place()
+	long := bootclock.Now() - unstoredStartDelay - time.Millisecond
+	d.releaseUnstored(long)
+	run := j.Task(0, 0, 0).Runs[0]
+	is.True(!run.Released)
+	d.storedQueuePools["queue"] = []string{"pool"}
+	d.releaseUnstored(long)
+	is.True(run.Released)
+}
+
+// TestWorkerWithUnstoredEndsStaysInTheStoredSet guards against a next leader that does not ask a worker whose entry is
+// missing and which lists ends that are not stored.
+func TestWorkerWithUnstoredEndsStaysInTheStoredSet(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	d.storedWorkers["w0"] = "pool"
+	w := d.agent("w0")
+	w.entry, w.seenEnd = nil, 1
+	is.Equal(d.workerSet()["w0"], "pool")
+	w.storedEnd = 1
+	_, stored := d.workerSet()["w0"]
+	is.True(!stored)
+}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"strconv"
 	"time"
 
@@ -58,6 +59,8 @@
 	ends    map[*agent]int64
 	// workers is the set of workers that the batch stores; nil if it has not changed.
 	workers map[string]string
+	// queuePools is the set of pools by queue that the batch stores; nil if it has not changed.
+	queuePools map[string][]string
 	// confirm requests an append even without records.
 	confirm bool
 }
@@ -208,6 +211,7 @@
 		}
 	}
 	d.addWorkers(b)
+	d.addQueuePools(b)
 	if len(d.changed) > 0 {
 		d.signal()
 	} else {
@@ -242,6 +246,21 @@
 	return nil
 }
 
+// addQueuePools adds the pools of the batch's jobs to the stored pools of their queues. Callers hold mu.
+func (d *Dispatcher) addQueuePools(b *batch) {
+	next := d.nextQueuePools(maps.Keys(b.states))
+	if next == nil {
+		return
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		d.Log.Error().Err(err).Str("event", "bad_queue_pools").Msg("the pools of the queues cannot be encoded")
+		return
+	}
+	b.records = append(b.records, store.Record{Key: workload.QueuePoolsKey, Value: value})
+	b.queuePools = next
+}
+
 // removeProgress removes the stored progress of a job whose submission has been removed.
 func (b *batch) removeProgress(id string) {
 	b.records = append(b.records, store.Record{Key: workload.ProgressKey(id)})
@@ -254,6 +273,9 @@
 	if b.workers != nil {
 		d.storedWorkers = b.workers
 	}
+	if b.queuePools != nil {
+		d.storedQueuePools = b.queuePools
+	}
 	for j, state := range b.states {
 		delete(d.unpublished, j)
 		d.publish(j, state)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -132,6 +132,8 @@
 	// storedWorkers is the stored set of workers with their pools, and workersAt the boot clock of its last record.
 	storedWorkers map[string]string
 	workersAt     time.Duration
+	// storedQueuePools holds the stored pools, by queue, in which jobs of the queue may have unstored runs.
+	storedQueuePools map[string][]string
 	// fencedAt is the boot clock from which the store accepts no append of an earlier leader.
 	fencedAt time.Duration
 	// lastStored is the boot clock at which the last successful append was sent. lastPeerContact is the boot clock of
@@ -168,7 +170,8 @@
 		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{},
 		ordersInFlight: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{},
 		unpublished: map[*job]bool{}, withheld: map[*workload.Run]bool{}, storedWorkers: map[string]string{},
-		waveRecords: map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
+		storedQueuePools: map[string][]string{},
+		waveRecords:      map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		inflow: map[string]*scheduling.Inflow{}, loadedJobs: map[string]*loadedJob{},
 		counters: sharedCounters, estimates: newEstimates(),
 	}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -127,6 +127,8 @@
 		progress[id] = r
 	case workload.KeyWorkers:
 		err = json.Unmarshal(r.Value, &d.storedWorkers)
+	case workload.KeyQueuePools:
+		err = json.Unmarshal(r.Value, &d.storedQueuePools)
 	}
 	if err != nil {
 		d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -29,16 +29,17 @@
 	if !d.loaded || len(d.dirty) == 0 {
 		return
 	}
-	d.sendWithheld()
+	unchecked := d.uncheckedPools()
+	d.sendWithheld(unchecked)
 	now := d.now()
 	byPool := d.usableWorkers(now)
 	limits := d.limits()
 	for pool := range d.dirty {
 		workers := byPool[pool]
-		if len(workers) == 0 || d.hasUncheckedWorker(pool) {
+		if len(workers) == 0 {
 			continue
 		}
-		wants := d.wants(pool, workers, now)
+		wants := d.wants(pool, workers, unchecked, now)
 		if len(wants) == 0 {
 			continue
 		}
@@ -103,11 +104,16 @@
 	}
 }
 
-// wants returns the ready steps with waiting tasks. Callers hold mu.
-func (d *Dispatcher) wants(pool string, workers []*scheduling.Worker, now time.Time) []scheduling.PendingStep {
+// wants returns the ready steps with waiting tasks, except of jobs that wait for the check of a worker. Callers hold mu.
+func (d *Dispatcher) wants(
+	pool string, workers []*scheduling.Worker, unchecked map[string]bool, now time.Time,
+) []scheduling.PendingStep {
 	var wants []scheduling.PendingStep
 	room := scheduling.MaxFree(workers)
 	for id, j := range d.waiting[pool] {
+		if d.awaitsCheck(j.Job, unchecked) {
+			continue
+		}
 		waits := false
 		for _, o := range j.Occurrences {
 			var occurrenceWaits bool
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -171,7 +171,7 @@
 		// run of the task that is not stored.
 		switch {
 		case !run.Released || d.ordersInFlight[run]:
-		case run.Inherited && d.hasUncheckedWorker(run.Task.Step.Job.Pool):
+		case run.Inherited && d.awaitsCheck(run.Task.Step.Job, d.uncheckedPools()):
 			d.withheld[run] = true
 		default:
 			d.sendStart(run)
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -12,8 +12,8 @@
 )
 
 // While the store does not answer, accepted jobs continue: starts are sent before their assignments are stored, and
-// only to workers whose IDs are stored. A new leader starts nothing in a pool until those workers have answered, or
-// until no lease there can still be valid. It thus finds every run that is active, including those that are not
+// only to workers whose IDs are stored, and only of jobs whose queue is stored with its pool. A new leader starts nothing
+// of these queues until those workers have answered, or until no lease there can still be valid. It thus finds every run that is active, including those that are not
 // stored. The workers refuse by then an earlier leader that still works, perhaps on jobs that were accepted after the
 // change.
 
@@ -48,7 +48,8 @@
 	released := 0
 	for r := range d.unreleased {
 		a := d.agents[r.Worker]
-		if a == nil || d.storedWorkers[a.id] == "" || r.Phase != workload.RunAssigned || !d.attached(r) {
+		if a == nil || d.storedWorkers[a.id] == "" || !d.isQueuePoolStored(r.Task.Step.Job) ||
+			r.Phase != workload.RunAssigned || !d.attached(r) {
 			continue
 		}
 		delete(d.unreleased, r)
@@ -140,7 +141,7 @@
 		switch {
 		case a.entry != nil && a.contacted:
 			set[id] = a.entry.Pool
-		case a.unchecked || len(a.runs) > 0:
+		case a.unchecked || !a.vacant():
 			set[id] = d.storedWorkers[id]
 		}
 	}
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -222,6 +222,10 @@
 // WorkersKey is the key of the record that holds the workers that may have active runs that are not stored.
 const WorkersKey = "k/workers"
 
+// QueuePoolsKey is the key of the record that holds the pools to which queues have led, in which jobs may have active runs
+// that are not stored.
+const QueuePoolsKey = "k/queues"
+
 // TermKey is the key of the record that a leader writes to the progress topic at the beginning of its term.
 const TermKey = "e/term"
 
@@ -237,6 +241,7 @@
 	KeyWave
 	KeyHomeSizes
 	KeyWorkers
+	KeyQueuePools
 )
 
 // SubmissionKey returns the key of a job's submission.
@@ -258,6 +263,8 @@
 		return KeyHomeSizes, ""
 	case WorkersKey:
 		return KeyWorkers, ""
+	case QueuePoolsKey:
+		return KeyQueuePools, ""
 	}
 	if len(key) < 3 {
 		return KeyUnknown, ""
