Start nothing unstored at a worker that an append may have taken out of the stored set

A new leader asks the stored workers for runs that are not stored. The leader replaced its copy of that set when the append was answered. If the answer was lost, the store already held the smaller set while the leader still started tasks at a worker that had been taken out and listed again; the next leader did not ask it, and the tasks ran again.

Evidence before: TestWorkerRemovedByAnUnansweredAppendGetsNoUnstoredStart "not true: !run.Released". What an append takes out now counts as not stored from the moment it is sent, and what it adds only once it is answered. The same holds for the pools of the queues.

--- a/internal/dispatch/check_test.go
+++ b/internal/dispatch/check_test.go
@@ -80,3 +80,26 @@
 	_, stored := d.workerSet()["w0"]
 	is.True(!stored)
 }
+
+// TestWorkerRemovedByAnUnansweredAppendGetsNoUnstoredStart guards against an unstored start at a worker that the next
+// leader does not ask, because the append that took it out of the stored set was carried out and its answer lost.
+func TestWorkerRemovedByAnUnansweredAppendGetsNoUnstoredStart(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	d.storedWorkers = map[string]string{"w0": "pool", "w1": "pool"}
+	entry := d.agent("w0").entry
+	d.agent("w0").entry = nil
+	b := d.collectBatch()
+	is.Equal(b.workers, map[string]string{"w1": "pool"})
+
+	d.agent("w0").entry = entry // it is listed again before the append has an answer
+	d.agent("w1").cordoned = true
+	j := d.addJob(unreadJob, oneTask)
+	d.place()
+	d.releaseUnstored(bootclock.Now() - unstoredStartDelay - time.Millisecond)
+	run := j.Task(0, 0, 0).Runs[0]
+	is.Equal(run.Worker, "w0")
+	is.True(!run.Released)
+}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -257,6 +257,8 @@
 		d.Log.Error().Err(err).Str("event", "bad_queue_pools").Msg("the pools of the queues cannot be encoded")
 		return
 	}
+	// As with the set of workers, what the append takes out counts as not stored from now on.
+	maps.DeleteFunc(d.storedQueuePools, func(queue string, _ []string) bool { return next[queue] == nil })
 	b.records = append(b.records, store.Record{Key: workload.QueuePoolsKey, Value: value})
 	b.queuePools = next
 }
