Remove the progress of an expired job only after its submissions are gone

What callers could see: a job that had long ended ran again. Its submission was still in the topic of jobs, its progress was not, and a leader takes such a job for a new one.

Cause: removeJobs noted the partitions of a job once, and removed the progress as soon as the removals in them were acknowledged. A submission that was repeated meanwhile, or one in a partition that the leader had not read up to that moment, stayed without progress. Besides, the retention period was measured as the difference of the clocks of two entry instances: a new leader whose clock was ahead removed jobs that had just ended, so that even a submission repeated seconds after its answer ran again.

Now the leader reads its removals back. A partition counts as free of the job when the removal has been read in it; a repeated submission that is read after that counts again. The progress is removed when no partition holds a submission and every partition has been read up to the removal. The period of a job that ended in an earlier term counts from the start of this term, by the boot clock.

Ruled out: a removal of an earlier leader that the store carries out late. It is without an epoch, but concerns a job that has ended; the new leader has its progress, since the earlier leader removes that later and under its epoch. A new leader that reads a submission before its removal and the progress after it: it reads both after its fence, and the removal of the progress was sent after that of the submission was acknowledged.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -93,6 +93,11 @@
 	failures int
 	// partitions is a bit set of the partitions in which the job's submission or cancellation was read.
 	partitions uint64
+	// endedBefore means that the job had ended when the term began.
+	endedBefore bool
+	// removalSentAt is the boot clock at which the removal of the expired job's submissions was last sent; 0 if it was
+	// not.
+	removalSentAt time.Duration
 }
 
 // Dispatcher runs the leader's control loops during one term.
@@ -127,7 +132,7 @@
 	// withheld holds the inherited runs that their workers do not list. They are started after the other workers of
 	// the pool have answered.
 	withheld map[*workload.Run]bool
-	// removingJobs means that expired jobs are being removed from the store.
+	// removingJobs means that removals of expired jobs' submissions are being appended.
 	removingJobs bool
 	// storedWorkers is the stored set of workers with their pools, and workersAt the boot clock of its last record.
 	storedWorkers map[string]string
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -14,11 +14,14 @@
 // applyJobRecord applies a record of a job that an entry instance has written.
 func (d *Dispatcher) applyJobRecord(partition int, r store.Record) {
 	kind, id := workload.ParseKey(r.Key)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if len(r.Value) == 0 {
+		if kind == workload.KeySubmission {
+			d.noteRemoval(id, partition)
+		}
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	switch kind {
 	case workload.KeySubmission:
 		d.addSubmission(id, r)
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -241,6 +241,7 @@
 // adoptJob takes over a job that existed when the term began. Callers hold mu.
 func (d *Dispatcher) adoptJob(j *job) {
 	if j.State.Ended() {
+		j.endedBefore = true
 		delete(d.active[j.Pool], j.ID)
 	} else if j.Advance(d.occurrenceClock(j), d.Bounds.EarlyStart/2) {
 		d.markChanged(j)
--- a/internal/dispatch/retention.go
+++ b/internal/dispatch/retention.go
@@ -5,48 +5,80 @@
 	"errors"
 	"time"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/store"
 	"pollenlead/internal/workload"
 )
 
-// maxRemovalBatch bounds the number of ended jobs that are removed at once.
-const maxRemovalBatch = 100
+const (
+	// maxRemovalBatch bounds the number of ended jobs whose submissions are removed at once.
+	maxRemovalBatch = 100
+	// removalRetryDelay is the time after which the removal of a submission is sent again if it has not been read
+	// back. A partition that does not answer is read seconds later.
+	removalRetryDelay = 5 * time.Second
+)
+
+// An expired job is removed in two steps. Its submissions are removed first, because a leader that finds a submission
+// without progress takes the job for a new one. Its progress is removed after the leader has read the removal back in
+// each of the partitions, and has found no repeated submission in any other one.
 
-// removeExpiredJobs starts the removal of ended jobs whose retention period is over. Callers hold mu.
+// removeExpiredJobs takes the next step of the removal of expired jobs. Callers hold mu.
 func (d *Dispatcher) removeExpiredJobs(now time.Time) {
-	if !d.loaded || d.Bounds.StatusRetention == 0 || d.removingJobs {
+	if !d.loaded || d.Bounds.StatusRetention == 0 {
 		return
 	}
-	var old []string
+	boot := bootclock.Now()
+	removals := map[int][]store.Record{}
+	sent := 0
 	for id, j := range d.jobs {
-		if j.State.Ended() && !j.changed && now.Sub(j.EndedAt) >= d.Bounds.StatusRetention+endedRetentionMargin &&
-			len(old) < maxRemovalBatch {
-			old = append(old, id)
+		switch {
+		case !d.expired(j, now):
+		case j.partitions == 0 && d.jobsReadThrough() >= j.removalSentAt:
+			delete(d.jobs, id)
+			d.changed[id] = nil // a nil job removes the stored progress
+			d.signal()
+		case j.partitions != 0 && !d.removingJobs && sent < maxRemovalBatch &&
+			(j.removalSentAt == 0 || boot-j.removalSentAt >= removalRetryDelay):
+			sent++
+			j.removalSentAt = boot
+			d.addRemovals(removals, j)
 		}
 	}
-	if len(old) > 0 {
+	if sent > 0 {
 		d.removingJobs = true
-		go d.removeJobs(old)
+		go d.sendRemovals(removals)
 	}
 }
 
-// removeJobs removes the submissions of jobs from the store, and then their progress. In the reverse order, a job
-// without progress would be taken for a new one.
-func (d *Dispatcher) removeJobs(ids []string) {
-	byPartition := map[int][]store.Record{}
-	d.mu.Lock()
-	for _, id := range ids {
-		j := d.jobs[id]
-		for n := range d.JobPartitions {
-			if j != nil && j.partitions&(1<<n) != 0 {
-				byPartition[n] = append(byPartition[n],
-					store.Record{Key: workload.SubmissionKey(id)}, store.Record{Key: workload.CancelKey(id)})
-			}
+// expired reports whether the retention period of an ended job is over. The end of a job that ended in an earlier term
+// was measured by another clock, which may differ by any amount, so its period counts from the start of this term.
+// Callers hold mu.
+func (d *Dispatcher) expired(j *job, now time.Time) bool {
+	if !j.State.Ended() || j.changed {
+		return false
+	}
+	since := j.EndedAt
+	if j.endedBefore {
+		since = d.wallStart
+	}
+	return now.Sub(since) >= d.Bounds.StatusRetention+endedRetentionMargin
+}
+
+// addRemovals adds the removal of a job's records in the partitions in which they were read. Callers hold mu.
+func (d *Dispatcher) addRemovals(removals map[int][]store.Record, j *job) {
+	for n := range d.JobPartitions {
+		if j.partitions&(1<<n) != 0 {
+			removals[n] = append(removals[n],
+				store.Record{Key: workload.SubmissionKey(j.ID)}, store.Record{Key: workload.CancelKey(j.ID)})
 		}
 	}
-	d.mu.Unlock()
+}
+
+// sendRemovals appends removals of submissions. Their effect is known when they have been read back: an append without
+// an answer may be carried out later.
+func (d *Dispatcher) sendRemovals(removals map[int][]store.Record) {
 	var failed error
-	for n, records := range byPartition {
+	for n, records := range removals {
 		ctx, cancel := context.WithTimeout(d.ctx, appendTimeout)
 		_, err := d.Store.Append(ctx, store.Append{Topic: d.JobTopic, Partition: n, Records: records})
 		cancel()
@@ -56,13 +88,13 @@
 	defer d.mu.Unlock()
 	d.removingJobs = false
 	if failed != nil {
-		d.Log.Info().Err(failed).Str("event", "forget_failed").Int("jobs", len(ids)).
-			Msg("removal of expired jobs failed, retrying")
-		return
+		d.Log.Info().Err(failed).Str("event", "forget_failed").Msg("removal of expired jobs failed, retrying")
 	}
-	for _, id := range ids {
-		delete(d.jobs, id)
-		d.changed[id] = nil // a nil job removes the stored progress
+}
+
+// noteRemoval records that a partition no longer contains the submission of a job. Callers hold mu.
+func (d *Dispatcher) noteRemoval(id string, partition int) {
+	if j := d.jobs[id]; j != nil {
+		j.partitions &^= 1 << partition
 	}
-	d.signal()
 }
