Keep apart the runs and ends of a worker from before and after its restart

What callers could see: a task ran again although it was done, or twice at the same time, after its worker had restarted under its ID. Life below is the time between two restarts.

Causes, each with its own test: - An append that carries ends of the earlier life may be accepted after the restart is known. Its number was then taken for one of the new life, and the next renewal acknowledged that many ends of it unseen. - A renewal acknowledged the numbers of the earlier life to a worker that had not been heard since. The new life took them for its own. Ends are now acknowledged only after an answered renewal, and within 1 s of it. - The first report of the new life dropped all runs, also those that the report lists, and those whose start was in flight. They were started elsewhere, and the listed ones stopped as unassigned. The report is now compared with the runs as every other. - A report that was requested before the leader knew of the restart set the incarnation and the numbers of ends back. It is now ignored. The order of requests decides, not the larger incarnation: a worker's clock may be set back before it restarts. - A deadline on the clock of the earlier life is far ahead of that of the new one, and grants the longest lease, whereas the leader counted with 4 s.

Not closed: a renewal that the network holds back and that reaches the worker after its restart. Only the worker can refuse it, by X-Expect-Instance.

Failed before: TestEndsStoredAfterARestartAreNotAcknowledged: 57 != 0 TestSilentWorkerGetsNoAcknowledgement: 57 != 0 TestRunOfRestartedWorkerIsKept: 0 != 1 TestReportOfEarlierIncarnationIsIgnored: 1 != 2 TestRestartedWorkerMayHoldTheLongestLease: a.deadline is 4.2 s

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -24,6 +24,10 @@
 	minHoldInterval = 50 * time.Millisecond
 	// pendingEndsInterval is the interval between two renewals while ends wait to be stored.
 	pendingEndsInterval = 500 * time.Millisecond
+	// maxAcknowledgementAge is the age of a worker's last report up to which its ends are acknowledged. While ends wait
+	// to be stored, reports arrive every pendingEndsInterval. A worker takes longer than this to restart and to end a
+	// task.
+	maxAcknowledgementAge = time.Second
 	// holdRetryDelay is the delay after a failed renewal.
 	holdRetryDelay = 150 * time.Millisecond
 	// entryPollInterval is the interval between two reads of the workers' entries.
@@ -61,6 +65,12 @@
 	contacted bool
 	// incarnation is the last one that the worker reported; 0 if it reported none.
 	incarnation int64
+	// restarts is the number of restarts of the worker that are known, and restartedAt the boot clock at which the last
+	// one became known.
+	restarts    int
+	restartedAt time.Duration
+	// reportedAt is the boot clock at which the worker's last report was read.
+	reportedAt time.Duration
 	// clock is the worker's clock at the boot clock clockAt.
 	clock   int64
 	clockAt time.Duration
@@ -215,11 +225,27 @@
 func (d *Dispatcher) resetRestarted(a *agent, incarnation int64) {
 	d.dropRuns(a, "the worker has started again")
 	a.incarnation = incarnation
+	d.resetCounts(a)
+	d.endCheck(a, checkRestarted)
+}
+
+// noteRestart handles the first report of a restarted worker. The runs stay attached until the report has been compared
+// with them: a start may have arrived, or may still arrive, after the restart. Callers hold mu.
+func (d *Dispatcher) noteRestart(a *agent) {
+	d.Log.Info().Str("event", "worker_restarted").Str("worker", a.id).Int("runs", len(a.runs)).
+		Int64("unstored_ends", a.seenEnd-a.storedEnd).Msg("worker has started again under its ID")
+	d.resetCounts(a)
+}
+
+// resetCounts forgets what began anew with the restart of a worker: its clock, its lease and its numbers of ends.
+// Callers hold mu.
+func (d *Dispatcher) resetCounts(a *agent) {
+	a.restarts++
+	a.restartedAt = bootclock.Now()
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
 	clear(a.unclaimedEnds)
 	clear(a.unclaimedRuns)
 	a.clockAt, a.contacted = 0, false
-	d.endCheck(a, checkRestarted)
 }
 
 // dropRuns drops all runs of a worker on which none of them is running any more. Callers hold mu.
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -55,13 +55,19 @@
 	records []store.Record
 	states  map[*job]workload.State
 	starts  []*workload.Run
-	ends    map[*agent]int64
+	ends    map[*agent]endMark
 	// workers is the set of workers that the batch stores; nil if it has not changed.
 	workers map[string]string
 	// confirm requests an append even without records.
 	confirm bool
 }
 
+// endMark is a number up to which the ends of a worker are stored. Numbers begin anew with each restart of the worker.
+type endMark struct {
+	number   int64
+	restarts int
+}
+
 // errForeignRecords means that the partition holds records that this leader has not read.
 var errForeignRecords = errors.New("dispatch: append of an earlier leader was carried out late")
 
@@ -193,7 +199,7 @@
 func (d *Dispatcher) collectBatch() *batch {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b := &batch{states: map[*job]workload.State{}, ends: map[*agent]int64{}}
+	b := &batch{states: map[*job]workload.State{}, ends: map[*agent]endMark{}}
 	for id, j := range d.changed {
 		if len(b.records) >= maxBatchRecords {
 			break
@@ -213,7 +219,7 @@
 	} else {
 		for _, a := range d.agents {
 			if applied := a.appliedEnd(); applied > a.storedEnd {
-				b.ends[a] = applied
+				b.ends[a] = endMark{applied, a.restarts}
 			}
 		}
 	}
@@ -265,8 +271,11 @@
 			d.sendStart(r)
 		}
 	}
-	for a, n := range b.ends {
-		a.storedEnd = max(a.storedEnd, n)
+	for a, end := range b.ends {
+		if end.restarts != a.restarts {
+			continue
+		}
+		a.storedEnd = max(a.storedEnd, end.number)
 		if a.storedEnd >= a.seenEnd {
 			clear(a.unstoredJobs)
 		}
--- a/internal/dispatch/renew.go
+++ b/internal/dispatch/renew.go
@@ -68,7 +68,7 @@
 	default:
 	}
 	h := worker.Hold{
-		FencingToken: d.Token, Acknowledged: a.storedEnd, Wait: holdWait,
+		FencingToken: d.Token, Wait: holdWait,
 		Seen: a.seenEnd, Incarnation: a.incarnation, Detail: a.fillers > 0,
 	}
 	switch {
@@ -82,12 +82,22 @@
 	if len(a.runs) > 0 && a.silentSince == 0 {
 		h.DeadlineMillis = d.lease(a)
 	}
-	if !a.contacted || a.silentSince != 0 || a.seenEnd > a.storedEnd {
+	if a.mayAcknowledge() {
+		h.Acknowledged = a.storedEnd
+	}
+	if !a.contacted || a.silentSince != 0 || a.seenEnd > a.storedEnd || h.Acknowledged < a.storedEnd {
 		h.Wait = 0
 	}
 	return a.address(), h, true
 }
 
+// mayAcknowledge reports whether a renewal may acknowledge ends. A worker that has started again under its ID since its
+// last report would take their numbers for those of its own ends, and forget ends that nobody has read. So that its
+// restart is noticed first, nothing is acknowledged after an unanswered renewal or an old report. Callers hold mu.
+func (a *agent) mayAcknowledge() bool {
+	return a.contacted && a.silentSince == 0 && bootclock.Now()-a.reportedAt < maxAcknowledgementAge
+}
+
 // endsSoon reports whether the worker has a started run that will end by itself. Callers hold mu.
 func (a *agent) endsSoon() bool {
 	for _, r := range a.runs {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -13,21 +13,25 @@
 func (d *Dispatcher) applyReport(a *agent, r worker.Report, sent time.Duration) (waiting bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	granted := min(leaseDuration, d.Bounds.MaxLease)
 	if r.Incarnation != 0 && r.Incarnation != a.incarnation {
 		if a.incarnation != 0 {
-			d.resetRestarted(a, r.Incarnation)
+			if sent < a.restartedAt {
+				return a.seenEnd > a.storedEnd // the worker may have answered before it restarted
+			}
+			d.noteRestart(a)
+			granted = d.Bounds.MaxLease // a deadline on its earlier clock may have arrived after the restart
 		}
 		a.incarnation = r.Incarnation
 	}
 	first := !a.contacted
-	a.contacted = true
+	a.contacted, a.reportedAt = true, bootclock.Now()
 	d.endCheck(a, checkAnswered)
 	a.clock, a.clockAt = r.ClockMillis, bootclock.Now()
 	if first {
 		// An earlier leader may have renewed the lease up to this moment.
 		d.markAllDirty()
-		a.deadline = max(a.deadline,
-			r.ClockMillis+min(leaseDuration, d.Bounds.MaxLease).Milliseconds()+leaseMargin.Milliseconds())
+		a.deadline = max(a.deadline, r.ClockMillis+granted.Milliseconds()+leaseMargin.Milliseconds())
 		d.markDirty(a)
 		d.signal()
 	}
--- /dev/null
+++ b/internal/dispatch/restart_test.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/worker"
+	"pollenlead/internal/workload"
+)
+
+// doneEnd returns an end of the job's first run.
+func doneEnd(number int64, task string) []worker.End {
+	return []worker.End{{Number: number, Task: task, Run: 1, Kind: worker.EndDone}}
+}
+
+// TestRunOfRestartedWorkerIsKept guards against a run that is dropped because its worker has started again, although
+// the start arrived after that and the run goes on. The task ran elsewhere at the same time.
+func TestRunOfRestartedWorkerIsKept(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	a := d.agent("w0")
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1}, bootclock.Now())
+	active, inFlight, lost := d.addJob("0011223344556677", oneTask), d.addJob("0011223344556678", oneTask),
+		d.addJob("0011223344556679", oneTask)
+	d.place()
+	run := func(j *job) *workload.Run { return j.Task(0, 0, 0).Runs[0] }
+	for _, j := range []*job{active, inFlight, lost} {
+		run(j).Stored, run(j).Released = true, true
+	}
+	d.ordersInFlight[run(inFlight)] = true
+	for _, j := range []*job{active, lost} {
+		run(j).Phase, run(j).ActiveSince = workload.RunActive, d.now()
+	}
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 2, Running: []worker.Running{
+		{Task: active.Task(0, 0, 0).Name(), Run: 1},
+	}}, bootclock.Now())
+	is.Equal(len(active.Task(0, 0, 0).Runs), 1)   // the worker has it since it started again
+	is.Equal(len(inFlight.Task(0, 0, 0).Runs), 1) // its start may still be carried out
+	is.Equal(len(lost.Task(0, 0, 0).Runs), 0)
+	is.Equal(len(a.strayStops), 0)
+}
+
+// TestReportOfEarlierIncarnationIsIgnored guards against a report from before a worker's restart that is read after
+// the leader knows of it, for example by a leader that was paused. The ends of the restarted worker were then
+// acknowledged unseen by the numbers of the earlier ones.
+func TestReportOfEarlierIncarnationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1}, bootclock.Now())
+	j := d.addJob("0011223344556677", oneTask)
+	sent := bootclock.Now()
+	d.mu.Lock()
+	d.resetRestarted(a, 2)
+	d.mu.Unlock()
+	d.applyReport(a, worker.Report{ClockMillis: 9, Incarnation: 1, Ended: doneEnd(57, j.Task(0, 0, 0).Name())}, sent)
+	is.Equal(a.incarnation, int64(2))
+	is.Equal(a.seenEnd, int64(0))
+	is.True(!a.contacted)
+	// A worker's clock may have been set back before it restarted.
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1}, bootclock.Now())
+	is.Equal(a.incarnation, int64(1))
+}
+
+// TestEndsStoredAfterARestartAreNotAcknowledged guards against ends of a restarted worker that are acknowledged unseen
+// because the store has accepted ends with higher numbers from before the restart. Their tasks ran again.
+func TestEndsStoredAfterARestartAreNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	j := d.addJob("0011223344556677", fleet.Step{Count: 2})
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1, Ended: doneEnd(57, j.Task(0, 0, 0).Name())},
+		bootclock.Now())
+	b := d.collectBatch()
+	is.True(b != nil)
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 2, Ended: doneEnd(1, j.Task(0, 0, 1).Name())},
+		bootclock.Now())
+	d.applyCommitted(b)
+	_, h, ok := d.nextHold(a)
+	is.True(ok)
+	is.Equal(h.Acknowledged, int64(0))
+	d.applyCommitted(d.collectBatch())
+	_, h, _ = d.nextHold(a)
+	is.Equal(h.Acknowledged, int64(1))
+}
+
+// TestSilentWorkerGetsNoAcknowledgement guards against an acknowledgement of ends that reaches a worker after its
+// restart. It forgot ends with the same numbers that the leader had not seen, and their tasks ran again.
+func TestSilentWorkerGetsNoAcknowledgement(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	j := d.addJob("0011223344556677", fleet.Step{Count: 2})
+	report := worker.Report{ClockMillis: 1, Incarnation: 1, Ended: doneEnd(57, j.Task(0, 0, 0).Name())}
+	acknowledged := func() int64 {
+		_, h, ok := d.nextHold(a)
+		is.True(ok)
+		if h.Acknowledged == 0 {
+			is.Equal(h.Wait.Milliseconds(), int64(0)) // the acknowledgement follows soon
+		}
+		return h.Acknowledged
+	}
+	d.applyReport(a, report, bootclock.Now())
+	d.applyCommitted(d.collectBatch())
+	is.Equal(acknowledged(), int64(57))
+	d.recordSilence(a, worker.ErrUnknown, bootclock.Now())
+	is.Equal(acknowledged(), int64(0))
+	d.applyReport(a, report, bootclock.Now())
+	is.Equal(acknowledged(), int64(57))
+	a.reportedAt -= maxAcknowledgementAge // the leader was paused
+	is.Equal(acknowledged(), int64(0))
+}
+
+// TestRestartedWorkerMayHoldTheLongestLease guards against runs that start elsewhere while a restarted worker still
+// holds a lease for them. A deadline on its earlier clock, which was ahead, gave it the longest lease.
+func TestRestartedWorkerMayHoldTheLongestLease(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	d.Bounds.MaxLease = 3 * leaseDuration
+	a := d.agent("w0")
+	d.applyReport(a, worker.Report{ClockMillis: 500_000, Incarnation: 1}, bootclock.Now())
+	is.True(d.lease(a) >= 500_000)
+	d.applyReport(a, worker.Report{ClockMillis: 100, Incarnation: 2}, bootclock.Now())
+	is.True(a.deadline >= 100+d.Bounds.MaxLease.Milliseconds())
+	is.True(a.deadline < 500_000)
+}
