Read all ends of a worker before its pool starts or it is maintained

What callers could see: a task ran again although it was done, after the leader had changed.

Causes: - A worker lists at most 500 ends at a time. A new leader counted it as checked after the first report, and so started tasks whose ends were still to be listed, if their runs were not stored. A worker now counts as checked when a report lists all of its ends. Those of the first report are stored and acknowledged meanwhile. - A worker that has not answered in this term has no known runs and no known ends, so a wave took it for empty and ordered its maintenance. That ends runs that are not stored, and drops the only record of what was done there. The order now waits for the worker's report, or until no lease can be valid.

Ruled out: moves, which need a worker that has answered; and workers that the list of instances no longer names, as nothing runs there any more.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -78,6 +78,8 @@
 	deadline int64
 	// seenEnd is the highest number of an end that was applied, and storedEnd the highest one that is stored.
 	seenEnd, storedEnd int64
+	// moreEnds means that the worker's last report did not list all of its ends.
+	moreEnds bool
 	// unstoredJobs holds the IDs of the jobs to which ends that are not stored belong.
 	unstoredJobs map[string]bool
 	// unclaimedEnds, by number, and unclaimedRuns belong to tasks that are not known yet.
@@ -160,10 +162,10 @@
 	}
 }
 
-// vacant reports whether the worker may be removed: it has no runs, and every end that it has listed is stored. An
-// end that is not stored would be lost with the worker. Callers hold mu.
+// vacant reports whether the worker may be removed: it has no runs, and every end that it has listed is stored, with
+// none left to list. An end that is not stored would be lost with the worker. Callers hold mu.
 func (a *agent) vacant() bool {
-	return len(a.runs) == 0 && len(a.unclaimedRuns) == 0 && a.seenEnd == a.storedEnd
+	return len(a.runs) == 0 && len(a.unclaimedRuns) == 0 && a.seenEnd == a.storedEnd && !a.moreEnds
 }
 
 // wakeRenewal wakes the renewal goroutine. Callers hold mu.
@@ -245,7 +247,7 @@
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
 	clear(a.unclaimedEnds)
 	clear(a.unclaimedRuns)
-	a.clockAt, a.contacted = 0, false
+	a.clockAt, a.contacted, a.moreEnds = 0, false, false
 }
 
 // dropRuns drops all runs of a worker on which none of them is running any more. Callers hold mu.
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -64,7 +64,8 @@
 	w.d.agent(i.worker).cordoned = true
 }
 
-// drainInstance stops the runs of a draining instance that may be stopped, and reports whether nothing runs there.
+// drainInstance stops the runs of a draining instance that may be stopped, and reports whether nothing runs there and
+// no end is lost with its worker.
 func (w *instanceDriver) drainInstance(i *waveInstance) bool {
 	if i.worker == "" {
 		return true
@@ -82,7 +83,9 @@
 			d.stopRun(r, "its instance is to be maintained")
 		}
 	}
-	return a.vacant()
+	// An earlier leader may have started runs there that are not stored, and only the worker's report shows their ends.
+	read := a.contacted || d.leaseExpired(a, bootclock.Now())
+	return read && a.vacant()
 }
 
 // mayStop reports whether a long-running task may be stopped now. Callers hold the dispatcher's mu.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -26,7 +26,10 @@
 	}
 	first := !a.contacted
 	a.contacted, a.reportedAt = true, bootclock.Now()
-	d.endCheck(a, checkAnswered)
+	a.moreEnds = r.MoreEnds
+	if !r.MoreEnds { // an end that is not listed yet may be of a run that is not stored
+		d.endCheck(a, checkAnswered)
+	}
 	a.clock, a.clockAt = r.ClockMillis, bootclock.Now()
 	if first {
 		// An earlier leader may have renewed the lease up to this moment.
