Drop no run because of a worker's entry alone

Callers saw tasks run twice when another writer left an entry with a later start time under the ID of a sound worker: run 2 began elsewhere while run 1 went on. updateEntry took the entry for a restart and dropped all runs. In the same way a call to the address of such an entry, refused by the worker that lives there, dropped all runs of the worker it was meant for, and an entry with another pool, capacity or labels was used at once for placement.

An entry is now used only if it fits the worker's own answers. An entry of another incarnation waits until the worker reports that incarnation. One that contradicts the present entry of the same incarnation in its address, pool, zone, capacity or labels waits until it is repeated with the next heartbeat. While the worker is silent, renewals alternate between both addresses, so that a restart at another address is found. The refusal of another worker (421) ends runs only at an address where the worker had answered before the call; elsewhere the worker counts as silent, and its lease is waited for.

Ruled out: ignoring such entries for good. The leader may have read the odd entry first, and a worker may restart under its ID.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -46,6 +46,14 @@
 type agent struct {
 	id    string
 	entry *fleet.WorkerEntry // nil if the worker is not listed
+	// claim is the newest entry that contradicts the worker's answers and waits to be confirmed; nil if there is none.
+	claim *fleet.WorkerEntry
+	// answeredAt is the address at which the worker last answered a renewal in this term, and answeredTime the boot
+	// clock at its answer. answeredAt is "" if the worker has not answered or another worker has the address now.
+	answeredAt   string
+	answeredTime time.Duration
+	// tryClaim means that the last renewal was sent to the address of claim.
+	tryClaim bool
 	// entryAt is the boot clock at which the worker's entry last had a new sequence number.
 	entryAt time.Duration
 	// firstSeen is the boot clock at which the worker was first seen.
@@ -167,6 +175,17 @@
 	return worker.Address{ID: a.id, Address: a.entry.Address, Zone: a.entry.Zone}
 }
 
+// holdAddress returns the address for the next renewal. A silent worker may have started again at the address of an
+// entry that waits to be confirmed, so the renewals alternate between both addresses. Callers hold mu.
+func (a *agent) holdAddress() worker.Address {
+	to := a.address()
+	a.tryClaim = a.silentSince != 0 && a.claim != nil && !a.tryClaim
+	if a.tryClaim {
+		to.Address, to.Zone = a.claim.Address, a.claim.Zone
+	}
+	return to
+}
+
 // clockNow estimates the worker's clock. Callers hold mu.
 func (a *agent) clockNow() int64 { return a.clock + (bootclock.Now() - a.clockAt).Milliseconds() }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -145,6 +145,7 @@
 	wallStart      time.Time     // the time of day at bootStart
 	estimates      estimates
 	counters       *counters
+	entryLog       entryLog
 	driver         *instanceDriver
 	// waveRecords holds the progress of waves as an earlier leader stored it.
 	waveRecords map[int64]*waveRecord
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
@@ -47,11 +49,81 @@
 	}
 }
 
-// updateEntry applies a worker's entry. Callers hold mu.
+// updateEntry applies a worker's entry. Anyone who can write to the topic may have left it, so an entry is only used if
+// it fits what the worker itself has answered; no run is dropped because of an entry. Callers hold mu.
 func (d *Dispatcher) updateEntry(e *fleet.WorkerEntry) {
 	a := d.agent(e.ID)
+	if a.accepts(e) {
+		d.useEntry(a, e)
+		return
+	}
+	if d.entryLog.first(e.ID, "unconfirmed") {
+		d.Log.Info().Str("event", "entry_unconfirmed").Str("worker", e.ID).Int64("incarnation", e.Incarnation).
+			Int64("reported_incarnation", a.incarnation).Str("pool", e.Pool).Str("address", e.Address).
+			Msg("worker's entry contradicts the worker's own answers and waits to be confirmed")
+	}
+	d.counters.unconfirmedEntries.Add(1)
+	a.claim = e
+}
+
+// accepts reports whether an entry may be used without a further answer of the worker. Callers hold mu.
+func (a *agent) accepts(e *fleet.WorkerEntry) bool {
+	switch {
+	case a.entry == nil || a.incarnation == 0:
+		return true // the worker has not answered, or does not report its incarnation
+	case e.Incarnation == a.entry.Incarnation && sameProperties(e, a.entry):
+		return true
+	case e.Incarnation != a.incarnation:
+		return false
+	case a.entry.Incarnation != a.incarnation:
+		return true // the present entry was written before the worker's restart
+	}
+	// The worker's own entries are repeated with each heartbeat. One odd entry is not, but the present entry may also be
+	// the odd one.
+	return a.claim != nil && a.claim.Incarnation == e.Incarnation && a.claim.Sequence < e.Sequence &&
+		sameProperties(a.claim, e)
+}
+
+// sameProperties reports whether two entries agree in what never changes while a worker lives.
+func sameProperties(e, o *fleet.WorkerEntry) bool {
+	return e.Pool == o.Pool && e.Address == o.Address && e.Zone == o.Zone && e.Capacity == o.Capacity &&
+		slices.Equal(e.Labels, o.Labels)
+}
+
+// confirmEntry records that the worker has answered at an address. If only the entry that waits to be confirmed agrees
+// with the answer, it replaces the present one: the worker has started again under its ID.
+func (d *Dispatcher) confirmEntry(a *agent, address string, incarnation int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a.answeredAt, a.answeredTime = address, bootclock.Now()
+	if a.entry == nil || a.entry.Incarnation == incarnation && a.entry.Address == address {
+		return
+	}
+	if c := a.claim; c != nil && c.Incarnation == incarnation && c.Address == address {
+		d.useEntry(a, c)
+	}
+}
+
+// applyOtherWorker applies the answer of another worker to a call that was sent at the given boot clock. If the worker
+// had answered at that address before the call, it lives no more and its runs are gone. Otherwise the address is only
+// the claim of an entry, and the worker may still run its tasks elsewhere.
+func (d *Dispatcher) applyOtherWorker(a *agent, address string, sent time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if address != a.answeredAt || sent < a.answeredTime {
+		return
+	}
+	a.answeredAt = ""
+	d.dropRuns(a, "another worker has its address")
+}
+
+// useEntry makes an entry the worker's present one. Callers hold mu.
+func (d *Dispatcher) useEntry(a *agent, e *fleet.WorkerEntry) {
 	old := a.entry
-	a.entry = e
+	if old == nil && a.incarnation != 0 && e.Incarnation != a.incarnation && a.silentSince == 0 {
+		a.silentSince = bootclock.Now() // nothing is placed on the worker until it has answered
+	}
+	a.entry, a.claim = e, nil
 	if old == nil || old.Sequence != e.Sequence {
 		a.entryAt = bootclock.Now()
 	}
@@ -64,9 +136,6 @@
 		d.markDirty(a)
 		d.signal()
 	}
-	if e.Incarnation != 0 && a.incarnation != 0 && e.Incarnation > a.incarnation {
-		d.resetRestarted(a, e.Incarnation)
-	}
 	if e.Draining && (old == nil || !old.Draining) {
 		d.evacuate(a)
 	}
@@ -87,6 +156,28 @@
 	}
 	d.Log.Info().Str("event", "worker_gone").Str("worker", id).Int("runs", len(a.runs)).
 		Bool("draining", a.entry.Draining).Msg("worker's entry was removed")
-	a.entry = nil
+	a.entry, a.claim = nil, nil
 	a.stopRenewal()
 }
+
+// maxLoggedEntries bounds the workers and reasons that entryLog remembers: the topic may hold any number of odd
+// entries.
+const maxLoggedEntries = 1000
+
+// entryLog selects the entries to log: one for each worker ID and reason, because entries are repeated with each
+// heartbeat.
+type entryLog struct{ seen map[[2]string]bool }
+
+// first reports whether an entry is the first one of its worker that is not used for that reason. It also reports false
+// once maxLoggedEntries have been logged.
+func (l *entryLog) first(id, reason string) bool {
+	key := [2]string{id, reason}
+	if l.seen[key] || len(l.seen) >= maxLoggedEntries {
+		return false
+	}
+	if l.seen == nil {
+		l.seen = map[[2]string]bool{}
+	}
+	l.seen[key] = true
+	return true
+}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -49,11 +49,15 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
+		sent := bootclock.Now()
 		_, err := d.Workers.Start(ctx, to, s)
 		cancel()
 		if d.ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, worker.ErrOtherWorker) {
+			d.applyOtherWorker(a, to.Address, sent)
+		}
 		if err != nil && !errors.Is(err, worker.ErrUnknown) || err == nil || try == maxStartAttempts {
 			d.applyStartOutcome(a, r, err, unknown)
 			return
@@ -120,9 +124,10 @@
 	case errors.As(err, &refused):
 		d.applyStartRefusal(a, r, refused)
 	case errors.Is(err, worker.ErrOtherWorker):
-		d.dropRuns(a, "another worker has its address")
 		a.health.backOff(now, unreachableBackoff)
-		return
+		if !d.attached(r) {
+			return // dropped with the worker's other runs
+		}
 	case errors.Is(err, worker.ErrNotSent), errors.Is(err, worker.ErrUnhealthy):
 		a.health.backOff(now, unreachableBackoff)
 	default:
@@ -199,8 +204,12 @@
 // sendStop sends one stop, and reports whether no further attempt is needed.
 func (d *Dispatcher) sendStop(a *agent, to worker.Address, name string, r *workload.Run) bool {
 	ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
+	sent := bootclock.Now()
 	err := d.Workers.Stop(ctx, to, name, r.Number, d.Token)
 	cancel()
+	if errors.Is(err, worker.ErrOtherWorker) {
+		d.applyOtherWorker(a, to.Address, sent)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var refused *worker.RefusedError
@@ -212,9 +221,6 @@
 	case errors.As(err, &refused) && refused.Reason == worker.RefusedFence:
 		d.endTermFenced(a)
 		return true
-	case errors.Is(err, worker.ErrOtherWorker):
-		d.dropRuns(a, "another worker has its address")
-		return true
 	}
 	return false
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -70,6 +70,9 @@
 	if a.entry.Draining || a.cordoned || !a.contacted || a.silentSince != 0 || !a.health.usable(now) {
 		return false
 	}
+	if a.incarnation != 0 && a.entry.Incarnation != 0 && a.entry.Incarnation != a.incarnation {
+		return false // the worker may be of another kind since its restart
+	}
 	// After this period the renewal of the worker is overdue.
 	return boot-a.clockAt <= idleHoldWait+d.lag.timeout(holdAnswerTimeout)+holdRetryDelay
 }
--- a/internal/dispatch/renew.go
+++ b/internal/dispatch/renew.go
@@ -26,11 +26,15 @@
 		}
 		if err != nil {
 			if !errors.Is(err, relay.ErrDelegate) { // a failed delegate does not show that the worker is silent
+				if errors.Is(err, worker.ErrOtherWorker) {
+					d.applyOtherWorker(a, to.Address, sent)
+				}
 				d.recordSilence(a, err, sent)
 			}
 			sleep.For(ctx, holdRetryDelay)
 			continue
 		}
+		d.confirmEntry(a, to.Address, report.Incarnation)
 		waiting := d.applyReport(a, report, sent)
 		sleep.For(ctx, minHoldInterval)
 		if waiting {
@@ -85,7 +89,7 @@
 	if !a.contacted || a.silentSince != 0 || a.seenEnd > a.storedEnd {
 		h.Wait = 0
 	}
-	return a.address(), h, true
+	return a.holdAddress(), h, true
 }
 
 // endsSoon reports whether the worker has a started run that will end by itself. Callers hold mu.
@@ -107,10 +111,6 @@
 		d.endTermFenced(a)
 		return
 	}
-	if errors.Is(err, worker.ErrOtherWorker) {
-		d.dropRuns(a, "another worker has its address")
-		return
-	}
 	if a.silentSince == 0 {
 		a.silentSince = sent
 		if a.cordoned && len(a.runs) == 0 {
