--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -27,17 +28,35 @@
 		return
 	}
 	e, err := d.DecodeEntry(r.Key, r.Value)
-	if err != nil {
-		d.counters.badEntries.Add(1)
-		return
+	if err == nil {
+		c := d.Follower.Config()
+		if c == nil {
+			d.counters.badEntries.Add(1)
+			return // the entry is read again with the worker's next heartbeat
+		}
+		if c.Pool(e.Pool) == nil {
+			err = errors.New("pool is not in the configuration")
+		}
 	}
-	if c := d.Follower.Config(); c == nil || c.Pool(e.Pool) == nil {
-		d.counters.badEntries.Add(1)
+	if err != nil {
+		d.rejectEntry(r, err)
 		return
 	}
 	d.updateEntry(e)
 }
 
+// rejectEntry records an entry that names no worker. The entry that its worker had before stays in use, because the
+// worker's answers show whether it is there. Callers hold mu.
+func (d *Dispatcher) rejectEntry(r store.Record, err error) {
+	d.counters.badEntries.Add(1)
+	reason := err.Error()
+	reason = reason[:min(len(reason), maxReasonBytes)] // the error of a number contains all its digits
+	if d.entryLog.first(r.Key, reason) {
+		d.Log.Warn().Str("event", "bad_worker_entry").Str("error", reason).Str("worker", r.Key).Int64("offset", r.Offset).
+			Int("bytes", len(r.Value)).Msg("worker's entry is not used")
+	}
+}
+
 // removeMissingEntries removes the entries of workers that were deleted while the history was not read.
 func (d *Dispatcher) removeMissingEntries(keys map[string]bool) {
 	d.mu.Lock()
@@ -164,6 +183,9 @@
 // entries.
 const maxLoggedEntries = 1000
 
+// maxReasonBytes bounds the logged reason.
+const maxReasonBytes = 200
+
 // entryLog selects the entries to log: one for each worker ID and reason, because entries are repeated with each
 // heartbeat.
 type entryLog struct{ seen map[[2]string]bool }
--- a/internal/dispatch/entries_test.go
+++ b/internal/dispatch/entries_test.go
@@ -1,14 +1,21 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
+	"pollenlead/internal/follow"
+	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
 )
@@ -248,3 +255,63 @@
 	renewTimes(d, workers, a, 2)
 	is.Equal(workers.called, []string{claim.Address, soundAddress})
 }
+
+// operatorStore holds a configuration in the operator's topic.
+type operatorStore struct{ emptyStore }
+
+func (operatorStore) ReadNewest(context.Context, string, int, string) (store.Newest, error) {
+	return store.Newest{Records: []store.Record{{Key: "config", Value: []byte("1")}}, End: 1}, nil
+}
+
+// followPools returns a follower that has read a configuration with the given pool.
+func followPools(t *testing.T, pool string) *follow.Follower {
+	t.Helper()
+	f := follow.New(operatorStore{}, follow.Decoder{
+		ConfigKey: "config", IsWave: func(string) bool { return false },
+		Config: func([]byte) (*fleet.Config, error) {
+			c := &fleet.Config{Version: 1, Pools: []fleet.Pool{{Name: pool}}}
+			c.Index()
+			return c, nil
+		},
+	}, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	changed := f.Changed()
+	go f.Run(ctx)
+	<-changed
+	return f
+}
+
+// TestRejectedEntryIsLoggedOnce guards against odd entries that are dropped without a trace, that fill the log with one
+// line for each heartbeat, or that withdraw the sound entry of the same worker and the entries beside it.
+func TestRejectedEntryIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	d := newFixture(2)
+	defer d.stop()
+	d.Log = zerolog.New(&log)
+	d.Follower = followPools(t, "pool")
+	d.DecodeEntry = func(id string, value []byte) (*fleet.WorkerEntry, error) {
+		if string(value) != "sound" {
+			return nil, errors.New(string(value))
+		}
+		return &fleet.WorkerEntry{ID: id, Pool: "pool", Address: "127.0.0.1:1", Sequence: 7}, nil
+	}
+	before, held := d.counters.badEntries.Value(), d.agent("w0").entry
+	for range 50 {
+		d.applyEntry(store.Record{Key: "w0", Value: []byte("port")})
+		d.applyEntry(store.Record{Key: "w1", Value: []byte("sound")})
+	}
+	d.applyEntry(store.Record{Key: "w0", Value: []byte("nesting")})
+	d.applyEntry(store.Record{Value: []byte("port")}) // without a key
+	is.Equal(d.counters.badEntries.Value()-before, int64(52))
+	is.Equal(strings.Count(log.String(), "bad_worker_entry"), 3)
+	is.True(d.agent("w0").entry == held)
+	is.Equal(d.agent("w1").entry.Sequence, int64(7))
+	for n := range 3 * maxLoggedEntries { // the memory for what was logged is bounded
+		d.applyEntry(store.Record{Key: fmt.Sprint(n), Value: bytes.Repeat([]byte("x"), 1000)})
+	}
+	is.Equal(len(d.entryLog.seen), maxLoggedEntries)
+	is.Equal(strings.Count(log.String(), "bad_worker_entry"), maxLoggedEntries)
+	is.True(log.Len() < maxLoggedEntries*2*maxReasonBytes)
+}
