--- a/internal/leader/members.go
+++ b/internal/leader/members.go
@@ -178,7 +178,7 @@
 			return false, err
 		}
 		records = append(records, page.Records...)
-		if page.After == "" {
+		if page.After == "" || page.After == after {
 			break
 		}
 		after = page.After
--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -27,6 +27,9 @@
 	// clock have been read.
 	Contact func(at time.Duration)
 	Log     zerolog.Logger
+
+	// malformed is the number of malformed records that were logged.
+	malformed int
 }
 
 const (
@@ -38,6 +41,8 @@
 	maxNewestAttempts = 4
 	// readRetryDelay is the delay after a failed read.
 	readRetryDelay = 100 * time.Millisecond
+	// maxLoggedMalformed bounds the malformed records of a topic that are logged.
+	maxLoggedMalformed = 100
 )
 
 // Run follows the topic until ctx is done.
@@ -71,7 +76,7 @@
 		for _, r := range page.Records {
 			newest[r.Key] = r.Offset
 			keys[r.Key] = len(r.Value) > 0
-			t.Apply(r)
+			t.apply(r)
 		}
 		if first && t.Contact != nil {
 			t.Contact(sent)
@@ -88,6 +93,18 @@
 	return end, newest, nil
 }
 
+// apply passes a record on. A record without a key is malformed and identifies nothing; the records after it still apply.
+func (t *Tail) apply(r Record) {
+	if r.Key != "" {
+		t.Apply(r)
+		return
+	}
+	if t.malformed++; t.malformed <= maxLoggedMalformed {
+		t.Log.Warn().Str("event", "bad_record").Str("topic", t.Topic).Int("partition", t.Partition).
+			Int64("offset", r.Offset).Msg("record without a key is skipped")
+	}
+}
+
 // readNewest reads one page with up to maxNewestAttempts attempts, so that a slow store does not restart the whole
 // catch-up.
 func (t *Tail) readNewest(ctx context.Context, after string) (page Newest, err error) {
@@ -131,7 +148,7 @@
 		for _, r := range page.Records {
 			from = r.Offset + 1
 			if applied, ok := newest[r.Key]; !ok || applied < r.Offset {
-				t.Apply(r)
+				t.apply(r)
 			}
 		}
 		t.reportContact(sent, len(page.Records) == 0)
