Handle a worker's restart in one place

Since entries alone no longer restart a worker, only its report does. resetRestarted was left without a caller outside a test. TestReportOfEarlierIncarnationIsIgnored now brings the restart about by a report, as it happens, and checks that the clock of the new incarnation stays in place of contacted; it still fails without the comparison of times.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -241,26 +241,12 @@
 	d.stop()
 }
 
-// resetRestarted handles a worker that has restarted under the same ID: none of its earlier runs exists any more.
-// Callers hold mu.
-func (d *Dispatcher) resetRestarted(a *agent, incarnation int64) {
-	d.dropRuns(a, "the worker has started again")
-	a.incarnation = incarnation
-	d.resetCounts(a)
-	d.endCheck(a, checkRestarted)
-}
-
-// noteRestart handles the first report of a restarted worker. The runs stay attached until the report has been compared
-// with them: a start may have arrived, or may still arrive, after the restart. Callers hold mu.
+// noteRestart handles the first report of a restarted worker: its clock, its lease and its numbers of ends have begun
+// anew. The runs stay attached until the report has been compared with them: a start may have arrived, or may still
+// arrive, after the restart. Callers hold mu.
 func (d *Dispatcher) noteRestart(a *agent) {
 	d.Log.Info().Str("event", "worker_restarted").Str("worker", a.id).Int("runs", len(a.runs)).
 		Int64("unstored_ends", a.seenEnd-a.storedEnd).Msg("worker has started again under its ID")
-	d.resetCounts(a)
-}
-
-// resetCounts forgets what began anew with the restart of a worker: its clock, its lease and its numbers of ends.
-// Callers hold mu.
-func (d *Dispatcher) resetCounts(a *agent) {
 	a.restarts++
 	a.restartedAt = bootclock.Now()
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
--- a/internal/dispatch/check.go
+++ b/internal/dispatch/check.go
@@ -16,10 +16,9 @@
 type checkOutcome string
 
 const (
-	checkAnswered  checkOutcome = "answered"
-	checkExpired   checkOutcome = "no lease can be valid any more"
-	checkReplaced  checkOutcome = "its instance has another worker or none"
-	checkRestarted checkOutcome = "it has started again"
+	checkAnswered checkOutcome = "answered"
+	checkExpired  checkOutcome = "no lease can be valid any more"
+	checkReplaced checkOutcome = "its instance has another worker or none"
 )
 
 // restoreWorkers marks the workers that an earlier leader may have used as unchecked. Callers hold mu.
