Restart no lost run unstored before the term is confirmed

Tasks ran again after they were done, several of one job at once. A leader that was separated from the store took the lease of a worker for expired that it could not reach, dropped its runs and started them again at workers on its own side, without storing that. Its successor had reached the worker in the meantime, had renewed the lease and had acknowledged that the tasks were done.

Cause: a lease, the list of instances or another worker's answer show that a run is gone only as long as nobody else leads. A stored start proves that, because the append would be refused; an unstored one does not. Ruled out: first runs of a task, as the next leader asks the worker before it starts the task, and runs whose end the worker itself has listed.

Evidence before: TestLostRunIsNotRestartedUnstored "not true: !task.Runs[0].Released" for an expired lease and for a run that its worker lacks, and for another worker at the address once the test keeps the task from returning to it. A task of which a run was lost now starts without being stored only if the store has accepted an append that was sent after the loss.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -264,10 +264,17 @@
 		Msg("runs of a worker are lost")
 	d.counters.runsLost.Add(int64(len(a.runs)))
 	for _, r := range a.runs {
-		d.dropRun(a, r)
+		d.dropLostRun(a, r)
 	}
 }
 
+// dropLostRun drops a run whose worker has not listed an end of it, but which cannot be running any more unless another
+// leader has begun. Callers hold mu.
+func (d *Dispatcher) dropLostRun(a *agent, r *workload.Run) {
+	r.Task.LostAt = d.now()
+	d.dropRun(a, r)
+}
+
 // dropRun drops a run that is known not to be running. Callers hold mu.
 func (d *Dispatcher) dropRun(a *agent, r *workload.Run) {
 	d.detach(a, r)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -187,7 +187,7 @@
 		if asked.After(run.ActiveSince) {
 			d.Log.Warn().Str("event", "run_missing").Str("task", run.Task.Name()).Int("run", run.Number).
 				Str("worker", a.id).Msg("worker no longer lists a run and listed no end of it")
-			d.dropRun(a, run)
+			d.dropLostRun(a, run)
 		}
 	case workload.RunStopping:
 		if !run.StopAckedAt.IsZero() && asked.After(run.StopAckedAt) {
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -12,7 +12,8 @@
 )
 
 // While the store does not answer, accepted jobs continue: starts are sent before their assignments are stored, and
-// only to workers whose IDs are stored, and only of jobs whose queue is stored with its pool. A new leader starts nothing
+// only to workers whose IDs are stored, only of jobs whose queue is stored with its pool, and not of tasks of which a run
+// was lost meanwhile. A new leader starts nothing
 // of these queues until those workers have answered, or until no lease there can still be valid. It thus finds every run that is active, including those that are not
 // stored. The workers refuse by then an earlier leader that still works, perhaps on jobs that were accepted after the
 // change.
@@ -49,7 +50,7 @@
 	for r := range d.unreleased {
 		a := d.agents[r.Worker]
 		if a == nil || d.storedWorkers[a.id] == "" || !d.isQueuePoolStored(r.Task.Step.Job) ||
-			r.Phase != workload.RunAssigned || !d.attached(r) {
+			r.Phase != workload.RunAssigned || !d.attached(r) || !d.confirmedSince(r.Task.LastLost()) {
 			continue
 		}
 		delete(d.unreleased, r)
@@ -134,6 +135,13 @@
 	return false
 }
 
+// confirmedSince reports whether the store has accepted an append that was sent after the given time, so that no other
+// leader had begun then. A leader that has begun may have reached a worker that this leader had given up, and may have
+// acknowledged that its task is done. Callers hold mu.
+func (d *Dispatcher) confirmedSince(t time.Time) bool {
+	return t.IsZero() || d.at(d.lastStored).After(t)
+}
+
 // workerSet returns the workers in service with their pools. Callers hold mu.
 func (d *Dispatcher) workerSet() map[string]string {
 	set := make(map[string]string, len(d.agents))
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -247,3 +247,45 @@
 	is.True(done.Phase == workload.RunStopping)                   // its start is prevented where it was assigned
 	is.Equal(d.jobs["0011223344556678"].Task(0, 0, 0).LastRun, 1) // the same run, which its worker treats as one start
 }
+
+// TestLostRunIsNotRestartedUnstored guards against a second start of a task by a leader that is separated from the store:
+// its successor may reach the worker that this leader has lost, renew its lease and acknowledge that the task is done.
+func TestLostRunIsNotRestartedUnstored(t *testing.T) {
+	for name, lose := range map[string]func(d *Dispatcher, a *agent){
+		"lease has expired": func(d *Dispatcher, a *agent) {
+			a.silentSince, a.entry, a.deadline = 1, nil, 0
+			a.clockAt = bootclock.Now() - time.Minute
+			d.expireLeases()
+		},
+		"another worker has its address": func(d *Dispatcher, a *agent) { d.dropRuns(a, "another worker has its address") },
+		"worker lacks the run": func(d *Dispatcher, a *agent) {
+			d.applyReport(a, worker.Report{ClockMillis: 1}, bootclock.Now()+time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newFixture(2)
+			d.Workers = &unresponsiveWorkers{}
+			defer d.stop()
+			d.storedWorkers["w0"], d.storedWorkers["w1"] = "pool", "pool"
+			j := d.addJob(unreadJob, oneTask)
+			task := j.Task(0, 0, 0)
+			first := task.Assign("w0", 1, d.now())
+			first.Stored, first.Released, first.Phase, first.ActiveSince = true, true, workload.RunActive, d.now()
+			d.attach(first)
+			lose(d, d.agent("w0"))
+			d.agent("w0").cordoned = true
+			is.Equal(len(task.Runs), 0)
+			d.place()
+			is.Equal(len(task.Runs), 1)
+			is.Equal(task.Runs[0].Worker, "w1")
+
+			long := bootclock.Now() - unstoredStartDelay - time.Millisecond
+			d.releaseUnstored(long)
+			is.True(!task.Runs[0].Released)
+			d.recordStoreContact(bootclock.Now()) // nobody else had begun to lead when the run was lost
+			d.releaseUnstored(long)
+			is.True(task.Runs[0].Released)
+		})
+	}
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -85,6 +85,8 @@
 	// FailedOn is the worker of the most recent failed run.
 	FailedOn   string
 	Checkpoint string
+	// LostAt is the time at which a run of the task was last given up without a report of its end by its worker.
+	LostAt time.Time
 	// Runs holds the runs that may be active: usually none or one, and more with copies or while a run is being
 	// stopped.
 	Runs []*Run
@@ -245,6 +247,20 @@
 // Waiting reports whether the task needs a run and has none.
 func (t *Task) Waiting() bool { return !t.Done && len(t.Runs) == 0 }
 
+// LastLost returns the time at which a run of the task, or of any member of its gang, was last lost. It is zero if none
+// was.
+func (t *Task) LastLost() time.Time {
+	last := t.LostAt
+	if t.Step.Spec.Gang {
+		for _, member := range t.Step.Tasks {
+			if member.LostAt.After(last) {
+				last = member.LostAt
+			}
+		}
+	}
+	return last
+}
+
 // FindRun returns the task's run with the given number on the given worker, or nil.
 func (t *Task) FindRun(worker string, number int) *Run {
 	for _, r := range t.Runs {
