Check a call to a worker again right before it is written

What callers could see: a start that its sender had given up arrives seconds later and runs a task that was done elsewhere.

Cause: a delegate checked the deadline and the term of a call when the call arrived, and a leader prepared a call under its lock; both then waited for a connection and for their turn. A process that was frozen in between sent the call when it woke, at times before its timers fired, and timers do not count the time of a suspension. A leader that was paused with a prepared call handed it to a delegate with a new deadline.

The context of a call now carries a check, which the client makes on the connection before each write. It compares the boot clock with the time from which the call was prepared, and at a delegate the term.

Ruled out as the only protection: the worker's fencing token, its run numbers and the lease deadline of a start. They refuse late calls, but a worker that has restarted under its ID knows none of them.

--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -44,11 +44,12 @@
 	}
 	unknown := r.Inherited
 	for try := 1; d.ctx.Err() == nil; try++ {
+		prepared := bootclock.Now()
 		to, s, ok := d.nextStart(a, r, try > 1)
 		if !ok {
 			return
 		}
-		ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
+		ctx, cancel := callContext(d.ctx, prepared, d.lag.timeout(orderTimeout))
 		sent := bootclock.Now()
 		_, err := d.Workers.Start(ctx, to, s)
 		cancel()
@@ -66,6 +67,24 @@
 	}
 }
 
+// errCallTooLate means that a call was not sent because it was prepared too long ago.
+var errCallTooLate = errors.New("dispatch: the call was prepared too long ago")
+
+// callContext returns the context of a call to a worker that was prepared at the given boot clock. A leader that was
+// paused since then, for however long and with whatever timers, does not send the call: the decision behind it may have
+// been overtaken, and a worker that has restarted knows neither of later runs nor of a later term.
+func callContext(
+	ctx context.Context, prepared, timeout time.Duration,
+) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	return worker.WithSendCheck(ctx, func() error {
+		if bootclock.Now() > prepared+timeout {
+			return errCallTooLate
+		}
+		return ctx.Err()
+	}), cancel
+}
+
 // orderEnded records that no order for the run is in flight, and sends a stop if one was requested in the meantime.
 func (d *Dispatcher) orderEnded(r *workload.Run) {
 	d.mu.Lock()
@@ -203,7 +222,7 @@
 
 // sendStop sends one stop, and reports whether no further attempt is needed.
 func (d *Dispatcher) sendStop(a *agent, to worker.Address, name string, r *workload.Run) bool {
-	ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
+	ctx, cancel := callContext(d.ctx, bootclock.Now(), d.lag.timeout(orderTimeout))
 	sent := bootclock.Now()
 	err := d.Workers.Stop(ctx, to, name, r.Number, d.Token)
 	cancel()
@@ -237,7 +256,7 @@
 		Msg("stopping unassigned run")
 	to := a.address()
 	go func() {
-		ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
+		ctx, cancel := callContext(d.ctx, now, d.lag.timeout(orderTimeout))
 		defer cancel()
 		if err := d.Workers.Stop(ctx, to, key.task, key.number, d.Token); err != nil {
 			d.Log.Info().Str("event", "stop_failed").Str("task", key.task).Str("worker", a.id).Err(err).
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -297,3 +297,56 @@
 	is.Equal(strings.Count(log.String(), "worker_silent"), 1)
 	is.True(strings.Contains(log.String(), `"worker":"w1"`))
 }
+
+// pausedSender is a worker client that writes a request only after its timeout, as a process does that is paused right
+// before the write. It counts the calls that it would send.
+type pausedSender struct{ sent, asked atomic.Int64 }
+
+func (p *pausedSender) send(ctx context.Context) error {
+	p.asked.Add(1)
+	<-ctx.Done()
+	if err := worker.MaySend(ctx); err != nil {
+		return worker.ErrNotSent
+	}
+	p.sent.Add(1)
+	return worker.ErrUnknown
+}
+
+func (p *pausedSender) Start(ctx context.Context, _ worker.Address, _ worker.Start) (int64, error) {
+	return 0, p.send(ctx)
+}
+
+func (p *pausedSender) Stop(ctx context.Context, _ worker.Address, _ string, _ int, _ int64) error {
+	return p.send(ctx)
+}
+
+func (p *pausedSender) SetPace(ctx context.Context, _ worker.Address, _ string, _, _ int, _ int64) error {
+	return p.send(ctx)
+}
+
+func (p *pausedSender) Hold(ctx context.Context, _ worker.Address, _ worker.Hold) (worker.Report, error) {
+	return worker.Report{}, p.send(ctx)
+}
+
+// TestPausedLeaderSendsNoPreparedCall guards against a leader that is paused between the preparation of a call and its
+// write, and sends it when it wakes. A worker that has restarted meanwhile starts a task that was done elsewhere.
+func TestPausedLeaderSendsNoPreparedCall(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	workers := &pausedSender{}
+	d.Workers = workers
+	defer d.stop()
+	a := d.agent("w0")
+	a.clockAt = d.bootStart
+	j := d.addJob("0011223344556677", oneTask)
+	d.place()
+	run := j.Task(0, 0, 0).Runs[0]
+	run.Stored, run.Released = true, true
+	d.start(a, run)
+	d.sendStop(a, a.address(), run.Task.Name(), run)
+	d.setPace(a, run, 50)
+	_, err := d.hold(d.ctx, a.address(), worker.Hold{}, bootclock.Now())
+	is.True(errors.Is(err, worker.ErrNotSent))
+	is.Equal(workers.asked.Load(), int64(4))
+	is.Equal(workers.sent.Load(), int64(0))
+}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -1,9 +1,9 @@
 package dispatch
 
 import (
-	"context"
 	"time"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/scheduling"
 	"pollenlead/internal/workload"
 )
@@ -45,10 +45,11 @@
 
 // setPace orders one change of pace. If no answer arrives, the order is repeated after a later report.
 func (d *Dispatcher) setPace(a *agent, r *workload.Run, percent int) {
+	prepared := bootclock.Now()
 	d.mu.Lock()
 	to, name := a.address(), r.Task.Name()
 	d.mu.Unlock()
-	ctx, cancel := context.WithTimeout(d.ctx, d.lag.timeout(orderTimeout))
+	ctx, cancel := callContext(d.ctx, prepared, d.lag.timeout(orderTimeout))
 	defer cancel()
 	if err := d.Workers.SetPace(ctx, to, name, r.Number, percent, d.Token); err != nil {
 		d.Log.Info().Str("event", "pace_failed").Str("task", name).Str("worker", to.ID).Err(err).
--- a/internal/dispatch/renew.go
+++ b/internal/dispatch/renew.go
@@ -15,12 +15,13 @@
 // renew keeps one renewal open at the worker until ctx is done.
 func (d *Dispatcher) renew(ctx context.Context, a *agent) {
 	for ctx.Err() == nil {
+		prepared := bootclock.Now()
 		to, h, ok := d.nextHold(a)
 		if !ok {
 			return
 		}
 		sent := bootclock.Now()
-		report, err := d.hold(ctx, to, h)
+		report, err := d.hold(ctx, to, h, prepared)
 		if ctx.Err() != nil {
 			return
 		}
@@ -54,8 +55,11 @@
 	}
 }
 
-func (d *Dispatcher) hold(ctx context.Context, to worker.Address, h worker.Hold) (worker.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, h.Wait+d.lag.timeout(holdAnswerTimeout))
+// hold sends a renewal that was prepared at the given boot clock.
+func (d *Dispatcher) hold(
+	ctx context.Context, to worker.Address, h worker.Hold, prepared time.Duration,
+) (worker.Report, error) {
+	ctx, cancel := callContext(ctx, prepared, h.Wait+d.lag.timeout(holdAnswerTimeout))
 	defer cancel()
 	return d.Workers.Hold(ctx, to, h)
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -135,6 +137,10 @@
 // call sends a call through a session. The delegate may use all the time that ctx leaves for the call; the leader waits
 // up to maxRelayDelay longer.
 func (c *Client) call(ctx context.Context, s *session, to worker.Address, x call) callResult {
+	// The delegate counts the time left from here, so a call that was prepared before a pause must not get that far.
+	if err := cmp.Or(ctx.Err(), worker.MaySend(ctx)); err != nil {
+		return callResult{err: fmt.Errorf("%w: %w", worker.ErrNotSent, err)}
+	}
 	timeout := defaultTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"net"
 	"sync"
@@ -170,9 +171,22 @@
 	callsForwarded.Add(1)
 	ctx, cancel := context.WithTimeout(s.ctx, duration(x.TimeoutMillis))
 	defer cancel()
+	// The process may be frozen from here until the request is written.
+	ctx = worker.WithSendCheck(ctx, func() error { return s.maySend(x) })
 	s.call(ctx, x, spec, &a)
 }
 
+// errCallWithdrawn means that a call was not sent because its deadline has passed or another term has begun.
+var errCallWithdrawn = errors.New("relay: the call is no longer valid")
+
+// maySend returns an error if a call must not be sent any more.
+func (s *delegateSession) maySend(x *call) error {
+	if s.delegate.superseded(s.token) || bootclock.Now() > duration(x.UntilMillis) {
+		return errCallWithdrawn
+	}
+	return nil
+}
+
 // call sends a call to its worker and queues the outcome as the answer.
 func (s *delegateSession) call(ctx context.Context, x *call, spec string, a *answer) {
 	to, workers := worker.Address{ID: x.Worker, Address: x.Address}, s.delegate.Workers
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -494,3 +494,85 @@
 	close(next)
 	callers.Wait()
 }
+
+// pausedWorkers is a worker client that pauses within a start, right before it would write the request.
+type pausedWorkers struct {
+	fakeWorkers
+	paused, resume chan struct{}
+}
+
+func (p *pausedWorkers) Start(ctx context.Context, to worker.Address, s worker.Start) (int64, error) {
+	p.paused <- struct{}{}
+	<-p.resume
+	if err := worker.MaySend(ctx); err != nil {
+		return 0, fmt.Errorf("%w: %w", worker.ErrNotSent, err)
+	}
+	return p.fakeWorkers.Start(ctx, to, s)
+}
+
+// TestPausedCallIsNotSent guards against a delegate that is frozen after it has checked a call, and sends the call when
+// it wakes: after its deadline, or after another term has begun. A worker that has restarted meanwhile knows of no
+// later run and of no fencing token, and would carry it out.
+func TestPausedCallIsNotSent(t *testing.T) {
+	spec := "spec"
+	for name, pause := range map[string]func(*delegateSession, *call){
+		"deadline": func(_ *delegateSession, x *call) {
+			for bootclock.Now() <= duration(x.UntilMillis) {
+				time.Sleep(time.Millisecond)
+			}
+		},
+		"term": func(s *delegateSession, _ *call) { s.delegate.raiseToken(s.token + 1) },
+		"none": func(*delegateSession, *call) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			workers := &pausedWorkers{paused: make(chan struct{}, 1), resume: make(chan struct{}, 1)}
+			s := &delegateSession{
+				delegate: &Delegate{Workers: workers, Token: func() int64 { return 0 }, Log: zerolog.Nop()}, token: 7,
+				ctx: t.Context(), lastRuns: runsByWorker{}, specs: map[string]string{}, wake: make(chan struct{}, 1),
+			}
+			x := &call{
+				Number: 1, Worker: "w1", UntilMillis: millis(bootclock.Now()) + 50, TimeoutMillis: 5000,
+				Start: &startCall{Task: "j.0.0.1", Run: 1, Spec: &spec},
+			}
+			if name == "none" {
+				x.UntilMillis += 5000
+			}
+			forwarded := make(chan struct{})
+			go func() {
+				s.forward(x, spec)
+				close(forwarded)
+			}()
+			<-workers.paused
+			pause(s, x)
+			workers.resume <- struct{}{}
+			<-forwarded
+			sent := 0
+			if name == "none" {
+				sent = 1
+			}
+			is.Equal(workers.started(), sent)
+			is.Equal(errors.Is(s.answers[0].decodeError("d"), worker.ErrNotSent), sent == 0)
+		})
+	}
+}
+
+// TestPausedLeaderIssuesNoCall guards against a leader that was paused after it had prepared a call and then hands it
+// to a delegate. The delegate would take the call for a new one.
+func TestPausedLeaderIssuesNoCall(t *testing.T) {
+	is := is.New(t)
+	workers := &fakeWorkers{}
+	_, at := startDelegate(t, workers)
+	c := newTestClient(t, nil, at)
+	s := c.sessionFor(t.Context(), address(1))
+	is.True(s != nil)
+	late := worker.WithSendCheck(t.Context(), func() error { return errors.New("too late") })
+	expired, cancel := context.WithTimeout(t.Context(), time.Nanosecond)
+	defer cancel()
+	<-expired.Done()
+	for _, ctx := range []context.Context{late, expired} {
+		a := c.call(ctx, s, address(1), call{Stop: &runCall{Task: "j.0.0.1", Run: 1}})
+		is.True(errors.Is(a.err, worker.ErrNotSent))
+	}
+	is.Equal(len(workers.stops), 0)
+}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -127,7 +127,7 @@
 	MoreEnds bool
 }
 
-// Client calls workers. Every call is bounded by its context.
+// Client calls workers. Every call is bounded by its context, and is not sent any more once MaySend returns an error.
 type Client interface {
 	// Start returns the worker's clock.
 	Start(ctx context.Context, to Address, s Start) (clockMillis int64, err error)
