--- a/internal/dispatch/check_test.go
+++ b/internal/dispatch/check_test.go
@@ -120,7 +120,8 @@
 	d.applyReport(unasked, report, bootclock.Now())
 	d.place()
 	is.Equal(len(j.Task(0, 0, 1).Runs), 0)
-	is.True(!unasked.vacant())
+	d.applyCommitted(d.collectBatch())
+	is.True(!unasked.vacant()) // the stored end is not the last one
 	report.Ended, report.MoreEnds = doneEnd(2, j.Task(0, 0, 1).Name()), false
 	d.applyReport(unasked, report, bootclock.Now())
 	d.place()
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -216,6 +216,7 @@
 func (s *delegateSession) hold(ctx context.Context, to worker.Address, h *holdCall, a *answer) {
 	r, err := s.delegate.Workers.Hold(ctx, to, worker.Hold{
 		FencingToken: s.token, Acknowledged: h.Acknowledged, DeadlineMillis: h.DeadlineMillis, Wait: duration(h.WaitMillis),
+		Seen: h.Seen, Incarnation: h.Incarnation,
 	})
 	a.encodeError(err)
 	s.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -142,7 +142,7 @@
 }
 
 // TestCallsForwardEveryField guards against a call that reaches the worker without its checkpoint, ticket, lease,
-// percentage or spec.
+// percentage or spec, or without the incarnation whose ends it acknowledges.
 func TestCallsForwardEveryField(t *testing.T) {
 	is := is.New(t)
 	workers := &fakeWorkers{}
@@ -157,11 +157,12 @@
 		is.NoErr(err)
 	}
 	is.Equal(workers.starts, []worker.Start{want, again}) // the second start omits the spec; the delegate adds it
-	_, err := c.Hold(t.Context(), address(1), worker.Hold{Acknowledged: 3, DeadlineMillis: 9, Wait: 20 * time.Millisecond})
+	hold := worker.Hold{
+		FencingToken: 7, Acknowledged: 3, DeadlineMillis: 9, Wait: 20 * time.Millisecond, Seen: 4, Incarnation: 5,
+	}
+	_, err := c.Hold(t.Context(), address(1), hold)
 	is.NoErr(err)
-	is.Equal(workers.holds, []worker.Hold{
-		{FencingToken: 7, Acknowledged: 3, DeadlineMillis: 9, Wait: 20 * time.Millisecond},
-	})
+	is.Equal(workers.holds, []worker.Hold{hold})
 	is.NoErr(c.Stop(t.Context(), address(1), "j.0.0.1", 2, 7))
 	is.NoErr(c.SetPace(t.Context(), address(1), "j.0.0.1", 2, 40, 7))
 	is.Equal(workers.stops, []string{"j.0.0.1"})
