Check stored jobs and their progress, and suspend a job without progress

A leader ended ("index out of range [-1]") when it read a progress record with a negative index, or ran out of memory on a submission with a huge count, and so did each leader after it. A job whose progress could not be decoded was logged as suspended, but it started from the beginning: load.go removed it from the active jobs, and adoptJob then added its first occurrence. Tasks that were done ran again.

Submissions and progress are now checked when they are decoded, with limits of ten times those of submissions, so that no accepted job is rejected. After an error Restore leaves the job without occurrences and with none to add: nothing of it starts, it is shown as running, and its stored progress is not overwritten. DueAt no longer overflows for long intervals, which made occurrences due at once.

Ruled out: ignoring the progress record, because some tasks may be done.

--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -17,11 +17,18 @@
 // Occurrences returns the number of times that the steps run.
 func (s *JobSpec) Occurrences() int { return max(s.Times, 1) }
 
-// DueAt returns the due time of an occurrence, or zero for a job without a schedule.
+// maxSchedule bounds the time from the first occurrence to the due time of any other one.
+const maxSchedule = 100 * 365 * 24 * time.Hour
+
+// DueAt returns the due time of an occurrence, or zero for a job without a schedule. An interval so long that the due
+// time would overflow must not make the occurrence due at once.
 func (s *JobSpec) DueAt(occurrence int) time.Time {
 	if s.Times == 0 {
 		return time.Time{}
 	}
+	if occurrence > 0 && s.Every > maxSchedule/time.Duration(occurrence) {
+		return s.FirstAt.Add(maxSchedule)
+	}
 	return s.FirstAt.Add(time.Duration(occurrence) * s.Every)
 }
 
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -27,6 +27,9 @@
 // Ended reports whether the state is final.
 func (s State) Ended() bool { return s == StateDone || s == StateFailed || s == StateCancelled }
 
+// known reports whether the state is one of a job.
+func (s State) known() bool { return s == StatePending || s == StateRunning || s.Ended() }
+
 // Job is an accepted job.
 type Job struct {
 	ID    string
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/buger/jsonparser"
@@ -31,9 +32,49 @@
 	if s.Spec == nil || len(s.Spec.Steps) == 0 {
 		return nil, fmt.Errorf("decode submission of job %s: no steps", id)
 	}
+	if err := checkSpec(id, s.Spec); err != nil {
+		return nil, fmt.Errorf("decode submission of job %s: %w", id, err)
+	}
 	return NewJob(id, s.Queue, s.Pool, s.Team, s.Spec, time.UnixMilli(s.AtMillis)), nil
 }
 
+const (
+	// maxSteps, maxTasks and maxOccurrences bound what a stored job may cost a leader in memory. They are ten times the
+	// limits of submissions, so that no job that was accepted is rejected here. Another writer may have left the record.
+	maxSteps       = 1000
+	maxTasks       = 100_000
+	maxOccurrences = 1_000_000
+	// maxRun bounds the run numbers, so that the next one does not overflow.
+	maxRun = 1 << 31
+)
+
+// checkSpec reports the first value of a stored job that no entry instance accepts.
+func checkSpec(id string, spec *fleet.JobSpec) error {
+	if id == "" || strings.Contains(id, ".") {
+		return errors.New("the ID cannot be part of a task's name")
+	}
+	if len(spec.Steps) > maxSteps || spec.Times < 0 || spec.Times > maxOccurrences || spec.Every < 0 {
+		return errors.New("the number of steps or occurrences or the interval is out of range")
+	}
+	tasks := 0
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		if s.Count < 1 || s.Count > maxTasks || s.MaxPerWorker < 0 || s.MayMiss < 0 ||
+			min(s.Need.CPUMilli, s.Need.MemoryMB, s.Need.GPU) < 0 {
+			return fmt.Errorf("a number of step %d is out of range", i)
+		}
+		if tasks += s.Count; tasks > maxTasks {
+			return fmt.Errorf("more than %d tasks", maxTasks)
+		}
+		for _, d := range s.DependsOn {
+			if d < 0 || d >= i {
+				return fmt.Errorf("step %d depends on %d, which is not an earlier step", i, d)
+			}
+		}
+	}
+	return nil
+}
+
 // DecodeEnded decodes the records of a job that has ended and has no runs left, without building its steps. It
 // reports false if the whole record of the job is needed. Most jobs that a new leader reads have ended, and only
 // their states are needed.
@@ -145,20 +186,36 @@
 }
 
 // Restore applies a Progress record to a job without progress. All runs are restored as assigned and stored; only
-// their workers can report whether they received the start request.
+// their workers can report whether they received the start request. After an error the job has no occurrences and adds
+// none: which of its tasks are done is not known, so none may start.
 func (j *Job) Restore(value []byte, now time.Time) error {
+	err := j.restore(value, now)
+	if err != nil {
+		j.Occurrences, j.NextOccurrence = nil, j.Spec.Occurrences()
+		j.State, j.Started = StateRunning, true
+	}
+	return err
+}
+
+func (j *Job) restore(value []byte, now time.Time) error {
 	var p Progress
 	if err := json.Unmarshal(value, &p); err != nil {
 		return fmt.Errorf("decode progress of job %s: %w", j.ID, err)
 	}
+	if !p.State.known() || p.Next < 0 || p.Next > j.Spec.Occurrences() {
+		return fmt.Errorf("progress of job %s: state %q or next occurrence %d is out of range", j.ID, p.State, p.Next)
+	}
 	j.State, j.NextOccurrence = p.State, p.Next
 	if p.EndedAtMillis != 0 {
 		j.EndedAt = time.UnixMilli(p.EndedAtMillis)
 	}
 	for _, op := range p.Occurrences {
+		if op.Number < 0 || op.Number >= j.Spec.Occurrences() || j.Occurrence(op.Number) != nil {
+			return fmt.Errorf("progress of job %s: occurrence %d is out of range or repeated", j.ID, op.Number)
+		}
 		o := j.addOccurrence(op.Number, now)
 		for _, sp := range op.Steps {
-			if sp.Step >= len(o.Steps) {
+			if sp.Step < 0 || sp.Step >= len(o.Steps) {
 				return fmt.Errorf("progress of job %s: job has %d steps, got index %d", j.ID, len(o.Steps), sp.Step)
 			}
 			if err := o.Steps[sp.Step].restore(sp, now); err != nil {
@@ -178,21 +235,30 @@
 		s.Open = 0
 	}
 	for _, i := range p.Done {
-		if i >= len(s.Tasks) {
-			return fmt.Errorf("progress of job %s: step %d has %d tasks, got index %d", s.Job.ID, s.Index, len(s.Tasks), i)
+		if i < 0 || i >= len(s.Tasks) || s.Tasks[i].Done {
+			return fmt.Errorf("progress of job %s: step %d has %d tasks, got index %d out of range or twice",
+				s.Job.ID, s.Index, len(s.Tasks), i)
 		}
 		s.Tasks[i].Done = true
 		s.Open--
 	}
 	for _, tp := range p.Tasks {
-		if tp.Index >= len(s.Tasks) {
+		if tp.Index < 0 || tp.Index >= len(s.Tasks) {
 			return fmt.Errorf("progress of job %s: step %d has %d tasks, got index %d",
 				s.Job.ID, s.Index, len(s.Tasks), tp.Index)
 		}
+		if tp.LastRun < 0 || tp.LastRun > maxRun || tp.Failures < 0 || len(s.Tasks[tp.Index].Runs) > 0 {
+			return fmt.Errorf("progress of job %s: run %d or %d failures of task %d of step %d are out of range or repeated",
+				s.Job.ID, tp.LastRun, tp.Failures, tp.Index, s.Index)
+		}
 		t := s.Tasks[tp.Index]
 		t.RestoredRun = tp.LastRun
 		t.LastRun, t.Failures, t.FailedOn, t.Checkpoint = tp.LastRun, tp.Failures, tp.FailedOn, tp.Checkpoint
 		for _, rp := range tp.Runs {
+			if rp.Number < 1 || rp.Number > maxRun || rp.Worker == "" {
+				return fmt.Errorf("progress of job %s: run %d of task %d of step %d is out of range",
+					s.Job.ID, rp.Number, tp.Index, s.Index)
+			}
 			t.Runs = append(t.Runs, &Run{
 				Task: t, Number: rp.Number, Worker: rp.Worker, Since: now, Pace: 100,
 				Stored: true, Released: true, Inherited: true,
