Skip leadership and member records that no entry instance has written

A record "null" or "{}" in the leader's topic named no holder, ended the term and let every entry instance claim at once. A token from beyond the record's offset would have outranked all later terms at the delegates. A member with a CPU share of 1e308 made each leader hand over after two seconds, and one with a time far in the future never expired.

Such records are skipped. They do not count as a sign of life of the leader, and only a record of its own confirms a term or a claim whose answer was lost. A process that finds such a record as the newest one waits for the claim timeout, because the present leader may count on it.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,6 +98,8 @@
 	nextOffset int64         // end of the partition, as far as read
 	lastSeen   time.Duration // boot clock at the newest record's receipt
 	lastReadOK bool          // the last read succeeded
+	// unreadable means that the newest record of the chain is not one of a leader, so the present leader is not known.
+	unreadable bool
 	// unconfirmedSince is the boot clock at the time of sending the first heartbeat since the last one that is known to
 	// be stored; 0 if there is none.
 	unconfirmedSince time.Duration
@@ -227,6 +230,9 @@
 // vacant reports whether it is certain that there is no leader: there is no record, or the last term was released, or
 // it belongs to an earlier start of this process.
 func (e *Election) vacant() bool {
+	if e.unreadable {
+		return false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.current.Holder == "" || e.released || e.current.Peer == e.peer && e.current.Holder != e.holder
@@ -313,10 +319,11 @@
 	if r.Key != recordKey {
 		return
 	}
-	var w record
-	if err := json.Unmarshal(r.Value, &w); err != nil {
+	w, err := decodeRecord(r)
+	e.unreadable = err != nil
+	if err != nil {
 		e.log.Warn().Err(err).Str("event", "bad_leader_record").Int64("offset", r.Offset).
-			Msg("leadership record cannot be decoded")
+			Msg("leadership record is not one of a leader and is skipped")
 		return
 	}
 	e.lastSeen = bootclock.Now()
@@ -326,6 +333,27 @@
 	e.publish(Leader{Holder: w.Holder, Peer: w.Peer, Token: w.Token}, w.Released)
 }
 
+// wroteOne reports whether this entry instance wrote one of the records. Others may be records that no leader has written.
+func (e *Election) wroteOne(records []store.Record) bool {
+	return slices.ContainsFunc(records, func(r store.Record) bool {
+		w, err := decodeRecord(r)
+		return r.Key == recordKey && err == nil && w.Holder == e.holder
+	})
+}
+
+// decodeRecord decodes a record of the chain. Another writer may have left it. A record without a holder would end the
+// present term, and a token from beyond the record's own offset would outrank all later terms.
+func decodeRecord(r store.Record) (record, error) {
+	var w record
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return record{}, err
+	}
+	if w.Holder == "" || w.Token < 0 || w.Token > r.Offset+1 {
+		return record{}, fmt.Errorf("holder is %q and token is %d at offset %d", w.Holder, w.Token, r.Offset)
+	}
+	return w, nil
+}
+
 func (e *Election) publish(l Leader, released bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -358,7 +386,7 @@
 	for _, r := range page.Records {
 		e.observe(r)
 	}
-	if l, _ := e.Current(); l.Holder == e.holder && len(page.Records) > 0 {
+	if l, _ := e.Current(); l.Holder == e.holder && e.wroteOne(page.Records) {
 		return l.Token, nil
 	}
 	return 0, err
--- a/internal/leader/members.go
+++ b/internal/leader/members.go
@@ -27,6 +27,10 @@
 	// followerReadInterval is the interval at which an entry instance that does not lead reads the members. It needs
 	// them only for its next claim, and the cost of each read grows with the size of the deployment.
 	followerReadInterval = time.Minute
+	// maxMemberLead is how far a member's clock may be ahead. A record from later on would never expire.
+	maxMemberLead = time.Hour
+	// maxCPUShare is more than any entry instance has. A record with a larger share would make every leader hand over.
+	maxCPUShare = 1024
 	// membersTimeout is the time after which an entry instance claims even if it could not read the members.
 	membersTimeout = 1500 * time.Millisecond
 	// refreshTimeout bounds the read of the members at the beginning of a term.
@@ -191,15 +195,16 @@
 }
 
 // decodeMembers returns the members that have recently announced themselves, and whether another one did so longer
-// ago than a start takes. Records that cannot be decoded are skipped.
+// ago than a start takes. Records that no member writes are skipped.
 func decodeMembers(records []store.Record, self string, now time.Time) (list []Member, settled bool) {
 	for _, r := range records {
 		var w memberRecord
-		age := time.Duration(0)
-		if json.Unmarshal(r.Value, &w) == nil {
-			age = now.Sub(time.UnixMilli(w.AtMillis))
+		if json.Unmarshal(r.Value, &w) != nil {
+			continue
 		}
-		if w.AtMillis == 0 || age > memberTTL {
+		age := now.Sub(time.UnixMilli(w.AtMillis))
+		if w.AtMillis == 0 || age > memberTTL || age < -maxMemberLead || w.CPUShare < 0 || w.CPUShare > maxCPUShare ||
+			r.Key == "" {
 			continue
 		}
 		settled = settled || r.Key != self && age > minSettledAge
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -117,7 +117,7 @@
 	if l.Token != token {
 		return true
 	}
-	if len(page.Records) > 0 { // a heartbeat without an answer was stored
+	if e.wroteOne(page.Records) { // a heartbeat without an answer was stored
 		e.confirm(e.unconfirmedSince)
 	}
 	return false
