Reject cancellations without a queue

A record "null" or "{}" under the key of a cancellation cancelled any job of a public queue, whose team is empty. Entry instances always write the queue.

Evidence, on the code before: TestOddCancellationsAreRejected lists three records that were accepted.

--- a/internal/workload/odd_test.go
+++ b/internal/workload/odd_test.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 	"time"
@@ -73,6 +74,22 @@
 	}
 }
 
+// TestOddCancellationsAreRejected guards against jobs of public queues that another writer's record cancels.
+func TestOddCancellationsAreRejected(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"", "\x00", "null", "{}", "[]", `{"team":"t"}`, `{"queue":5}`, strings.Repeat("[", 200_000)} {
+		var c Cancellation
+		if err := json.Unmarshal([]byte(text), &c); err == nil {
+			t.Errorf("accepted: %.200s", text)
+		}
+	}
+	value, err := json.Marshal(Cancellation{Queue: "q", Team: "t"})
+	is.NoErr(err)
+	var c Cancellation
+	is.NoErr(json.Unmarshal(value, &c))
+	is.Equal(c, Cancellation{Queue: "q", Team: "t"})
+}
+
 // TestLongIntervalIsNotDueAtOnce guards against occurrences that start years too early because the sum of their intervals
 // overflows.
 func TestLongIntervalIsNotDueAtOnce(t *testing.T) {
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -353,3 +353,18 @@
 	Queue string `json:"queue"`
 	Team  string `json:"team,omitempty"`
 }
+
+// UnmarshalJSON implements json.Unmarshaler. A record without a queue is not one of an entry instance; without a team, it
+// would cancel any job of a public queue.
+func (c *Cancellation) UnmarshalJSON(text []byte) error {
+	type plain Cancellation
+	var p plain
+	if err := json.Unmarshal(text, &p); err != nil {
+		return err
+	}
+	if p.Queue == "" {
+		return errors.New("cancellation without a queue")
+	}
+	*c = Cancellation(p)
+	return nil
+}
