Show a job as done only once its end is stored

Callers saw jobs shown as done whose tasks started again later. While the store was away, the leader published an end after 0.8 s without a stored record if it took nobody else to be about to lead. Until the record is stored, only the worker and this leader know the end. It was lost in four ways:

- The report of one entry instance without the store counted for all of them.
On the leader's side of a partition only those isolated with it report; the others elect another leader.
- After a pause, Follower.Age counts an answer from before the pause, so that a leader whose successor had begun took the store for reachable.
- expireLeases and resetRestarted forget that a worker held such ends, so that endMayBeLost no longer found them.
- The worker crashed after the publication and the leader died before it could store the end.

Ruled out: a majority of reports. One entry instance that reaches the store is enough to claim leadership, and no report covers what happens after the publication. Ends are now published when their append has succeeded, so peer contact reports, the log event unstored_end and the counter unstored_ends_total have no meaning any more.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -83,8 +83,7 @@
 	*workload.Job
 	// changed means that the current progress is not stored.
 	changed bool
-	// published is the state that is returned to clients. It is the stored state, or an end that is published while
-	// the store does not answer.
+	// published is the state that is returned to clients. It is the stored state.
 	published workload.State
 	// firstStart is the time from the acceptance to the first assignment, readAfter the time until this leader had read
 	// the submission, and objective the time in which the job should be done according to its estimates.
@@ -141,10 +140,8 @@
 	storedQueuePools map[string][]string
 	// fencedAt is the boot clock from which the store accepts no append of an earlier leader.
 	fencedAt time.Duration
-	// lastStored is the boot clock at which the last successful append was sent. lastPeerContact is the boot clock of
-	// the last contact of any other entry instance with the store, and lastPeerReport that of the last report of such
-	// a contact.
-	lastStored, lastPeerContact, lastPeerReport time.Duration
+	// lastStored is the boot clock at which the last successful append was sent.
+	lastStored time.Duration
 
 	bootStart      time.Duration
 	unstoredLogged time.Duration // boot clock
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -21,19 +21,10 @@
 const (
 	// unstoredStartDelay is the duration of an append after which starts no longer wait for it.
 	unstoredStartDelay = 300 * time.Millisecond
-	// unstoredEndDelay is the duration of an append after which ended jobs are published before it has succeeded, if
-	// no other entry instance can lead. By then each entry instance that the store answers has completed a read.
-	unstoredEndDelay = 800 * time.Millisecond
-	// peerContactMargin is how much later than the start of an append another entry instance's last contact may seem
-	// to be although it preceded the outage of the store: the append was in flight then, and the report has been in
-	// flight since. Other reads end every 400 ms while the store answers.
-	peerContactMargin = 250 * time.Millisecond
 	// workerSetInterval is the shortest interval between two records of the set of workers. The record grows with the
 	// fleet, and changes with each move. The delay costs little: a worker that is not in the set yet gets no start
 	// while the store does not answer.
 	workerSetInterval = time.Second
-	// maxPeerReportAge is the age up to which the reports of other entry instances count.
-	maxPeerReportAge = time.Second
 )
 
 // releaseUnstored sends the starts that wait for an append that has been in progress since began.
@@ -57,9 +48,6 @@
 		d.sendStart(r)
 		released++
 	}
-	if d.noOtherLeader(began) {
-		d.publishUnstored(began)
-	}
 	d.counters.unstoredStarts.Add(int64(released))
 	if now := bootclock.Now(); released > 0 && now-d.unstoredLogged > poolLogInterval {
 		d.unstoredLogged = now
@@ -68,73 +56,6 @@
 	}
 }
 
-// RecordPeerContact records how long another entry instance has had no contact with the store.
-func (d *Dispatcher) RecordPeerContact(silent time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.lastPeerReport = bootclock.Now()
-	d.lastPeerContact = max(d.lastPeerContact, d.lastPeerReport-silent)
-}
-
-// noOtherLeader reports whether no other entry instance can be about to lead since began, the start of the append in
-// progress. That holds if the store answers nobody, or if it answers this entry instance and only the partition of
-// the progress is unavailable, which a leader has to read first. If the store answers others and not this entry
-// instance, one of them will lead soon. Callers hold mu.
-func (d *Dispatcher) noOtherLeader(began time.Duration) bool {
-	now := bootclock.Now()
-	if now-began < unstoredEndDelay {
-		return false
-	}
-	if silent, ok := d.Follower.Age(); ok && now-silent > began+peerContactMargin {
-		return true
-	}
-	return now-d.lastPeerReport <= maxPeerReportAge && d.lastPeerContact < began+peerContactMargin
-}
-
-// publishUnstored publishes the ends of jobs that are not stored.
-func (d *Dispatcher) publishUnstored(began time.Duration) {
-	for j := range d.unpublished {
-		if d.endMayBeLost(j) {
-			continue
-		}
-		if j.published != j.State {
-			d.logUnstoredEnd(j, began)
-		}
-		d.publish(j, j.State)
-		delete(d.unpublished, j)
-	}
-}
-
-// logUnstoredEnd logs that the end of a job is published before it is stored, and what the leader knows of the store.
-// Callers hold mu.
-func (d *Dispatcher) logUnstoredEnd(j *job, began time.Duration) {
-	d.counters.unstoredEnds.Add(1)
-	now := bootclock.Now()
-	var holders []string
-	for _, a := range d.agents {
-		if a.unstoredJobs[j.ID] {
-			holders = append(holders, a.id)
-		}
-	}
-	silent, _ := d.Follower.Age()
-	d.Log.Info().Str("event", "unstored_end").Str("job", j.ID).Str("state", string(j.State)).
-		Strs("workers", holders).Dur("append_took", now-began).Dur("store_silent", silent).
-		Dur("peer_report_age", now-d.lastPeerReport).Dur("peer_contact_age", now-d.lastPeerContact).
-		Msg("end of a job is published before it is stored")
-}
-
-// endMayBeLost reports whether an end of the job that is not stored is known only to a worker that is leaving or
-// silent. A new leader would not learn of it and would run the task again after clients were told that the job is
-// done. Callers hold mu.
-func (d *Dispatcher) endMayBeLost(j *job) bool {
-	for _, a := range d.agents {
-		if a.unstoredJobs[j.ID] && (a.entry == nil || a.entry.Draining || a.silentSince != 0) {
-			return true
-		}
-	}
-	return false
-}
-
 // confirmedSince reports whether the store has accepted an append that was sent after the given time, so that no other
 // leader had begun then. A leader that has begun may have reached a worker that this leader had given up, and may have
 // acknowledged that its task is done. Callers hold mu.
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -182,7 +182,7 @@
 			ctx, n.platform.Store, n.platform.JobTopic, n.settings.StorePartitions, preferredPartition(n.settings),
 		),
 		Codec:         n.platform.Codec,
-		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, StoreContactAge: n.follower.Age, Log: n.log},
+		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
 	}
 	ready := http.NewServeMux()
--- a/internal/leaderrpc/leaderrpc.go
+++ b/internal/leaderrpc/leaderrpc.go
@@ -40,15 +40,7 @@
 // ErrNoLeader means that the leader cannot be reached or has not loaded the jobs yet.
 var ErrNoLeader = errors.New("leaderrpc: no leader available")
 
-// storeContact is the part of each query that describes the querying entry instance.
-type storeContact struct {
-	// StoreSilentMillis is the time since the entry instance's last contact with the store, or nil if there has been
-	// none.
-	StoreSilentMillis *int64 `json:"store_silent_ms,omitempty"`
-}
-
 type jobStateParams struct {
-	storeContact
 	Queue string `json:"queue"`
 	Team  string `json:"team"`
 	Job   string `json:"job"`
@@ -59,7 +51,6 @@
 }
 
 type pendingParams struct {
-	storeContact
 	Queue string `json:"queue"`
 }
 
@@ -71,8 +62,6 @@
 type Jobs interface {
 	JobState(queue, team, id string) (workload.State, error)
 	PendingJobs(queue string) (int, error)
-	// RecordPeerContact records the time since another entry instance's last contact with the store.
-	RecordPeerContact(silent time.Duration)
 }
 
 // Server answers the queries of the other entry instances while this one leads.
@@ -119,7 +108,6 @@
 		if err := json.Unmarshal(*r.Params, &p); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		p.report(jobs)
 		state, err := jobs.JobState(p.Queue, p.Team, p.Job)
 		return jobStateResult{State: state}, encodeError(err)
 	case methodPendingJobs:
@@ -127,20 +115,12 @@
 		if err := json.Unmarshal(*r.Params, &p); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		p.report(jobs)
 		n, err := jobs.PendingJobs(p.Queue)
 		return pendingResult{Pending: n}, encodeError(err)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 }
 
-// report passes the querying entry instance's contact with the store to jobs.
-func (c storeContact) report(jobs Jobs) {
-	if c.StoreSilentMillis != nil {
-		jobs.RecordPeerContact(time.Duration(*c.StoreSilentMillis) * time.Millisecond)
-	}
-}
-
 func encodeError(err error) error {
 	switch {
 	case err == nil:
@@ -159,10 +139,7 @@
 	Leader func() string
 	// Local returns the leader's work if this entry instance leads, or nil.
 	Local func() Jobs
-	// StoreContactAge returns the time since this entry instance's last contact with the store, and whether there has
-	// been any.
-	StoreContactAge func() (time.Duration, bool)
-	Log             zerolog.Logger
+	Log   zerolog.Logger
 
 	mu      sync.Mutex // guards conn and to; held while dialing
 	conn    *jsonrpc2.Conn
@@ -176,7 +153,7 @@
 		return state, decodeError(encodeError(err))
 	}
 	var r jobStateResult
-	err := c.call(ctx, methodJobState, jobStateParams{storeContact: c.contact(), Queue: queue, Team: team, Job: id}, &r)
+	err := c.call(ctx, methodJobState, jobStateParams{Queue: queue, Team: team, Job: id}, &r)
 	return r.State, err
 }
 
@@ -187,19 +164,10 @@
 		return n, decodeError(encodeError(err))
 	}
 	var r pendingResult
-	err := c.call(ctx, methodPendingJobs, pendingParams{storeContact: c.contact(), Queue: queue}, &r)
+	err := c.call(ctx, methodPendingJobs, pendingParams{Queue: queue}, &r)
 	return r.Pending, err
 }
 
-func (c *Client) contact() storeContact {
-	silent, ok := c.StoreContactAge()
-	if !ok {
-		return storeContact{}
-	}
-	millis := silent.Milliseconds()
-	return storeContact{StoreSilentMillis: &millis}
-}
-
 func (c *Client) call(ctx context.Context, method string, params, result any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
