Store ends in spare partitions while the progress is unavailable

Callers saw jobs as done only seconds after their end while the partition of the progress was away, since an end is shown only once it is stored. The rest of the store usually answers then.

After 0.3 s without the append of progress, the leader appends the end (d/ID) to up to three spare partitions of the same topic, and shows the job as done when one of them has accepted it. Each leader fences the spare partitions with its epoch and a record at the beginning of its term, reads them after that, and ends its term if an append lands at an unexpected offset, as with the progress. So it knows every end that an earlier leader could publish, also if that one was paused, and does not run the task again if the worker and all entry instances are lost. The records are removed when the progress holds the end.

Ruled out: publication after a later heartbeat instead of a fence.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -34,10 +34,12 @@
 	maxBatchRecords = 500
 )
 
-// committer appends the progress of jobs in batches. Only decide uses it.
+// committer appends records to one partition of the topic of progress. Only one goroutine uses it.
 type committer struct {
-	d        *Dispatcher
-	sequence int64
+	d *Dispatcher
+	// partition is 0 for the progress of jobs, and otherwise a spare partition.
+	partition int
+	sequence  int64
 	// slowLogged means that the append in progress has been logged as slow.
 	slowLogged bool
 	// end is the offset at which the partition has to end before the next append. A different end means that an
@@ -47,8 +49,8 @@
 	pace store.TimeoutEstimator
 }
 
-func newCommitter(d *Dispatcher) *committer {
-	return &committer{d: d, pace: store.TimeoutEstimator{Min: minAppendTimeout, Max: appendTimeout}}
+func newCommitter(d *Dispatcher, partition int) *committer {
+	return &committer{d: d, partition: partition, pace: store.TimeoutEstimator{Min: minAppendTimeout, Max: appendTimeout}}
 }
 
 // batch is the content of one append.
@@ -123,7 +125,9 @@
 		var unexpected *store.SequenceError
 		switch {
 		case err == nil:
-			c.d.recordStoreContact(sent)
+			if c.partition == 0 { // a new leader fences the spare partitions later, and counts leases from its first fence
+				c.d.recordStoreContact(sent)
+			}
 			return c.checkOffset(first, len(records))
 		case errors.Is(err, store.ErrFenced):
 			return err
@@ -154,7 +158,7 @@
 // logSlow logs when appends become slow and when they are no longer slow.
 func (c *committer) logSlow(tries, records int, took time.Duration, outcome error) {
 	slow := took > slowAppendThreshold
-	if slow == c.slowLogged && !(slow && outcome == nil) {
+	if c.partition != 0 || slow == c.slowLogged && !(slow && outcome == nil) {
 		return
 	}
 	c.slowLogged = slow && outcome != nil
@@ -169,7 +173,7 @@
 	defer cancel()
 	began := bootclock.Now()
 	first, err = c.d.Store.Append(ctx, store.Append{
-		Topic: c.d.ProgressTopic, Records: records,
+		Topic: c.d.ProgressTopic, Partition: c.partition, Records: records,
 		Producer: &store.Producer{Name: producerName, Epoch: c.d.Token, Sequence: c.sequence},
 	})
 	if !errors.Is(err, store.ErrUnknown) {
@@ -285,8 +289,7 @@
 		d.storedQueuePools = b.queuePools
 	}
 	for j, state := range b.states {
-		delete(d.unpublished, j)
-		d.publish(j, state)
+		d.progressStored(j, state)
 	}
 	for _, r := range b.starts {
 		r.Stored = true
--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -43,7 +43,7 @@
 func newCommitterFixture(s *sequenceStore) *committer {
 	d := newFixture(0)
 	d.Store = s
-	return newCommitter(d)
+	return newCommitter(d, 0)
 }
 
 var oneRecord = []store.Record{{Key: "p/1", Value: []byte("{}")}}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -83,7 +83,8 @@
 	*workload.Job
 	// changed means that the current progress is not stored.
 	changed bool
-	// published is the state that is returned to clients. It is the stored state.
+	// published is the state that is returned to clients. It is the stored state, or an end that is stored in a spare
+	// partition.
 	published workload.State
 	// firstStart is the time from the acceptance to the first assignment, readAfter the time until this leader had read
 	// the submission, and objective the time in which the job should be done according to its estimates.
@@ -125,9 +126,12 @@
 	inflow         map[string]*scheduling.Inflow // by pool
 	// jobsReadAt is, by partition, the boot clock of a moment before which all accepted jobs have been read.
 	jobsReadAt []time.Duration
-	// unreleased holds the assigned runs whose starts wait for the store, and unpublished the jobs whose end does.
+	// unreleased holds the assigned runs whose starts wait for the store, and unpublished the jobs whose end is not stored with
+	// their progress.
 	unreleased  map[*workload.Run]bool
 	unpublished map[*job]bool
+	// spareEnds holds the ends of jobs, by ID, that spare partitions may hold.
+	spareEnds map[string]*spareEnd
 	// withheld holds the inherited runs that their workers do not list. They are started after the other workers of
 	// the pool have answered.
 	withheld map[*workload.Run]bool
@@ -172,7 +176,7 @@
 		changed: map[string]*job{}, pendingCancels: map[string]cancellation{}, agents: map[string]*agent{},
 		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{},
 		ordersInFlight: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{},
-		unpublished: map[*job]bool{}, withheld: map[*workload.Run]bool{}, storedWorkers: map[string]string{},
+		spareEnds: map[string]*spareEnd{}, unpublished: map[*job]bool{}, withheld: map[*workload.Run]bool{}, storedWorkers: map[string]string{},
 		storedQueuePools: map[string][]string{},
 		waveRecords:      map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		inflow: map[string]*scheduling.Inflow{}, loadedJobs: map[string]*loadedJob{},
@@ -208,16 +212,24 @@
 		tasks.Wait()
 	}()
 	tasks.Go(func() { d.lag.run(ctx) })
-	commit := newCommitter(d)
+	commit := newCommitter(d, 0)
 	fenced, ok := commit.fence(ctx)
 	if !ok {
 		return
 	}
 	d.fencedAt = bootclock.Now()
+	var spares []*committer
+	var reading sync.WaitGroup
+	reading.Go(func() { spares = d.openSparePartitions(ctx) })
 	tails, ok := d.load(ctx, fenced)
-	if !ok {
+	reading.Wait()
+	if !ok || spares == nil {
 		return
 	}
+	d.restoreSpareEnds()
+	for _, c := range spares {
+		tasks.Go(func() { d.maintainSpareEnds(ctx, c) })
+	}
 	for _, t := range tails {
 		tasks.Go(func() { t.follow(ctx) })
 	}
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -80,7 +80,7 @@
 	is := is.New(t)
 	d := newFixture(1)
 	defer d.stop()
-	c := newCommitter(d)
+	c := newCommitter(d, 0)
 	d.agent("w0").clockAt = d.bootStart
 	d.lastStored -= storeContactTimeout + time.Second
 	is.Equal(d.lease(d.agent("w0")), int64(0))
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -387,6 +387,13 @@
 	}
 }
 
+// MarkDone ends the job as done at a time that an earlier leader stored. The caller has to stop its runs.
+func (j *Job) MarkDone(at time.Time) {
+	if !j.State.Ended() {
+		j.finish(StateDone, at)
+	}
+}
+
 func (j *Job) finish(s State, now time.Time) {
 	j.State = s
 	j.EndedAt = now
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -214,6 +214,7 @@
 	cancelPrefix     = "c/"
 	progressPrefix   = "p/"
 	wavePrefix       = "w/"
+	donePrefix       = "d/"
 )
 
 // HomeSizesKey is the key of the record that holds the initial number of instances of each pool.
@@ -242,6 +243,7 @@
 	KeyHomeSizes
 	KeyWorkers
 	KeyQueuePools
+	KeyDone
 )
 
 // SubmissionKey returns the key of a job's submission.
@@ -253,6 +255,9 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id string) string { return progressPrefix + id }
 
+// DoneKey returns the key of the record that a job is done, in a partition other than that of its progress.
+func DoneKey(id string) string { return donePrefix + id }
+
 // WaveKey returns the key of a wave's progress.
 func WaveKey(number int64) string { return wavePrefix + strconv.FormatInt(number, 10) }
 
@@ -278,6 +283,8 @@
 		return KeyProgress, key[2:]
 	case wavePrefix:
 		return KeyWave, key[2:]
+	case donePrefix:
+		return KeyDone, key[2:]
 	}
 	return KeyUnknown, ""
 }
