--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -88,8 +88,6 @@
 	seenEnd, storedEnd int64
 	// moreEnds means that the worker's last report did not list all of its ends.
 	moreEnds bool
-	// unstoredJobs holds the IDs of the jobs to which ends that are not stored belong.
-	unstoredJobs map[string]bool
 	// unclaimedEnds, by number, and unclaimedRuns belong to tasks that are not known yet.
 	unclaimedEnds map[int64]unclaimedEnd
 	unclaimedRuns map[runKey]unclaimedRun
@@ -119,7 +117,7 @@
 		a = &agent{
 			id: id, firstSeen: bootclock.Now(), pace: fullPace, runs: map[runKey]*workload.Run{}, notify: make(chan struct{}, 1),
 			orders: make(chan struct{}, maxConcurrentStarts), strayStops: map[runKey]time.Duration{},
-			unstoredJobs: map[string]bool{}, unclaimedEnds: map[int64]unclaimedEnd{}, unclaimedRuns: map[runKey]unclaimedRun{},
+			unclaimedEnds: map[int64]unclaimedEnd{}, unclaimedRuns: map[runKey]unclaimedRun{},
 		}
 		d.agents[id] = a
 	}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -303,9 +303,6 @@
 			continue
 		}
 		a.storedEnd = max(a.storedEnd, end.number)
-		if a.storedEnd >= a.seenEnd {
-			clear(a.unstoredJobs)
-		}
 		a.wakeRenewal()
 	}
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -72,7 +72,6 @@
 	}
 	run := a.runs[runKey{e.Task, e.Run}]
 	j := d.jobs[id]
-	a.unstoredJobs[id] = true
 	if run != nil {
 		d.detach(a, run)
 	}
