Send no unstored start to a worker that restarted since the last append

A leader that is separated from the store could start a task at a worker that had started again under its ID, although the next leader already ran the task elsewhere: the restarted worker knows no later fencing token, so it accepted the start. An append that the store accepted after the first report of the incarnation shows that no other leader had begun by then, so the next one contacts this incarnation.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -73,6 +73,8 @@
 	contacted bool
 	// incarnation is the last one that the worker reported; 0 if it reported none.
 	incarnation int64
+	// incarnationAt is the boot clock at which the first report of that incarnation was read.
+	incarnationAt time.Duration
 	// restarts is the number of restarts of the worker that are known, and restartedAt the boot clock at which the last
 	// one became known.
 	restarts    int
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -22,7 +22,7 @@
 			d.noteRestart(a)
 			granted = d.Bounds.MaxLease // a deadline on its earlier clock may have arrived after the restart
 		}
-		a.incarnation = r.Incarnation
+		a.incarnation, a.incarnationAt = r.Incarnation, bootclock.Now()
 	}
 	first := !a.contacted
 	a.contacted, a.reportedAt = true, bootclock.Now()
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -12,8 +12,9 @@
 )
 
 // While the store does not answer, accepted jobs continue: starts are sent before their assignments are stored, and
-// only to workers whose IDs are stored, only of jobs whose queue is stored with its pool, and not of tasks of which a run
-// was lost meanwhile. A new leader starts nothing
+// only to workers whose IDs are stored and that have not restarted meanwhile, only of jobs whose queue is stored with its
+// pool, and not of tasks of which a run was lost meanwhile. A worker that has restarted knows no fencing token of a new
+// leader, and would accept a task that already runs elsewhere. A new leader starts nothing
 // of these queues until those workers have answered, or until no lease there can still be valid. It thus finds every run that is active, including those that are not
 // stored. The workers refuse by then an earlier leader that still works, perhaps on jobs that were accepted after the
 // change.
@@ -41,7 +42,8 @@
 	for r := range d.unreleased {
 		a := d.agents[r.Worker]
 		if a == nil || d.storedWorkers[a.id] == "" || !d.isQueuePoolStored(r.Task.Step.Job) ||
-			r.Phase != workload.RunAssigned || !d.attached(r) || !d.confirmedSince(r.Task.LastLost()) {
+			r.Phase != workload.RunAssigned || !d.attached(r) || !d.confirmedSince(r.Task.LastLost()) ||
+			d.lastStored < a.incarnationAt {
 			continue
 		}
 		delete(d.unreleased, r)
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -211,3 +211,34 @@
 		})
 	}
 }
+
+// TestNoUnstoredStartAtARestartedWorker guards against a second run of a task that is sent by a leader that is separated
+// from the store. Its successor may run the task elsewhere already, and a worker that has started again under its ID knows
+// no later fencing token.
+func TestNoUnstoredStartAtARestartedWorker(t *testing.T) {
+	for name, earlier := range map[string]int64{"known before": 1, "first answer in this term": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newFixture(1)
+			d.Workers = &unresponsiveWorkers{}
+			defer d.stop()
+			d.storedWorkers["w0"] = "pool"
+			a := d.agent("w0")
+			if earlier != 0 {
+				d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: earlier}, bootclock.Now())
+			}
+			d.recordStoreContact(bootclock.Now())
+			d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 2}, bootclock.Now())
+			a.entry.Incarnation = 2
+			j := d.addJob(unreadJob, oneTask)
+			d.place()
+			run := j.Task(0, 0, 0).Runs[0]
+			long := bootclock.Now() - 2*unstoredStartDelay
+			d.releaseUnstored(long)
+			is.True(!run.Released)
+			d.recordStoreContact(bootclock.Now()) // nobody else had begun to lead when the worker had started again
+			d.releaseUnstored(long)
+			is.True(run.Released)
+		})
+	}
+}
