Treat a run whose stop preceded its worker's restart as lost

A worker that acknowledges a stop and restarts before it lists the end lists nothing afterwards. The run may have ended done, and a new leader may have acknowledged that, but the leader that is separated from the store took the run for one that never started, and started its task again unstored. The new case of TestLostRunIsNotRestartedUnstored failed with 'not true: !task.Runs[0].Released'.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -190,7 +190,11 @@
 			d.dropLostRun(a, run)
 		}
 	case workload.RunStopping:
-		if !run.StopAckedAt.IsZero() && asked.After(run.StopAckedAt) {
+		switch {
+		case run.StopAckedAt.IsZero() || !asked.After(run.StopAckedAt):
+		case d.at(a.incarnationAt).After(run.StopAckedAt):
+			d.dropLostRun(a, run) // the run may have ended before the worker restarted
+		default:
 			d.dropRun(a, run) // the acknowledged stop prevents the run, and the worker does not list it
 		}
 	}
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -180,6 +180,12 @@
 			d.expireLeases()
 		},
 		"another worker has its address": func(d *Dispatcher, a *agent) { d.dropRuns(a, "another worker has its address") },
+		"restarted worker lacks a run whose stop it acknowledged": func(d *Dispatcher, a *agent) {
+			for _, r := range a.runs {
+				r.Phase, r.StopAckedAt = workload.RunStopping, d.now()
+			}
+			d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 2}, bootclock.Now()+time.Second)
+		},
 		"worker lacks the run": func(d *Dispatcher, a *agent) {
 			d.applyReport(a, worker.Report{ClockMillis: 1}, bootclock.Now()+time.Second)
 		},
