Keep a worker whose entry expired while it has unread runs or unstored ends

expireLeases forgot a worker without runs as soon as its entry was gone, with the runs of jobs that were not read yet. When such a job was read, its task started at another worker beside the run: the test failed with 'w1 != w0'. A worker with ends that are not stored was forgotten too, and left the stored set of workers; TestWorkerWithUnstoredEndsStaysInTheStoredSet now lets expireLeases run first. Entries expire during an outage of the store although their workers go on.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -295,7 +295,7 @@
 			d.endCheck(a, checkExpired)
 		}
 		if len(a.runs) == 0 {
-			if a.entry == nil && !a.renewing && !a.unchecked && len(a.unclaimedEnds) == 0 {
+			if a.entry == nil && !a.renewing && !a.unchecked && len(a.unclaimedRuns) == 0 && a.seenEnd == a.storedEnd {
 				delete(d.agents, id)
 			}
 			continue
--- a/internal/dispatch/check_test.go
+++ b/internal/dispatch/check_test.go
@@ -76,7 +76,8 @@
 	defer d.stop()
 	d.storedWorkers["w0"] = "pool"
 	w := d.agent("w0")
-	w.entry, w.seenEnd = nil, 1
+	w.entry, w.renewing, w.seenEnd = nil, false, 1
+	d.expireLeases()
 	is.Equal(d.workerSet()["w0"], "pool")
 	w.storedEnd = 1
 	_, stored := d.workerSet()["w0"]
--- a/internal/dispatch/unclaimed_test.go
+++ b/internal/dispatch/unclaimed_test.go
@@ -129,3 +129,23 @@
 	commitAll(d)
 	is.Equal(w.storedEnd, int64(1))
 }
+
+// TestRunOfAnUnreadJobOutlastsTheEntry guards against a second run of a task beside one that its worker has listed before
+// the job was read: the worker's entry expired meanwhile, for example with an outage of the store.
+func TestRunOfAnUnreadJobOutlastsTheEntry(t *testing.T) {
+	is := is.New(t)
+	d := newUnreadFixture()
+	defer d.stop()
+	a := d.agent("w0")
+	task := workload.TaskName(unreadJob, 0, 0, 0)
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1, Running: []worker.Running{{Task: task, Run: 1}}}, bootclock.Now())
+	is.Equal(len(a.unclaimedRuns), 1)
+	a.renewing = false
+	d.removeEntry("w0")
+	d.tick()
+	j := readJob(t, d, fleet.JobSpec{Steps: []fleet.Step{oneTask}})
+	d.place()
+	runs := j.Task(0, 0, 0).Runs
+	is.Equal(len(runs), 1)
+	is.Equal(runs[0].Worker, "w0")
+}
