Count a failure once when its worker's entry expires and returns

The leader forgot a worker without an entry, and with it which of its ends were applied. When the entry returned, an end that was stored but not acknowledged yet was applied again, so that one failure counted twice and the job was shown as failed before its attempts were used. The test failed with '2 != 1'.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -94,8 +94,11 @@
 		d.logUnknownEnd(a, e.End, "its occurrence is not in progress")
 		return
 	}
-	if run == nil && e.Kind == worker.EndFailed && e.Run <= t.RestoredRun {
-		return // an earlier leader has counted the failure without acknowledging it
+	if run == nil && e.Kind == worker.EndFailed && (e.Run <= t.RestoredRun || slices.Contains(t.FailedRuns, e.Run)) {
+		return // the failure is counted, but was not acknowledged
+	}
+	if e.Kind == worker.EndFailed && !t.Step.Spec.LongRunning {
+		t.FailedRuns = append(t.FailedRuns, e.Run)
 	}
 	now := d.now()
 	t.LastRun = max(t.LastRun, e.Run)
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -248,3 +248,30 @@
 		})
 	}
 }
+
+// TestFailureIsCountedOnceAfterTheEntryExpired guards against a job that is shown as failed too early: its worker's entry
+// expired while the store was away, and the worker listed a failure again that was not acknowledged yet.
+func TestFailureIsCountedOnceAfterTheEntryExpired(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	j := d.addJob(unreadJob, oneTask)
+	task := j.Task(0, 0, 0)
+	d.place()
+	run := task.Runs[0]
+	run.Stored, run.Released, run.Phase = true, true, workload.RunActive
+	report := worker.Report{ClockMillis: 1, Incarnation: 1, Ended: []worker.End{
+		{Number: 1, Task: task.Name(), Run: 1, Kind: worker.EndFailed},
+	}}
+	d.queues["queue"] = &fleet.Queue{Name: "queue", Attempts: 2, Stretch: 1}
+	d.applyReport(d.agent("w0"), report, bootclock.Now())
+	is.Equal(task.Failures, 1)
+	d.agent("w0").renewing = false
+	d.removeEntry("w0")
+	commitAll(d)
+	d.expireLeases()
+	d.applyReport(d.agent("w0"), report, bootclock.Now())
+	is.Equal(task.Failures, 1)
+	is.True(j.State != workload.StateFailed)
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -85,6 +85,9 @@
 	RestoredRun int
 	// Failures is the number of runs that failed.
 	Failures int
+	// FailedRuns holds the numbers of the runs whose failures were counted since the job was restored. Those of a
+	// long-running task are not kept, because its failures have no limit.
+	FailedRuns []int
 	// FailedOn is the worker of the most recent failed run.
 	FailedOn   string
 	Checkpoint string
