Do not store an end over an obsolete one of the same job ID

The end of a job whose ID still had an obsolete record in a spare partition was stored with the times of the earlier job, published, and removed in the same append, so that a next leader ran the job again. The test failed at the check that a published end is stored: 'not true: !j.published.Ended() || len(s.holders(spareJob)) > 0'.

--- a/internal/dispatch/publish.go
+++ b/internal/dispatch/publish.go
@@ -189,8 +189,8 @@
 			e = &spareEnd{SubmittedAtMillis: j.Submitted.UnixMilli(), EndedAtMillis: j.EndedAt.UnixMilli()}
 			d.spareEnds[j.ID] = e
 		}
-		if e.partitions&bit != 0 || len(records) >= maxBatchRecords {
-			continue
+		if e.obsolete || e.partitions&bit != 0 || len(records) >= maxBatchRecords {
+			continue // the records of an obsolete end are removed first
 		}
 		value, err := json.Marshal(e)
 		if err != nil {
--- a/internal/dispatch/publish_test.go
+++ b/internal/dispatch/publish_test.go
@@ -302,3 +302,32 @@
 	is.Equal(j.State, workload.StateRunning)
 	is.Equal(len(j.Task(0, 0, 0).Runs), 1)
 }
+
+// TestObsoleteSpareEndIsNotReused guards against a job that is shown as done by a record that is removed at once: the end
+// of an earlier job with the same ID was to be removed from the spare partition.
+func TestObsoleteSpareEndIsNotReused(t *testing.T) {
+	is := is.New(t)
+	s := newSpareStore(0)
+	s.put(1, workload.DoneKey(spareJob), `{"at_ms":1,"ended_ms":1}`)
+	d, j := newSpareFixture(t, s, 1)
+	committers := d.openSparePartitions(d.ctx)
+	is.Equal(len(committers), 2)
+	d.restoreSpareEnds()
+	d.place()
+	endRun(t, d, j)
+	j.EndedAt = j.EndedAt.Add(-2 * spareEndDelay)
+	for range 3 { // the partitions answer in turn
+		for _, c := range []*committer{committers[1], committers[0]} {
+			if records := d.takeSpareRecords(c.partition); len(records) > 0 {
+				is.NoErr(c.append(d.ctx, records))
+				d.applySpareCommitted(c.partition, records)
+			}
+			is.True(!j.published.Ended() || len(s.holders(spareJob)) > 0)
+		}
+	}
+	is.Equal(j.published, workload.StateDone)
+	next, restored := newSpareFixture(t, s, 2)
+	is.Equal(len(next.openSparePartitions(next.ctx)), 2)
+	next.restoreSpareEnds()
+	is.Equal(restored.State, workload.StateDone)
+}
