Compare a submission with the end in a spare partition, not with its submission

A client may repeat the submission of a job that has been open for longer than the retention period. The newest record is then the only one that the next leader reads; it took the job for a later one with the same ID, dropped the stored end and ran the tasks again. The test failed with 'running != done'. An ID may be used again only when the retention period after the end is over.

--- a/internal/dispatch/publish.go
+++ b/internal/dispatch/publish.go
@@ -31,9 +31,8 @@
 
 // spareEnd is the end of a job that spare partitions may hold.
 type spareEnd struct {
-	// SubmittedAtMillis distinguishes the job from a later one with the same ID.
-	SubmittedAtMillis int64 `json:"at_ms"`
-	EndedAtMillis     int64 `json:"ended_ms"`
+	// EndedAtMillis is the Unix time of the end. It distinguishes the job from a later one with the same ID.
+	EndedAtMillis int64 `json:"ended_ms"`
 
 	// partitions is a bit set of the spare partitions that may hold the end.
 	partitions uint64
@@ -145,11 +144,11 @@
 }
 
 // isLaterJob reports whether the end belongs to an earlier job with the same ID. An attempt to store an end may be
-// carried out after the removal of the end. Copies of one submission in several partitions differ by less than the
-// retention period, after which an ID may be used again.
+// carried out after the removal of the end. An ID may be used again after the retention period, which begins with the
+// end; a submission may be repeated as long as its job is open.
 func (d *Dispatcher) isLaterJob(j *job, e *spareEnd) bool {
 	return d.Bounds.StatusRetention > 0 &&
-		j.Submitted.Sub(time.UnixMilli(e.SubmittedAtMillis)) >= d.Bounds.StatusRetention
+		j.Submitted.Sub(time.UnixMilli(e.EndedAtMillis)) >= d.Bounds.StatusRetention
 }
 
 // maintainSpareEnds stores ends in a spare partition while the progress cannot be stored, publishes them, and removes
@@ -186,7 +185,7 @@
 		}
 		e := d.spareEnds[j.ID]
 		if e == nil {
-			e = &spareEnd{SubmittedAtMillis: j.Submitted.UnixMilli(), EndedAtMillis: j.EndedAt.UnixMilli()}
+			e = &spareEnd{EndedAtMillis: j.EndedAt.UnixMilli()}
 			d.spareEnds[j.ID] = e
 		}
 		if e.obsolete || e.partitions&bit != 0 || len(records) >= maxBatchRecords {
--- a/internal/dispatch/publish_test.go
+++ b/internal/dispatch/publish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -331,3 +332,18 @@
 	next.restoreSpareEnds()
 	is.Equal(restored.State, workload.StateDone)
 }
+
+// TestSpareEndOfAResubmittedJob guards against a job that is shown as done and runs again under the next leader: a client
+// had repeated its submission later than the retention period, while it was still running.
+func TestSpareEndOfAResubmittedJob(t *testing.T) {
+	is := is.New(t)
+	s := newSpareStore()
+	d, j := newSpareFixture(t, s, 1)
+	millis := func(age time.Duration) int64 { return j.Submitted.Add(-age).UnixMilli() }
+	s.put(1, workload.DoneKey(spareJob),
+		fmt.Sprintf(`{"at_ms":%d,"ended_ms":%d}`, millis(2*time.Minute), millis(-time.Second)))
+	runSpare(t, d)
+	d.place()
+	is.Equal(j.State, workload.StateDone)
+	is.Equal(len(j.Task(0, 0, 0).Runs), 0)
+}
