Remove no expired job before its end is published

While the progress partition was unavailable for longer than the retention period, the append of a job's end was in progress, the job counted as stored and its submission was removed, so that GET answered 410 for a job that was never shown as ended.

--- a/internal/dispatch/retention.go
+++ b/internal/dispatch/retention.go
@@ -54,7 +54,7 @@
 // was measured by another clock, which may differ by any amount, so its period counts from the start of this term.
 // Callers hold mu.
 func (d *Dispatcher) expired(j *job, now time.Time) bool {
-	if !j.State.Ended() || j.changed {
+	if !j.State.Ended() || !j.published.Ended() || j.changed {
 		return false
 	}
 	since := j.EndedAt
--- a/internal/dispatch/retention_test.go
+++ b/internal/dispatch/retention_test.go
@@ -164,3 +164,24 @@
 	d.tick()
 	waitFor(t, "the removal is sent", func() bool { return s.count() > 0 && removalDone(d) })
 }
+
+// TestJobIsNotRemovedBeforeItsEndIsStored guards against the removal of a job that was never shown as ended: the append of
+// its end had been waiting for the progress partition for longer than the retention period.
+func TestJobIsNotRemovedBeforeItsEndIsStored(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	d.JobPartitions, d.jobsReadAt = 1, make([]time.Duration, 1)
+	d.Bounds.StatusRetention = time.Second
+	s := &appendStore{}
+	d.Store = s
+	j := addEndedJob(d, endedID)
+	j.published = workload.StatePending
+	d.markChanged(j)
+	b := d.collectBatch() // its append is in progress
+	d.tick()
+	is.True(!d.removingJobs)
+	d.applyCommitted(b)
+	d.tick()
+	waitFor(t, "the removal is sent", func() bool { return s.count() > 0 && removalDone(d) })
+}
