Start an inherited run only at a confirmed incarnation of its worker

A leader starts a stored run again if its worker does not list it. A leader that was separated from the store could do so after its successor had acknowledged the end of the run and the worker had restarted, so a done task ran again. The start now waits for the first append after the first report of the worker's incarnation.

--- a/internal/dispatch/check.go
+++ b/internal/dispatch/check.go
@@ -90,11 +90,12 @@
 	return retained
 }
 
-// sendWithheld starts the inherited runs that waited until every worker at which a later run may be active had answered.
-// Callers hold mu.
+// sendWithheld starts the inherited runs that waited until every worker at which a later run may be active had answered,
+// and until an append confirmed that no other leader had begun before their own worker's incarnation was known. Callers
+// hold mu.
 func (d *Dispatcher) sendWithheld(unchecked map[string]bool) {
 	for r := range d.withheld {
-		if d.awaitsCheck(r.Task.Step.Job, unchecked) {
+		if d.attached(r) && (d.awaitsCheck(r.Task.Step.Job, unchecked) || d.lastStored < d.agent(r.Worker).incarnationAt) {
 			continue
 		}
 		delete(d.withheld, r)
--- a/internal/dispatch/check_test.go
+++ b/internal/dispatch/check_test.go
@@ -150,3 +150,28 @@
 	d.fencedAt -= storeContactTimeout + 2*leaseDuration // no lease can be valid any more
 	is.True(w.drainInstance(i))
 }
+
+// TestInheritedRunWaitsForAConfirmedIncarnation guards against a stored run that a leader starts again although it is
+// separated from the store: its successor may have acknowledged the end of the run before the worker started again under
+// its ID.
+func TestInheritedRunWaitsForAConfirmedIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	j := d.addJob(unreadJob, oneTask)
+	run := j.Task(0, 0, 0).Assign("w0", 1, d.now())
+	run.Stored, run.Released, run.Inherited = true, true, true
+	d.attach(run)
+	sent := func() bool {
+		d.dirty["pool"] = true
+		d.place()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.ordersInFlight[run]
+	}
+	d.applyReport(d.agent("w0"), worker.Report{ClockMillis: 1, Incarnation: 2}, bootclock.Now())
+	is.True(!sent())
+	d.recordStoreContact(bootclock.Now()) // nobody else had begun to lead when the worker answered
+	is.True(sent())
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -178,10 +178,11 @@
 	case workload.RunAssigned:
 		// An earlier leader stored the assignment. The same run is started again, which the worker treats as one
 		// start. The start waits until all workers of the pool have answered, because one of them may have a later
-		// run of the task that is not stored.
+		// run of the task that is not stored. It also waits for an append after the first report of the worker's
+		// incarnation: the worker may have restarted after a new leader acknowledged the end of the run.
 		switch {
 		case !run.Released || d.ordersInFlight[run]:
-		case run.Inherited && d.awaitsCheck(run.Task.Step.Job, d.uncheckedPools()):
+		case run.Inherited && (d.lastStored < a.incarnationAt || d.awaitsCheck(run.Task.Step.Job, d.uncheckedPools())):
 			d.withheld[run] = true
 		default:
 			d.sendStart(run)
