Renew leases while a spare partition is away at the beginning of a term

A new leader read no worker's entry and renewed no lease until it had fenced and read every spare partition, so an outage of one of them let all runs lapse. The test failed with 'timeout waiting until the workers' entries are read'. Only starts wait for the spare partitions now, because only a start needs to know the ends that are stored there.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -132,6 +132,8 @@
 	unpublished map[*job]bool
 	// spareEnds holds the ends of jobs, by ID, that spare partitions may hold.
 	spareEnds map[string]*spareEnd
+	// spareEndsRead means that the ends in all spare partitions are restored. Nothing is started before.
+	spareEndsRead bool
 	// withheld holds the inherited runs that their workers do not list. They are started after the other workers of
 	// the pool have answered.
 	withheld map[*workload.Run]bool
@@ -218,18 +220,13 @@
 		return
 	}
 	d.fencedAt = bootclock.Now()
-	var spares []*committer
-	var reading sync.WaitGroup
-	reading.Go(func() { spares = d.openSparePartitions(ctx) })
+	opened := make(chan []*committer, 1)
+	tasks.Go(func() { opened <- d.openSparePartitions(ctx) })
 	tails, ok := d.load(ctx, fenced)
-	reading.Wait()
-	if !ok || spares == nil {
+	if !ok {
 		return
 	}
-	d.restoreSpareEnds()
-	for _, c := range spares {
-		tasks.Go(func() { d.maintainSpareEnds(ctx, c) })
-	}
+	tasks.Go(func() { d.runSpareEnds(ctx, <-opened) })
 	for _, t := range tails {
 		tasks.Go(func() { t.follow(ctx) })
 	}
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -33,7 +33,7 @@
 	})
 	d.bootStart, d.wallStart = bootclock.Now(), time.Now()
 	d.lastStored, d.fencedAt = d.bootStart, d.bootStart
-	d.loaded = true
+	d.loaded, d.spareEndsRead = true, true
 	d.storedQueuePools["queue"] = []string{"pool"}
 	ctx, stop := context.WithCancel(context.Background())
 	d.ctx, d.stop = ctx, stop
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -26,7 +26,7 @@
 func (d *Dispatcher) place() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.loaded || len(d.dirty) == 0 {
+	if !d.loaded || !d.spareEndsRead || len(d.dirty) == 0 {
 		return
 	}
 	unchecked := d.uncheckedPools()
--- a/internal/dispatch/publish.go
+++ b/internal/dispatch/publish.go
@@ -129,6 +129,9 @@
 func (d *Dispatcher) restoreSpareEnds() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.spareEndsRead = true
+	d.markAllDirty()
+	d.signal()
 	for id, e := range d.spareEnds {
 		j := d.jobs[id]
 		if e.obsolete || j == nil || j.State.Ended() || d.isLaterJob(j, e) {
@@ -151,6 +154,22 @@
 		j.Submitted.Sub(time.UnixMilli(e.EndedAtMillis)) >= d.Bounds.StatusRetention
 }
 
+// runSpareEnds restores the ends in the opened spare partitions and maintains them until ctx is done. While a spare
+// partition is away, leases are renewed and ends applied, but nothing is started. It ends the term if there are no
+// committers, because a later leader has begun.
+func (d *Dispatcher) runSpareEnds(ctx context.Context, committers []*committer) {
+	if committers == nil {
+		d.stop()
+		return
+	}
+	d.restoreSpareEnds()
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	for _, c := range committers {
+		tasks.Go(func() { d.maintainSpareEnds(ctx, c) })
+	}
+}
+
 // maintainSpareEnds stores ends in a spare partition while the progress cannot be stored, publishes them, and removes
 // them when the progress is stored, until ctx is done. It ends the term if a later leader has begun.
 func (d *Dispatcher) maintainSpareEnds(ctx context.Context, c *committer) {
--- a/internal/dispatch/publish_test.go
+++ b/internal/dispatch/publish_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
 	"pollenlead/internal/follow"
 	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
@@ -347,3 +348,51 @@
 	is.Equal(j.State, workload.StateDone)
 	is.Equal(len(j.Task(0, 0, 0).Runs), 0)
 }
+
+// topicStore records the topics whose newest records were read.
+type topicStore struct {
+	*spareStore
+	read sync.Map
+}
+
+func (s *topicStore) ReadNewest(ctx context.Context, topic string, partition int, after string) (store.Newest, error) {
+	s.read.Store(topic, true)
+	switch topic {
+	case "jobs":
+		return store.Newest{}, nil
+	case "workers":
+		return store.Newest{Records: []store.Record{{Key: "w0", Value: []byte("{}")}}}, nil
+	}
+	return s.spareStore.ReadNewest(ctx, topic, partition, after)
+}
+
+// TestNewLeaderRenewsLeasesWithoutASparePartition guards against a new leader that reaches no worker while one spare
+// partition is away, so that the leases of all runs expire. It may start nothing until then: an end may be stored there.
+func TestNewLeaderRenewsLeasesWithoutASparePartition(t *testing.T) {
+	is := is.New(t)
+	s := &topicStore{spareStore: newSpareStore(2)}
+	d := newFixture(1)
+	d.stop()
+	d.Store, d.JobPartitions, d.Token = s, len(s.partitions), 1
+	d.Workers = &unresponsiveWorkers{}
+	d.JobTopic, d.ProgressTopic, d.WorkerTopic = "jobs", "progress", "workers"
+	d.agent("w0").stop = func() {}
+	d.DecodeEntry = func(string, []byte) (*fleet.WorkerEntry, error) { return d.agent("w0").entry, nil }
+	d.loaded, d.spareEndsRead = false, false
+	d.addSubmission(spareJob, submissionOf(t, spareJob))
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	defer func() { stop(); <-done }()
+
+	waitFor(t, "the workers' entries are read", func() bool { _, ok := s.read.Load("workers"); return ok })
+	runs := func() int {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.jobs[spareJob].Task(0, 0, 0).Runs)
+	}
+	time.Sleep(3 * tickInterval)
+	is.Equal(runs(), 0)
+	s.setUnavailable(2, false)
+	waitFor(t, "the task is assigned", func() bool { return runs() == 1 })
+}
