--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -73,6 +73,8 @@
 	contacted bool
 	// incarnation is the last one that the worker reported; 0 if it reported none.
 	incarnation int64
+	// incarnationAt is the boot clock at which the first report of that incarnation was read.
+	incarnationAt time.Duration
 	// restarts is the number of restarts of the worker that are known, and restartedAt the boot clock at which the last
 	// one became known.
 	restarts    int
@@ -291,7 +293,7 @@
 			d.endCheck(a, checkExpired)
 		}
 		if len(a.runs) == 0 {
-			if a.entry == nil && !a.renewing && !a.unchecked && len(a.unclaimedEnds) == 0 {
+			if a.entry == nil && !a.renewing && !a.unchecked && len(a.unclaimedRuns) == 0 && a.seenEnd == a.storedEnd {
 				delete(d.agents, id)
 			}
 			continue
--- a/internal/dispatch/publish_test.go
+++ b/internal/dispatch/publish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
 	"pollenlead/internal/follow"
 	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
@@ -302,3 +304,95 @@
 	is.Equal(j.State, workload.StateRunning)
 	is.Equal(len(j.Task(0, 0, 0).Runs), 1)
 }
+
+// TestObsoleteSpareEndIsNotReused guards against a job that is shown as done by a record that is removed at once: the end
+// of an earlier job with the same ID was to be removed from the spare partition.
+func TestObsoleteSpareEndIsNotReused(t *testing.T) {
+	is := is.New(t)
+	s := newSpareStore(0)
+	s.put(1, workload.DoneKey(spareJob), `{"at_ms":1,"ended_ms":1}`)
+	d, j := newSpareFixture(t, s, 1)
+	committers := d.openSparePartitions(d.ctx)
+	is.Equal(len(committers), 2)
+	d.restoreSpareEnds()
+	d.place()
+	endRun(t, d, j)
+	j.EndedAt = j.EndedAt.Add(-2 * spareEndDelay)
+	for range 3 { // the partitions answer in turn
+		for _, c := range []*committer{committers[1], committers[0]} {
+			if records := d.takeSpareRecords(c.partition); len(records) > 0 {
+				is.NoErr(c.append(d.ctx, records))
+				d.applySpareCommitted(c.partition, records)
+			}
+			is.True(!j.published.Ended() || len(s.holders(spareJob)) > 0)
+		}
+	}
+	is.Equal(j.published, workload.StateDone)
+	next, restored := newSpareFixture(t, s, 2)
+	is.Equal(len(next.openSparePartitions(next.ctx)), 2)
+	next.restoreSpareEnds()
+	is.Equal(restored.State, workload.StateDone)
+}
+
+// TestSpareEndOfAResubmittedJob guards against a job that is shown as done and runs again under the next leader: a client
+// had repeated its submission later than the retention period, while it was still running.
+func TestSpareEndOfAResubmittedJob(t *testing.T) {
+	is := is.New(t)
+	s := newSpareStore()
+	d, j := newSpareFixture(t, s, 1)
+	millis := func(age time.Duration) int64 { return j.Submitted.Add(-age).UnixMilli() }
+	s.put(1, workload.DoneKey(spareJob),
+		fmt.Sprintf(`{"at_ms":%d,"ended_ms":%d}`, millis(2*time.Minute), millis(-time.Second)))
+	runSpare(t, d)
+	d.place()
+	is.Equal(j.State, workload.StateDone)
+	is.Equal(len(j.Task(0, 0, 0).Runs), 0)
+}
+
+// topicStore records the topics whose newest records were read.
+type topicStore struct {
+	*spareStore
+	read sync.Map
+}
+
+func (s *topicStore) ReadNewest(ctx context.Context, topic string, partition int, after string) (store.Newest, error) {
+	s.read.Store(topic, true)
+	switch topic {
+	case "jobs":
+		return store.Newest{}, nil
+	case "workers":
+		return store.Newest{Records: []store.Record{{Key: "w0", Value: []byte("{}")}}}, nil
+	}
+	return s.spareStore.ReadNewest(ctx, topic, partition, after)
+}
+
+// TestNewLeaderRenewsLeasesWithoutASparePartition guards against a new leader that reaches no worker while one spare
+// partition is away, so that the leases of all runs expire. It may start nothing until then: an end may be stored there.
+func TestNewLeaderRenewsLeasesWithoutASparePartition(t *testing.T) {
+	is := is.New(t)
+	s := &topicStore{spareStore: newSpareStore(2)}
+	d := newFixture(1)
+	d.stop()
+	d.Store, d.JobPartitions, d.Token = s, len(s.partitions), 1
+	d.Workers = &unresponsiveWorkers{}
+	d.JobTopic, d.ProgressTopic, d.WorkerTopic = "jobs", "progress", "workers"
+	d.agent("w0").stop = func() {}
+	d.DecodeEntry = func(string, []byte) (*fleet.WorkerEntry, error) { return d.agent("w0").entry, nil }
+	d.loaded, d.spareEndsRead = false, false
+	d.addSubmission(spareJob, submissionOf(t, spareJob))
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	defer func() { stop(); <-done }()
+
+	waitFor(t, "the workers' entries are read", func() bool { _, ok := s.read.Load("workers"); return ok })
+	runs := func() int {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.jobs[spareJob].Task(0, 0, 0).Runs)
+	}
+	time.Sleep(3 * tickInterval)
+	is.Equal(runs(), 0)
+	s.setUnavailable(2, false)
+	waitFor(t, "the task is assigned", func() bool { return runs() == 1 })
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -22,7 +22,7 @@
 			d.noteRestart(a)
 			granted = d.Bounds.MaxLease // a deadline on its earlier clock may have arrived after the restart
 		}
-		a.incarnation = r.Incarnation
+		a.incarnation, a.incarnationAt = r.Incarnation, bootclock.Now()
 	}
 	first := !a.contacted
 	a.contacted, a.reportedAt = true, bootclock.Now()
@@ -93,8 +93,11 @@
 		d.logUnknownEnd(a, e.End, "its occurrence is not in progress")
 		return
 	}
-	if run == nil && e.Kind == worker.EndFailed && e.Run <= t.RestoredRun {
-		return // an earlier leader has counted the failure without acknowledging it
+	if run == nil && e.Kind == worker.EndFailed && (e.Run <= t.RestoredRun || slices.Contains(t.FailedRuns, e.Run)) {
+		return // the failure is counted, but was not acknowledged
+	}
+	if e.Kind == worker.EndFailed && !t.Step.Spec.LongRunning {
+		t.FailedRuns = append(t.FailedRuns, e.Run)
 	}
 	now := d.now()
 	t.LastRun = max(t.LastRun, e.Run)
@@ -174,10 +177,11 @@
 	case workload.RunAssigned:
 		// An earlier leader stored the assignment. The same run is started again, which the worker treats as one
 		// start. The start waits until all workers of the pool have answered, because one of them may have a later
-		// run of the task that is not stored.
+		// run of the task that is not stored. It also waits for an append after the first report of the worker's
+		// incarnation: the worker may have restarted after a new leader acknowledged the end of the run.
 		switch {
 		case !run.Released || d.ordersInFlight[run]:
-		case run.Inherited && d.awaitsCheck(run.Task.Step.Job, d.uncheckedPools()):
+		case run.Inherited && (!d.spareEndsRead || d.lastStored < a.incarnationAt || d.awaitsCheck(run.Task.Step.Job, d.uncheckedPools())):
 			d.withheld[run] = true
 		default:
 			d.sendStart(run)
@@ -189,7 +193,11 @@
 			d.dropLostRun(a, run)
 		}
 	case workload.RunStopping:
-		if !run.StopAckedAt.IsZero() && asked.After(run.StopAckedAt) {
+		switch {
+		case run.StopAckedAt.IsZero() || !asked.After(run.StopAckedAt):
+		case d.at(a.incarnationAt).After(run.StopAckedAt):
+			d.dropLostRun(a, run) // the run may have ended before the worker restarted
+		default:
 			d.dropRun(a, run) // the acknowledged stop prevents the run, and the worker does not list it
 		}
 	}
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -180,6 +180,12 @@
 			d.expireLeases()
 		},
 		"another worker has its address": func(d *Dispatcher, a *agent) { d.dropRuns(a, "another worker has its address") },
+		"restarted worker lacks a run whose stop it acknowledged": func(d *Dispatcher, a *agent) {
+			for _, r := range a.runs {
+				r.Phase, r.StopAckedAt = workload.RunStopping, d.now()
+			}
+			d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 2}, bootclock.Now()+time.Second)
+		},
 		"worker lacks the run": func(d *Dispatcher, a *agent) {
 			d.applyReport(a, worker.Report{ClockMillis: 1}, bootclock.Now()+time.Second)
 		},
@@ -211,3 +217,61 @@
 		})
 	}
 }
+
+// TestNoUnstoredStartAtARestartedWorker guards against a second run of a task that is sent by a leader that is separated
+// from the store. Its successor may run the task elsewhere already, and a worker that has started again under its ID knows
+// no later fencing token.
+func TestNoUnstoredStartAtARestartedWorker(t *testing.T) {
+	for name, earlier := range map[string]int64{"known before": 1, "first answer in this term": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newFixture(1)
+			d.Workers = &unresponsiveWorkers{}
+			defer d.stop()
+			d.storedWorkers["w0"] = "pool"
+			a := d.agent("w0")
+			if earlier != 0 {
+				d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: earlier}, bootclock.Now())
+			}
+			d.recordStoreContact(bootclock.Now())
+			d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 2}, bootclock.Now())
+			a.entry.Incarnation = 2
+			j := d.addJob(unreadJob, oneTask)
+			d.place()
+			run := j.Task(0, 0, 0).Runs[0]
+			long := bootclock.Now() - 2*unstoredStartDelay
+			d.releaseUnstored(long)
+			is.True(!run.Released)
+			d.recordStoreContact(bootclock.Now()) // nobody else had begun to lead when the worker had started again
+			d.releaseUnstored(long)
+			is.True(run.Released)
+		})
+	}
+}
+
+// TestFailureIsCountedOnceAfterTheEntryExpired guards against a job that is shown as failed too early: its worker's entry
+// expired while the store was away, and the worker listed a failure again that was not acknowledged yet.
+func TestFailureIsCountedOnceAfterTheEntryExpired(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	j := d.addJob(unreadJob, oneTask)
+	task := j.Task(0, 0, 0)
+	d.place()
+	run := task.Runs[0]
+	run.Stored, run.Released, run.Phase = true, true, workload.RunActive
+	report := worker.Report{ClockMillis: 1, Incarnation: 1, Ended: []worker.End{
+		{Number: 1, Task: task.Name(), Run: 1, Kind: worker.EndFailed},
+	}}
+	d.queues["queue"] = &fleet.Queue{Name: "queue", Attempts: 2, Stretch: 1}
+	d.applyReport(d.agent("w0"), report, bootclock.Now())
+	is.Equal(task.Failures, 1)
+	d.agent("w0").renewing = false
+	d.removeEntry("w0")
+	commitAll(d)
+	d.expireLeases()
+	d.applyReport(d.agent("w0"), report, bootclock.Now())
+	is.Equal(task.Failures, 1)
+	is.True(j.State != workload.StateFailed)
+}
