--- a/internal/dispatch/check.go
+++ b/internal/dispatch/check.go
@@ -8,9 +8,9 @@
 	"pollenlead/internal/workload"
 )
 
-// A new leader checks the workers at which its predecessor may have started tasks without storing the assignment, before
-// it starts these tasks: their reports show such runs. A job may have been in another pool then, because its queue led
-// there, so the pools to which each queue has led are stored as well.
+// A new leader checks the workers at which its predecessor may have started tasks without storing the assignment,
+// before it starts these tasks: their reports show such runs. A job may have been in another pool then, because its
+// queue led there, so the pools to which each queue has led are stored as well.
 
 // checkOutcome is the reason for which the leader no longer waits for a worker's report.
 type checkOutcome string
@@ -46,10 +46,12 @@
 	if len(unchecked) == 0 {
 		return false
 	}
-	return unchecked[j.Pool] || slices.ContainsFunc(d.storedQueuePools[j.Queue], func(pool string) bool { return unchecked[pool] })
+	isUnchecked := func(pool string) bool { return unchecked[pool] }
+	return unchecked[j.Pool] || slices.ContainsFunc(d.storedQueuePools[j.Queue], isUnchecked)
 }
 
-// isQueuePoolStored reports whether the next leader will look for unstored runs of the job in its pool. Callers hold mu.
+// isQueuePoolStored reports whether the next leader will look for unstored runs of the job in its pool. Callers hold
+// mu.
 func (d *Dispatcher) isQueuePoolStored(j *workload.Job) bool {
 	return slices.Contains(d.storedQueuePools[j.Queue], j.Pool)
 }
@@ -90,12 +92,20 @@
 	return retained
 }
 
-// sendWithheld starts the inherited runs that waited until every worker at which a later run may be active had answered,
-// and until an append confirmed that no other leader had begun before their own worker's incarnation was known. Callers
-// hold mu.
+// mustWithhold reports whether an inherited run that its worker does not list must not be started yet. A later run may
+// be active at a worker that has not answered. The run may also be done: its end may be in a spare partition, or the
+// worker may have restarted after another leader had acknowledged the end, which an append after the first report of
+// the worker's incarnation rules out. Callers hold mu.
+func (d *Dispatcher) mustWithhold(r *workload.Run, unchecked map[string]bool) bool {
+	return !d.spareEndsRead || d.lastStored < d.agent(r.Worker).incarnationAt || d.awaitsCheck(r.Task.Step.Job, unchecked)
+}
+
+// sendWithheld starts the inherited runs that waited until every worker at which a later run may be active had
+// answered, and until an append confirmed that no other leader had begun before their own worker's incarnation was
+// known. Callers hold mu.
 func (d *Dispatcher) sendWithheld(unchecked map[string]bool) {
 	for r := range d.withheld {
-		if d.attached(r) && (d.awaitsCheck(r.Task.Step.Job, unchecked) || d.lastStored < d.agent(r.Worker).incarnationAt) {
+		if d.attached(r) && d.mustWithhold(r, unchecked) {
 			continue
 		}
 		delete(d.withheld, r)
--- a/internal/dispatch/check_test.go
+++ b/internal/dispatch/check_test.go
@@ -152,8 +152,8 @@
 }
 
 // TestInheritedRunWaitsForAConfirmedIncarnation guards against a stored run that a leader starts again although it is
-// separated from the store: its successor may have acknowledged the end of the run before the worker started again under
-// its ID.
+// separated from the store: its successor may have acknowledged the end of the run before the worker started again
+// under its ID.
 func TestInheritedRunWaitsForAConfirmedIncarnation(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(1)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -126,8 +126,8 @@
 	inflow         map[string]*scheduling.Inflow // by pool
 	// jobsReadAt is, by partition, the boot clock of a moment before which all accepted jobs have been read.
 	jobsReadAt []time.Duration
-	// unreleased holds the assigned runs whose starts wait for the store, and unpublished the jobs whose end is not stored with
-	// their progress.
+	// unreleased holds the assigned runs whose starts wait for the store, and unpublished the jobs whose end is not
+	// stored with their progress.
 	unreleased  map[*workload.Run]bool
 	unpublished map[*job]bool
 	// spareEnds holds the ends of jobs, by ID, that spare partitions may hold.
@@ -178,7 +178,8 @@
 		changed: map[string]*job{}, pendingCancels: map[string]cancellation{}, agents: map[string]*agent{},
 		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{},
 		ordersInFlight: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{},
-		spareEnds: map[string]*spareEnd{}, unpublished: map[*job]bool{}, withheld: map[*workload.Run]bool{}, storedWorkers: map[string]string{},
+		spareEnds: map[string]*spareEnd{}, unpublished: map[*job]bool{}, withheld: map[*workload.Run]bool{},
+		storedWorkers:    map[string]string{},
 		storedQueuePools: map[string][]string{},
 		waveRecords:      map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		inflow: map[string]*scheduling.Inflow{}, loadedJobs: map[string]*loadedJob{},
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -169,10 +169,10 @@
 	return true
 }
 
-// dropReplacedWorkers drops the runs of workers that no instance has any more according to a list that was requested at
-// the boot clock sent. A worker ID stands for one start of an instance, and no run survives a restart. The list comes in
-// pages and may lack an instance that is there, so a worker whose instance is missing is dropped only if the list before
-// had no such worker either. Callers hold mu.
+// dropReplacedWorkers drops the runs of workers that no instance has any more according to a list that was requested
+// at the boot clock sent. A worker ID stands for one start of an instance, and no run survives a restart. The list
+// comes in pages and may lack an instance that is there, so a worker whose instance is missing is dropped only if the
+// list before had no such worker either. Callers hold mu.
 func (w *instanceDriver) dropReplacedWorkers(listed map[string]fleet.Instance, sent time.Duration) {
 	current, before := instancesByWorker(listed), instancesByWorker(w.listed)
 	d := w.d
--- a/internal/dispatch/instances_test.go
+++ b/internal/dispatch/instances_test.go
@@ -18,8 +18,8 @@
 func (listedInstances) Move(context.Context, string, string, int64) error    { return nil }
 func (listedInstances) Maintain(context.Context, string, int64, int64) error { return nil }
 
-// TestWorkerMissingFromOneListKeepsItsRuns guards against a second start of running tasks because one list, which is read
-// in pages, lacks their instance.
+// TestWorkerMissingFromOneListKeepsItsRuns guards against a second start of running tasks because one list, which is
+// read in pages, lacks their instance.
 func TestWorkerMissingFromOneListKeepsItsRuns(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(2)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -107,7 +107,8 @@
 	}
 }
 
-// wants returns the ready steps with waiting tasks, except of jobs that wait for the check of a worker. Callers hold mu.
+// wants returns the ready steps with waiting tasks, except of jobs that wait for the check of a worker. Callers hold
+// mu.
 func (d *Dispatcher) wants(
 	pool string, workers []*scheduling.Worker, unchecked map[string]bool, now time.Time,
 ) []scheduling.PendingStep {
--- a/internal/dispatch/publish_test.go
+++ b/internal/dispatch/publish_test.go
@@ -18,8 +18,8 @@
 	"pollenlead/internal/workload"
 )
 
-// TestEndIsPublishedOnlyOnceStored guards against a job that is shown as done while only its worker and this leader know
-// the end. Each case is a way in which both were lost later, so that the next leader ran the task again.
+// TestEndIsPublishedOnlyOnceStored guards against a job that is shown as done while only its worker and this leader
+// know the end. Each case is a way in which both were lost later, so that the next leader ran the task again.
 func TestEndIsPublishedOnlyOnceStored(t *testing.T) {
 	for name, change := range map[string]func(d *Dispatcher, a *agent){
 		// The store answers the other entry instances, which elect another leader.
@@ -79,8 +79,8 @@
 	is.New(t).Equal(j.State, workload.StateDone)
 }
 
-// spareStore keeps the newest records of each partition. It refuses appends to unavailable partitions, and appends of an
-// earlier epoch.
+// spareStore keeps the newest records of each partition. It refuses appends to unavailable partitions, and appends of
+// an earlier epoch.
 type spareStore struct {
 	emptyStore
 	mu          sync.Mutex
@@ -210,8 +210,8 @@
 }
 
 // TestEndInASparePartitionOutlastsTheLeader guards against a job that is shown as done only seconds after its end
-// because the partition of the progress is unavailable, and a spare one too, and against a next leader that runs the task
-// of such a job again.
+// because the partition of the progress is unavailable, and a spare one too, and against a next leader that runs the
+// task of such a job again.
 func TestEndInASparePartitionOutlastsTheLeader(t *testing.T) {
 	is := is.New(t)
 	s := newSpareStore(0)
@@ -234,8 +234,8 @@
 	is.Equal(len(open.Task(0, 0, 0).Runs), 1)
 }
 
-// TestPausedLeaderPublishesNoSpareEnds guards against a leader that was paused and shows a job as done although the next
-// leader has read the spare partitions before the end was stored there, and runs the task again.
+// TestPausedLeaderPublishesNoSpareEnds guards against a leader that was paused and shows a job as done although the
+// next leader has read the spare partitions before the end was stored there, and runs the task again.
 func TestPausedLeaderPublishesNoSpareEnds(t *testing.T) {
 	is := is.New(t)
 	s := newSpareStore(0)
@@ -305,8 +305,8 @@
 	is.Equal(len(j.Task(0, 0, 0).Runs), 1)
 }
 
-// TestObsoleteSpareEndIsNotReused guards against a job that is shown as done by a record that is removed at once: the end
-// of an earlier job with the same ID was to be removed from the spare partition.
+// TestObsoleteSpareEndIsNotReused guards against a job that is shown as done by a record that is removed at once: the
+// end of an earlier job with the same ID was to be removed from the spare partition.
 func TestObsoleteSpareEndIsNotReused(t *testing.T) {
 	is := is.New(t)
 	s := newSpareStore(0)
@@ -334,8 +334,8 @@
 	is.Equal(restored.State, workload.StateDone)
 }
 
-// TestSpareEndOfAResubmittedJob guards against a job that is shown as done and runs again under the next leader: a client
-// had repeated its submission later than the retention period, while it was still running.
+// TestSpareEndOfAResubmittedJob guards against a job that is shown as done and runs again under the next leader: a
+// client had repeated its submission later than the retention period, while it was still running.
 func TestSpareEndOfAResubmittedJob(t *testing.T) {
 	is := is.New(t)
 	s := newSpareStore()
@@ -367,7 +367,8 @@
 }
 
 // TestNewLeaderRenewsLeasesWithoutASparePartition guards against a new leader that reaches no worker while one spare
-// partition is away, so that the leases of all runs expire. It may start nothing until then: an end may be stored there.
+// partition is away, so that the leases of all runs expire. It may start nothing until then: an end may be stored
+// there.
 func TestNewLeaderRenewsLeasesWithoutASparePartition(t *testing.T) {
 	is := is.New(t)
 	s := &topicStore{spareStore: newSpareStore(2)}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -181,7 +181,7 @@
 		// incarnation: the worker may have restarted after a new leader acknowledged the end of the run.
 		switch {
 		case !run.Released || d.ordersInFlight[run]:
-		case run.Inherited && (!d.spareEndsRead || d.lastStored < a.incarnationAt || d.awaitsCheck(run.Task.Step.Job, d.uncheckedPools())):
+		case run.Inherited && d.mustWithhold(run, d.uncheckedPools()):
 			d.withheld[run] = true
 		default:
 			d.sendStart(run)
--- a/internal/dispatch/retention_test.go
+++ b/internal/dispatch/retention_test.go
@@ -165,8 +165,8 @@
 	waitFor(t, "the removal is sent", func() bool { return s.count() > 0 && removalDone(d) })
 }
 
-// TestJobIsNotRemovedBeforeItsEndIsStored guards against the removal of a job that was never shown as ended: the append of
-// its end had been waiting for the progress partition for longer than the retention period.
+// TestJobIsNotRemovedBeforeItsEndIsStored guards against the removal of a job that was never shown as ended: the
+// append of its end had been waiting for the progress partition for longer than the retention period.
 func TestJobIsNotRemovedBeforeItsEndIsStored(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(1)
--- a/internal/dispatch/suspended_test.go
+++ b/internal/dispatch/suspended_test.go
@@ -10,8 +10,8 @@
 	"pollenlead/internal/workload"
 )
 
-// TestJobWithUnreadableProgressIsSuspended guards against tasks that start again after they were done because a new leader
-// cannot read the progress of their job, and against the same for a job whose tasks still run.
+// TestJobWithUnreadableProgressIsSuspended guards against tasks that start again after they were done because a new
+// leader cannot read the progress of their job, and against the same for a job whose tasks still run.
 func TestJobWithUnreadableProgressIsSuspended(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(1)
--- a/internal/dispatch/unclaimed_test.go
+++ b/internal/dispatch/unclaimed_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// TestDoneTaskOfUnreadJobIsNotStartedAgain guards against the acknowledgement of an end before its job has been read: an
-// earlier leader started the task without storing the assignment, and all tasks of the job would run again.
+// TestDoneTaskOfUnreadJobIsNotStartedAgain guards against the acknowledgement of an end before its job has been read:
+// an earlier leader started the task without storing the assignment, and all tasks of the job would run again.
 func TestDoneTaskOfUnreadJobIsNotStartedAgain(t *testing.T) {
 	is := is.New(t)
 	d := newUnreadFixture()
@@ -107,8 +107,8 @@
 	is.Equal(len(w.strayStops), 1)
 }
 
-// TestEndOfOccurrenceThatIsNotDueIsKept guards against the loss of an end in an occurrence that an earlier leader, whose
-// clock was ahead, had begun.
+// TestEndOfOccurrenceThatIsNotDueIsKept guards against the loss of an end in an occurrence that an earlier leader,
+// whose clock was ahead, had begun.
 func TestEndOfOccurrenceThatIsNotDueIsKept(t *testing.T) {
 	is := is.New(t)
 	d := newUnreadFixture()
@@ -130,8 +130,8 @@
 	is.Equal(w.storedEnd, int64(1))
 }
 
-// TestRunOfAnUnreadJobOutlastsTheEntry guards against a second run of a task beside one that its worker has listed before
-// the job was read: the worker's entry expired meanwhile, for example with an outage of the store.
+// TestRunOfAnUnreadJobOutlastsTheEntry guards against a second run of a task beside one that its worker has listed
+// before the job was read: the worker's entry expired meanwhile, for example with an outage of the store.
 func TestRunOfAnUnreadJobOutlastsTheEntry(t *testing.T) {
 	is := is.New(t)
 	d := newUnreadFixture()
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -12,12 +12,12 @@
 )
 
 // While the store does not answer, accepted jobs continue: starts are sent before their assignments are stored, and
-// only to workers whose IDs are stored and that have not restarted meanwhile, only of jobs whose queue is stored with its
-// pool, and not of tasks of which a run was lost meanwhile. A worker that has restarted knows no fencing token of a new
-// leader, and would accept a task that already runs elsewhere. A new leader starts nothing
-// of these queues until those workers have answered, or until no lease there can still be valid. It thus finds every run that is active, including those that are not
-// stored. The workers refuse by then an earlier leader that still works, perhaps on jobs that were accepted after the
-// change.
+// only to workers whose IDs are stored and that have not restarted meanwhile, only of jobs whose queue is stored with
+// its pool, and not of tasks of which a run was lost meanwhile. A worker that has restarted knows no fencing token of
+// a new leader, and would accept a task that already runs elsewhere. A new leader starts nothing of these queues until
+// those workers have answered, or until no lease there can still be valid. It thus finds every run that is active,
+// including those that are not stored. The workers refuse by then an earlier leader that still works, perhaps on jobs
+// that were accepted after the change.
 
 const (
 	// unstoredStartDelay is the duration of an append after which starts no longer wait for it.
--- a/internal/dispatch/unstored_test.go
+++ b/internal/dispatch/unstored_test.go
@@ -170,8 +170,9 @@
 	is.Equal(d.jobs["0011223344556678"].Task(0, 0, 0).LastRun, 1) // the same run, which its worker treats as one start
 }
 
-// TestLostRunIsNotRestartedUnstored guards against a second start of a task by a leader that is separated from the store:
-// its successor may reach the worker that this leader has lost, renew its lease and acknowledge that the task is done.
+// TestLostRunIsNotRestartedUnstored guards against a second start of a task by a leader that is separated from the
+// store: its successor may reach the worker that this leader has lost, renew its lease and acknowledge that the task
+// is done.
 func TestLostRunIsNotRestartedUnstored(t *testing.T) {
 	for name, lose := range map[string]func(d *Dispatcher, a *agent){
 		"lease has expired": func(d *Dispatcher, a *agent) {
@@ -218,9 +219,9 @@
 	}
 }
 
-// TestNoUnstoredStartAtARestartedWorker guards against a second run of a task that is sent by a leader that is separated
-// from the store. Its successor may run the task elsewhere already, and a worker that has started again under its ID knows
-// no later fencing token.
+// TestNoUnstoredStartAtARestartedWorker guards against a second run of a task that is sent by a leader that is
+// separated from the store. Its successor may run the task elsewhere already, and a worker that has started again
+// under its ID knows no later fencing token.
 func TestNoUnstoredStartAtARestartedWorker(t *testing.T) {
 	for name, earlier := range map[string]int64{"known before": 1, "first answer in this term": 0} {
 		t.Run(name, func(t *testing.T) {
@@ -249,8 +250,8 @@
 	}
 }
 
-// TestFailureIsCountedOnceAfterTheEntryExpired guards against a job that is shown as failed too early: its worker's entry
-// expired while the store was away, and the worker listed a failure again that was not acknowledged yet.
+// TestFailureIsCountedOnceAfterTheEntryExpired guards against a job that is shown as failed too early: its worker's
+// entry expired while the store was away, and the worker listed a failure again that was not acknowledged yet.
 func TestFailureIsCountedOnceAfterTheEntryExpired(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(1)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -333,7 +333,8 @@
 	e.publish(Leader{Holder: w.Holder, Peer: w.Peer, Token: w.Token}, w.Released)
 }
 
-// wroteOne reports whether this entry instance wrote one of the records. Others may be records that no leader has written.
+// wroteOne reports whether this entry instance wrote one of the records. Others may be records that no leader has
+// written.
 func (e *Election) wroteOne(records []store.Record) bool {
 	return slices.ContainsFunc(records, func(r store.Record) bool {
 		w, err := decodeRecord(r)
--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -17,8 +17,8 @@
 }
 
 // TestOddLeaderRecordEndsNoTerm guards against a change of leader because of a record that no leader has written, and
-// against a claim before the time that the present leader counts on: a new process that finds such a record does not know
-// whether there is a leader.
+// against a claim before the time that the present leader counts on: a new process that finds such a record does not
+// know whether there is a leader.
 func TestOddLeaderRecordEndsNoTerm(t *testing.T) {
 	for _, value := range oddLeaderRecords {
 		is := is.New(t)
@@ -46,8 +46,8 @@
 	}
 }
 
-// TestOddRecordConfirmsNoTerm guards against a leader that takes a record of another writer for its own heartbeat, and so
-// counts on a term that others may already have ended.
+// TestOddRecordConfirmsNoTerm guards against a leader that takes a record of another writer for its own heartbeat, and
+// so counts on a term that others may already have ended.
 func TestOddRecordConfirmsNoTerm(t *testing.T) {
 	is := is.New(t)
 	s := &slowStore{records: []store.Record{{Key: recordKey, Value: []byte("null")}}}
@@ -63,8 +63,8 @@
 	is.True(e.ConfirmedAt() > 0)
 }
 
-// TestOddMembersAreSkipped guards against leaders that hand over again and again to an entry instance that does not exist,
-// and against a member that never expires.
+// TestOddMembersAreSkipped guards against leaders that hand over again and again to an entry instance that does not
+// exist, and against a member that never expires.
 func TestOddMembersAreSkipped(t *testing.T) {
 	is := is.New(t)
 	now := time.UnixMilli(1_700_000_000_000)
--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -23,8 +23,8 @@
 	// Synced is called after the newest records have been read. keys maps each key that was read to whether it has a
 	// value.
 	Synced func(keys map[string]bool)
-	// Contact is called after each read that reached the end of the partition. All records that were appended before the time at of the boot
-	// clock have been read.
+	// Contact is called after each read that reached the end of the partition. All records that were appended before the
+	// time at of the boot clock have been read.
 	Contact func(at time.Duration)
 	Log     zerolog.Logger
 
@@ -93,7 +93,8 @@
 	return end, newest, nil
 }
 
-// apply passes a record on. A record without a key is malformed and identifies nothing; the records after it still apply.
+// apply passes a record on. A record without a key is malformed and identifies nothing; the records after it still
+// apply.
 func (t *Tail) apply(r Record) {
 	if r.Key != "" {
 		t.Apply(r)
--- a/internal/store/tail_test.go
+++ b/internal/store/tail_test.go
@@ -87,8 +87,8 @@
 	return Page{Records: s.later, End: 10 + int64(len(s.later))}, nil
 }
 
-// TestRecordWithoutAKeyIsSkipped guards against a follower that stops, or that applies a record to the wrong key, because
-// of a malformed record, and against a log that is flooded with such records.
+// TestRecordWithoutAKeyIsSkipped guards against a follower that stops, or that applies a record to the wrong key,
+// because of a malformed record, and against a log that is flooded with such records.
 func TestRecordWithoutAKeyIsSkipped(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/workload/odd_test.go
+++ b/internal/workload/odd_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// TestOddProgressStartsNothing guards against a leader that ends when it reads progress that another writer has left, and
-// against a job that starts from the beginning because its progress cannot be read: some of its tasks may be done.
+// TestOddProgressStartsNothing guards against a leader that ends when it reads progress that another writer has left,
+// and against a job that starts from the beginning because its progress cannot be read: some of its tasks may be done.
 func TestOddProgressStartsNothing(t *testing.T) {
 	is := is.New(t)
 	for _, text := range oddProgress {
@@ -90,8 +90,8 @@
 	is.Equal(c, Cancellation{Queue: "q", Team: "t"})
 }
 
-// TestLongIntervalIsNotDueAtOnce guards against occurrences that start years too early because the sum of their intervals
-// overflows.
+// TestLongIntervalIsNotDueAtOnce guards against occurrences that start years too early because the sum of their
+// intervals overflows.
 func TestLongIntervalIsNotDueAtOnce(t *testing.T) {
 	is := is.New(t)
 	spec := &fleet.JobSpec{
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -289,8 +289,8 @@
 // WorkersKey is the key of the record that holds the workers that may have active runs that are not stored.
 const WorkersKey = "k/workers"
 
-// QueuePoolsKey is the key of the record that holds the pools to which queues have led, in which jobs may have active runs
-// that are not stored.
+// QueuePoolsKey is the key of the record that holds the pools to which queues have led, in which jobs may have active
+// runs that are not stored.
 const QueuePoolsKey = "k/queues"
 
 // TermKey is the key of the record that a leader writes to the progress topic at the beginning of its term.
@@ -361,8 +361,8 @@
 	Team  string `json:"team,omitempty"`
 }
 
-// UnmarshalJSON implements json.Unmarshaler. A record without a queue is not one of an entry instance; without a team, it
-// would cancel any job of a public queue.
+// UnmarshalJSON implements json.Unmarshaler. A record without a queue is not one of an entry instance; without a team,
+// it would cancel any job of a public queue.
 func (c *Cancellation) UnmarshalJSON(text []byte) error {
 	type plain Cancellation
 	var p plain
