Log the open jobs of a new term in few lines

The line for each open job took the place of others: with 211 open jobs, 500 lines a second were reached in the first 0.2 s of a term and the lines that follow, among them pool_checked and job_started, were left out (grown deployment, 36 entry instances). Up to 50 jobs of a pool now share a line, and pollenctl explain picks the job out of it.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -59,7 +60,7 @@
 			continue
 		}
 		var fields map[string]any
-		if json.Unmarshal(raw[start:], &fields) != nil || !mentionsJob(fields, id) {
+		if json.Unmarshal(raw[start:], &fields) != nil || !selectJob(fields, id) && !mentionsJob(fields, id) {
 			continue
 		}
 		l := LogLine{Inputs: fields}
@@ -75,6 +76,20 @@
 	return lines
 }
 
+// selectJob replaces the list of jobs in a log line by the fields of the job with the ID. It reports whether the list has
+// the job.
+func selectJob(fields map[string]any, id string) bool {
+	jobs, _ := fields["jobs"].([]any)
+	for _, entry := range jobs {
+		if job, ok := entry.(map[string]any); ok && job["job"] == id {
+			delete(fields, "jobs")
+			maps.Copy(fields, job)
+			return true
+		}
+	}
+	return false
+}
+
 // mentionsJob reports whether a log line has the ID of the job or of one of its tasks.
 func mentionsJob(fields map[string]any, id string) bool {
 	if job, _ := fields["job"].(string); job == id {
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -23,3 +23,14 @@
 	is.Equal(lines[0].Inputs["state"], "done")
 	is.Equal(lines[2].Inputs["run"], 2.0)
 }
+
+// TestExplainFindsAJobInAList guards against log lines that are missed because they describe several jobs, and against
+// the fields of the other jobs of such a line.
+func TestExplainFindsAJobInAList(t *testing.T) {
+	is := is.New(t)
+	line := `{"event":"jobs_restored","pool":"desk","jobs":[{"job":"a","offset":1,"runs":0},{"job":"b","offset":7,"runs":2}]}`
+	lines := jobLines([]byte(line), "b")
+	is.Equal(len(lines), 1)
+	is.Equal(lines[0].Inputs, map[string]any{"job": "b", "offset": 7.0, "runs": 2.0, "pool": "desk"})
+	is.Equal(len(jobLines([]byte(line), "c")), 0)
+}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"pollenlead/internal/sleep"
 	"pollenlead/internal/store"
 	"pollenlead/internal/workload"
@@ -161,6 +164,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
+	open := map[string][]restoredJob{} // by pool
 	for id, read := range d.loadedJobs {
 		j := d.restoreJob(id, read.value, progress[id].Value, now)
 		if j == nil {
@@ -168,9 +172,10 @@
 		}
 		j.partitions |= read.partitions
 		if !j.State.Ended() {
-			d.logRestored(j, progress[id])
+			open[j.Pool] = append(open[j.Pool], restoredJob{j, progress[id]})
 		}
 	}
+	d.logRestored(open)
 	for id := range progress {
 		if _, known := d.loadedJobs[id]; !known { // an earlier leader removed the submission, but not yet the progress
 			d.changed[id] = nil
@@ -185,14 +190,38 @@
 	d.signal()
 }
 
-// logRestored logs what this leader believes about an open job at the beginning of its term. The offset is that of the
-// progress record; 0 means that an earlier leader stored none. Callers hold mu.
-func (d *Dispatcher) logRestored(j *job, progress store.Record) {
+// restoredJob is an open job at the beginning of a term with the record of its progress, which is empty if an earlier
+// leader stored none.
+type restoredJob struct {
+	*job
+	progress store.Record
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (r restoredJob) MarshalZerologObject(e *zerolog.Event) {
 	runs := 0
-	j.EachTask(func(t *workload.Task) { runs += len(t.Runs) })
-	d.Log.Info().Str("event", "job_restored").Str("job", j.ID).Str("pool", j.Pool).Str("state", string(j.State)).
-		Bool("stored", len(progress.Value) > 0).Int64("offset", progress.Offset).Int("runs", runs).
-		Msg("open job read from the store at the beginning of the term")
+	r.EachTask(func(t *workload.Task) { runs += len(t.Runs) })
+	e.Str("job", r.ID).Str("state", string(r.State)).Bool("stored", len(r.progress.Value) > 0).
+		Int64("offset", r.progress.Offset).Int("runs", runs)
+}
+
+// maxRestoredPerLine bounds the jobs in one log line. One line for each job would take the place of other lines under the
+// limit of the log, as several hundred jobs may be open.
+const maxRestoredPerLine = 50
+
+// logRestored logs what this leader believes about the open jobs of each pool at the beginning of its term. Callers hold
+// mu.
+func (d *Dispatcher) logRestored(open map[string][]restoredJob) {
+	for pool, jobs := range open {
+		for part := range slices.Chunk(jobs, maxRestoredPerLine) {
+			list := zerolog.Arr()
+			for _, r := range part {
+				list.Object(r)
+			}
+			d.Log.Info().Str("event", "jobs_restored").Str("pool", pool).Array("jobs", list).
+				Msg("open jobs read from the store at the beginning of the term")
+		}
+	}
 }
 
 // restoreJob creates one job, or returns nil if its submission cannot be decoded. Callers hold mu.
