Review case 5: pending_jobs leaves out jobs that have not begun

The scripts start an entry instance on other ports if it has ended at its start: two scripts at once took the same ports in trials.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -9,4 +9,4 @@
   echo "build first: the line of deploy/system.toml, and review/build.sh"
   exit 2
 fi
-exec target/review-standin --scenario renamed-route --record "$here/record.txt"
+exec target/review-standin --scenario pending-jobs --record "$here/record.txt"
--- a/review/standin/entries.go
+++ b/review/standin/entries.go
@@ -124,26 +124,33 @@
 // addEntries starts entry instances and waits until they are ready.
 func (s *stage) addEntries(count int) error {
 	for n := range count {
-		e := &entry{name: fmt.Sprintf("edge-regina-%d", n+1)}
-		port, err := freePorts()
-		if err != nil {
-			return err
-		}
-		e.front, e.ready = fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+1)
-		e.settings, e.log = filepath.Join(s.folder, e.name+".yaml"), filepath.Join(s.folder, e.name+".log")
-		text := fmt.Sprintf(settingsText, e.name, port, port+1, port+2, port+portsPerEntry-1, s.store, storePartitions,
-			recordBytes, callBytes, s.cloud)
-		if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
-			return err
+		name := fmt.Sprintf("edge-regina-%d", n+1)
+		e := &entry{
+			name: name, settings: filepath.Join(s.folder, name+".yaml"), log: filepath.Join(s.folder, name+".log"),
 		}
-		if err := s.startEntry(e); err != nil {
+		s.entries = append(s.entries, e)
+		if err := s.startOnFreePorts(e); err != nil {
 			return err
 		}
-		s.entries = append(s.entries, e)
 	}
 	return s.awaitReady(20 * time.Second)
 }
 
+// startOnFreePorts writes the settings file of an entry instance and starts it.
+func (s *stage) startOnFreePorts(e *entry) error {
+	port, err := freePorts()
+	if err != nil {
+		return err
+	}
+	e.front, e.ready = fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+1)
+	text := fmt.Sprintf(settingsText, e.name, port, port+1, port+2, port+portsPerEntry-1, s.store, storePartitions,
+		recordBytes, callBytes, s.cloud)
+	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return s.startEntry(e)
+}
+
 // startEntry starts the process of an entry instance with the command of the deploy file.
 func (s *stage) startEntry(e *entry) error {
 	log, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -167,18 +174,42 @@
 	return nil
 }
 
-// awaitReady waits until every entry instance reports ready.
+// awaitReady waits until every entry instance reports ready. One that has ended is started again on other ports: another
+// program may have taken one of its ports between the check and the start.
 func (s *stage) awaitReady(limit time.Duration) error {
 	until := time.Now().Add(limit)
-	for _, e := range s.entries {
-		for !isReady(e) {
-			if time.Now().After(until) {
-				return fmt.Errorf("entry instance %s does not become ready", e.name)
+	for {
+		time.Sleep(settleTime)
+		ready := true
+		for _, e := range s.entries {
+			if e.hasExited() {
+				s.note("entry instance %s has ended, and is started on other ports", e.name)
+				if err := s.startOnFreePorts(e); err != nil {
+					return err
+				}
 			}
-			time.Sleep(50 * time.Millisecond)
+			ready = ready && isReady(e) && !e.hasExited()
+		}
+		if ready {
+			return nil
+		}
+		if time.Now().After(until) {
+			return errors.New("the entry instances do not become ready")
 		}
 	}
-	return nil
+}
+
+// settleTime is longer than an entry instance takes to find that one of its ports is taken.
+const settleTime = 400 * time.Millisecond
+
+// hasExited reports whether the process has ended.
+func (e *entry) hasExited() bool {
+	select {
+	case <-e.exited:
+		return true
+	default:
+		return false
+	}
 }
 
 func isReady(e *entry) bool {
@@ -194,6 +225,9 @@
 // close ends all processes that were started, and removes the temporary folder.
 func (s *stage) close() {
 	for _, e := range s.entries {
+		if e.process == nil {
+			continue
+		}
 		_ = e.process.Kill()
 		<-e.exited
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,11 +32,11 @@
 
 // scenarios are the cases by name. Each returns an error if it could not run.
 var scenarios = map[string]func(s *stage, trouble bool, v *verdict) error{
-	"large-job":     largeJob,
-	"failed-on":     failedOn,
-	"moved-route":   movedRoute,
-	"gang":          interruptedGang,
-	"renamed-route": renamedRoute,
+	"large-job":    largeJob,
+	"failed-on":    failedOn,
+	"moved-route":  movedRoute,
+	"gang":         interruptedGang,
+	"pending-jobs": pendingJobs,
 }
 
 func main() {
--- a/review/standin/room.go
+++ b/review/standin/room.go
@@ -29,8 +29,9 @@
 	gangs    map[string]*gang
 	runs     []*observed // in the order of their starts
 	active   map[*run]*observed
-	// failing decides which runs fail; nil means none.
-	failing func(*worker, *run) bool
+	// failing decides which runs fail, and refusing which workers refuse starts; nil means none.
+	failing  func(*worker, *run) bool
+	refusing func(*worker) bool
 }
 
 // machine is a place for one worker at a time.
@@ -157,6 +158,20 @@
 	return f != nil && f(w, r)
 }
 
+// refuses reports whether a worker refuses starts now.
+func (m *room) refuses(w *worker) bool {
+	m.mu.Lock()
+	f := m.refusing
+	m.mu.Unlock()
+	return f != nil && f(w)
+}
+
+func (m *room) setRefusing(f func(*worker) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refusing = f
+}
+
 func (m *room) setFailing(f func(*worker, *run) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -257,12 +257,19 @@
 	answer := map[string]any{"clock_ms": w.clock(), "born": w.born.UnixMilli()}
 	status := http.StatusOK
 	reason := w.obey(r.URL.Path, o)
-	if reason != "" {
+	switch reason {
+	case "":
+	case unhealthy:
+		status = http.StatusServiceUnavailable
+	default:
 		status, answer["reason"] = http.StatusConflict, reason
 	}
 	reply(out, status, answer)
 }
 
+// unhealthy stands for the refusal of a worker that is not well, which has no reason in its answer.
+const unhealthy = "unhealthy"
+
 // obey carries out an order and returns the reason for a refusal, or "". Callers hold mu.
 func (w *worker) obey(path string, o order) string {
 	if o.Fence < w.fence {
@@ -272,6 +279,10 @@
 	w.advance(time.Now())
 	switch path {
 	case "/run-start":
+		if w.room.refuses(w) {
+			w.room.note("worker %s refuses the start of %s run %d with 503", w.id, o.Task, o.Run)
+			return unhealthy
+		}
 		return w.begin(o)
 	case "/run-stop":
 		w.barred[o.Task] = max(w.barred[o.Task], o.Run)
