Start a failed task again at its worker if no other may run it

Cause: placeOne passed over Task.FailedOn whenever the pool had any other usable worker, whether or not that worker may run the task. Nothing cleared FailedOn, and it is stored, so a new leader passed it over as well.

Ruled out: the backoff of the worker, which ends after one second, and the quota.

Change: a task avoids the worker on which it failed, and workers that have to prove themselves, only while another worker may run it by label, size, ticket and tasks per worker, and avoids the former for two seconds at most: the others may be full for as long as their long-running tasks run. After that the worker stays the last choice.

TestPlacementRules sets the time of the failure, which is part of the state now; its checks are the same.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -43,7 +43,7 @@
 		if len(wants) == 0 {
 			continue
 		}
-		for _, p := range scheduling.Plan(workers, wants, limits) {
+		for _, p := range scheduling.Plan(workers, wants, limits, now) {
 			d.assign(p, now)
 		}
 	}
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -103,17 +103,25 @@
 	return room
 }
 
+// planner holds the input of one decision.
+type planner struct {
+	workers []*Worker
+	limits  Limits
+	now     time.Time
+}
+
 // Plan places waiting tasks in the order of their ranks. It reduces the Free of workers and the limits of teams
 // accordingly.
-func Plan(workers []*Worker, wants []PendingStep, limits Limits) []Placement {
+func Plan(workers []*Worker, wants []PendingStep, limits Limits, now time.Time) []Placement {
 	slices.SortFunc(wants, func(a, b PendingStep) int { return a.Rank.compare(b.Rank) })
+	p := &planner{workers: workers, limits: limits, now: now}
 	var placed []Placement
 	room := MaxFree(workers)
 	for _, w := range wants {
 		if !w.Step.Spec.Charge().Fits(room) {
 			continue
 		}
-		some := place(workers, w, limits)
+		some := p.place(w)
 		placed = append(placed, some...)
 		if len(some) < len(w.Tasks) {
 			room = MaxFree(workers) // a stale value can only be too large, which costs a needless search
@@ -123,25 +131,25 @@
 }
 
 // place places the tasks of one PendingStep.
-func place(workers []*Worker, w PendingStep, limits Limits) []Placement {
+func (p *planner) place(w PendingStep) []Placement {
 	if w.Step.Spec.Gang {
-		return placeGang(workers, w, limits)
+		return p.placeGang(w)
 	}
-	return placeEach(workers, w, limits)
+	return p.placeEach(w)
 }
 
-func placeEach(workers []*Worker, w PendingStep, limits Limits) []Placement {
+func (p *planner) placeEach(w PendingStep) []Placement {
 	var placed []Placement
 	use := newStepUsage(w.Step)
 	for _, t := range w.Tasks {
-		p, ok := placeNext(workers, w, t, use, limits, placed)
+		next, ok := p.placeNext(w, t, use, placed)
 		if !ok {
 			if !use.anyFailed(w) {
 				break // the other tasks of the step do not fit either
 			}
 			continue
 		}
-		placed = append(placed, p)
+		placed = append(placed, next)
 	}
 	return placed
 }
@@ -149,71 +157,71 @@
 // placeNext places a task on the worker of the previous placement if that is certain to be the cheapest worker: the
 // fullest worker is the cheapest, and the previous placement has filled it further. Otherwise it searches all
 // workers.
-func placeNext(
-	workers []*Worker, w PendingStep, t *workload.Task, use *stepUsage, limits Limits, placed []Placement,
-) (Placement, bool) {
+func (p *planner) placeNext(w PendingStep, t *workload.Task, use *stepUsage, placed []Placement) (Placement, bool) {
 	s := w.Step.Spec
 	if n := len(placed); n > 0 && !s.Filler && s.LatencyTarget == 0 && t.Failures == 0 {
-		if last := placed[n-1].Worker; !last.Probe && allowed(last, w, t, use) {
-			return placeAt(last, w, t, use, limits)
+		if last := placed[n-1].Worker; !last.Probe && s.Charge().Fits(last.Free) && eligible(last, w, use) {
+			return p.placeAt(last, w, t, use)
 		}
 	}
-	return placeOne(workers, w, t, use, limits)
+	return p.placeOne(w, t, use)
 }
 
 // placeGang places all tasks of the step or none.
-func placeGang(workers []*Worker, w PendingStep, limits Limits) []Placement {
+func (p *planner) placeGang(w PendingStep) []Placement {
 	if len(w.Tasks) != len(w.Step.Tasks) {
 		return nil // some member is still running or being stopped
 	}
 	use := newStepUsage(w.Step)
 	var placed []Placement
 	for _, t := range w.Tasks {
-		p, ok := placeOne(workers, w, t, use, limits)
+		next, ok := p.placeOne(w, t, use)
 		if !ok {
-			rollBack(placed, w, limits)
+			p.rollBack(placed, w)
 			return nil
 		}
-		placed = append(placed, p)
+		placed = append(placed, next)
 	}
 	return placed
 }
 
-func rollBack(placed []Placement, w PendingStep, limits Limits) {
+func (p *planner) rollBack(placed []Placement, w PendingStep) {
 	charge := w.Step.Spec.Charge()
-	for _, p := range placed {
-		p.Worker.Free = p.Worker.Free.Add(charge)
-		p.Worker.Runs--
-		if l := limits[w.Step.Job.Team]; l != nil {
+	for _, undone := range placed {
+		undone.Worker.Free = undone.Worker.Free.Add(charge)
+		undone.Worker.Runs--
+		if l := p.limits[w.Step.Job.Team]; l != nil {
 			*l = l.Add(w.Step.Spec.Need)
 		}
 	}
 }
 
 // placeOne places a task on the cheapest worker.
-func placeOne(workers []*Worker, w PendingStep, t *workload.Task, use *stepUsage, limits Limits) (Placement, bool) {
-	if limit := limits[w.Step.Job.Team]; limit != nil && !w.Step.Spec.Need.Fits(*limit) {
+func (p *planner) placeOne(w PendingStep, t *workload.Task, use *stepUsage) (Placement, bool) {
+	if limit := p.limits[w.Step.Job.Team]; limit != nil && !w.Step.Spec.Need.Fits(*limit) {
 		return Placement{}, false
 	}
+	retry := p.newRetry(w, t, use)
+	charge := w.Step.Spec.Charge()
 	var best *Worker
 	var bestCost float64
-	for _, c := range workers {
-		if !allowed(c, w, t, use) || t.FailedOn == c.ID && len(workers) > 1 {
+	for _, c := range p.workers {
+		if !charge.Fits(c.Free) || !eligible(c, w, use) || retry.excludes(c) || c.Probe && c.Runs > 0 {
 			continue
 		}
-		if cost := cost(c, w.Step, use); best == nil || cost < bestCost {
+		if cost := cost(c, w.Step, use) + retry.cost(c); best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
 	if best == nil {
 		return Placement{}, false
 	}
-	return placeAt(best, w, t, use, limits)
+	return p.placeAt(best, w, t, use)
 }
 
 // placeAt places a task on a worker that may run it, unless the team's limit is exceeded.
-func placeAt(worker *Worker, w PendingStep, t *workload.Task, use *stepUsage, limits Limits) (Placement, bool) {
-	limit := limits[w.Step.Job.Team]
+func (p *planner) placeAt(worker *Worker, w PendingStep, t *workload.Task, use *stepUsage) (Placement, bool) {
+	limit := p.limits[w.Step.Job.Team]
 	if limit != nil && !w.Step.Spec.Need.Fits(*limit) {
 		return Placement{}, false
 	}
@@ -232,13 +240,10 @@
 	return Placement{Task: t, Worker: worker, Ticket: w.Tickets[worker.ID]}, true
 }
 
-// allowed reports whether the worker may run the task.
-func allowed(c *Worker, w PendingStep, t *workload.Task, use *stepUsage) bool {
+// eligible reports whether the worker may run a task of the step once it has room.
+func eligible(c *Worker, w PendingStep, use *stepUsage) bool {
 	s := w.Step.Spec
-	if !s.Charge().Fits(c.Free) {
-		return false
-	}
-	if c.Probe && (c.Runs > 0 || t.Failures > 0) {
+	if !s.Charge().Fits(c.Capacity) {
 		return false
 	}
 	if s.RequiredLabel != "" && !slices.Contains(c.Labels, s.RequiredLabel) {
@@ -259,6 +264,8 @@
 	costInterference = 1
 	// costLeaving keeps long-running tasks away from workers that are about to be stopped.
 	costLeaving = 3
+	// costFailedOn makes the worker on which the task failed last the last choice.
+	costFailedOn = 100
 )
 
 // cost rates a worker for a task; lower is better. The fullest worker is the cheapest, so that large tasks find empty
--- a/internal/scheduling/plan_test.go
+++ b/internal/scheduling/plan_test.go
@@ -32,7 +32,7 @@
 	need := fleet.Resources{CPUMilli: 2000}
 	late := want("late", TierLate, fleet.Step{Count: 4, Need: need})
 	onTime := want("on-time", TierOnTime, fleet.Step{Count: 4, Need: need})
-	placed := Plan([]*Worker{newWorker("w", 8000)}, []PendingStep{late, onTime}, Limits{})
+	placed := Plan([]*Worker{newWorker("w", 8000)}, []PendingStep{late, onTime}, Limits{}, moment)
 	is.Equal(len(placed), 4)
 	for _, p := range placed {
 		is.Equal(p.Task.Step.Job.ID, "on-time")
@@ -45,7 +45,7 @@
 	is := is.New(t)
 	workers := []*Worker{newWorker("empty", 32000), newWorker("busy", 10000)}
 	small := want("small", TierOnTime, fleet.Step{Count: 5, Need: fleet.Resources{CPUMilli: 2000}})
-	placed := Plan(workers, []PendingStep{small}, Limits{})
+	placed := Plan(workers, []PendingStep{small}, Limits{}, moment)
 	is.Equal(len(placed), 5)
 	for _, p := range placed {
 		is.Equal(p.Worker.ID, "busy")
@@ -59,23 +59,23 @@
 	a, b := newWorker("a", 32000), newWorker("b", 32000)
 	b.Labels = []string{"x"}
 	labelled := want("label", TierOnTime, fleet.Step{Count: 2, Need: need, RequiredLabel: "x"})
-	placed := Plan([]*Worker{a, b}, []PendingStep{labelled}, Limits{})
+	placed := Plan([]*Worker{a, b}, []PendingStep{labelled}, Limits{}, moment)
 	is.Equal(len(placed), 2)
 	is.Equal(placed[0].Worker.ID, "b")
 
 	spread := want("spread", TierOnTime, fleet.Step{Count: 5, Need: need, MaxPerWorker: 1})
-	placed = Plan([]*Worker{a, b}, []PendingStep{spread}, Limits{})
+	placed = Plan([]*Worker{a, b}, []PendingStep{spread}, Limits{}, moment)
 	is.Equal(len(placed), 2) // one on each worker
 
 	ticketed := want("ticket", TierOnTime, fleet.Step{Count: 2, Need: need})
 	ticketed.Tickets = map[string]string{"a": "t"}
-	placed = Plan([]*Worker{a, b}, []PendingStep{ticketed}, Limits{})
+	placed = Plan([]*Worker{a, b}, []PendingStep{ticketed}, Limits{}, moment)
 	is.Equal(placed[0].Worker.ID, "a")
 	is.Equal(placed[0].Ticket, "t")
 
 	failed := want("failed", TierOnTime, fleet.Step{Count: 1, Need: need})
-	failed.Tasks[0].Failures, failed.Tasks[0].FailedOn = 1, "a"
-	placed = Plan([]*Worker{a, b}, []PendingStep{failed}, Limits{})
+	failed.Tasks[0].Failures, failed.Tasks[0].FailedOn, failed.Tasks[0].FailedAt = 1, "a", moment
+	placed = Plan([]*Worker{a, b}, []PendingStep{failed}, Limits{}, moment)
 	is.Equal(placed[0].Worker.ID, "b")
 }
 
@@ -86,10 +86,10 @@
 	gang := want("gang", TierOnTime, fleet.Step{Count: 3, Need: fleet.Resources{CPUMilli: 4000}, Gang: true})
 	limit := &fleet.Resources{CPUMilli: 100_000, MemoryMB: 1 << 30, GPU: 8}
 	w := newWorker("w", 10000)
-	is.Equal(len(Plan([]*Worker{w}, []PendingStep{gang}, Limits{"team": limit})), 0)
+	is.Equal(len(Plan([]*Worker{w}, []PendingStep{gang}, Limits{"team": limit}, moment)), 0)
 	is.Equal(w.Free.CPUMilli, int64(10000))  // rolled back
 	is.Equal(limit.CPUMilli, int64(100_000)) // rolled back
-	is.Equal(len(Plan([]*Worker{newWorker("w", 12000)}, []PendingStep{gang}, Limits{"team": limit})), 3)
+	is.Equal(len(Plan([]*Worker{newWorker("w", 12000)}, []PendingStep{gang}, Limits{"team": limit}, moment)), 3)
 }
 
 // TestLimitsHold guards against placements that exceed a team's limit or a worker's capacity, for any mix of work.
@@ -111,7 +111,7 @@
 		limit := &fleet.Resources{CPUMilli: before, MemoryMB: 1 << 40, GPU: 8}
 		used := int64(0)
 		perWorker := map[string]int{}
-		for _, p := range Plan(workers, wants, Limits{"team": limit}) {
+		for _, p := range Plan(workers, wants, Limits{"team": limit}, moment) {
 			s := p.Task.Step
 			used += s.Spec.Need.CPUMilli
 			perWorker[s.Job.ID+p.Worker.ID]++
@@ -150,11 +150,12 @@
 				*list = append(*list, w)
 			}
 		}
-		placed := Plan(fast, []PendingStep{want("j", TierOnTime, step)}, Limits{})
+		placed := Plan(fast, []PendingStep{want("j", TierOnTime, step)}, Limits{}, moment)
 		searched := want("j", TierOnTime, step)
 		use := newStepUsage(searched.Step)
+		search := &planner{workers: full, now: moment}
 		for n, task := range searched.Tasks {
-			p, ok := placeOne(full, searched, task, use, Limits{})
+			p, ok := search.placeOne(searched, task, use)
 			if ok != (n < len(placed)) {
 				t.Fatalf("task %d: placed %v, by the search %v", n, n < len(placed), ok)
 			}
@@ -186,7 +187,7 @@
 					wants = append(wants, want(fmt.Sprint("j", i), TierOnTime, fleet.Step{Count: 8, Need: need}))
 				}
 				b.StartTimer()
-				Plan(workers, wants, Limits{})
+				Plan(workers, wants, Limits{}, moment)
 			}
 		})
 	}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -88,8 +88,10 @@
 	// FailedRuns holds the numbers of the runs whose failures were counted since the job was restored. Those of a
 	// long-running task are not kept, because its failures have no limit.
 	FailedRuns []int
-	// FailedOn is the worker of the most recent failed run.
+	// FailedOn is the worker of the most recent failed run, and FailedAt the time of its end. A restored task has the time
+	// of its restoration.
 	FailedOn   string
+	FailedAt   time.Time
 	Checkpoint string
 	// LostAt is the time at which a run of the task was last given up without a report of its end by its worker.
 	LostAt time.Time
@@ -378,7 +380,7 @@
 func (t *Task) fail(run *Run, attempts int, now time.Time) {
 	t.Failures++
 	if run != nil {
-		t.FailedOn = run.Worker
+		t.FailedOn, t.FailedAt = run.Worker, now
 	}
 	if t.Step.Spec.LongRunning || t.Failures < attempts {
 		return
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -254,6 +254,9 @@
 		t := s.Tasks[tp.Index]
 		t.RestoredRun = tp.LastRun
 		t.LastRun, t.Failures, t.FailedOn, t.Checkpoint = tp.LastRun, tp.Failures, tp.FailedOn, tp.Checkpoint
+		if t.FailedOn != "" {
+			t.FailedAt = now
+		}
 		for _, rp := range tp.Runs {
 			if rp.Number < 1 || rp.Number > maxRun || rp.Worker == "" {
 				return fmt.Errorf("progress of job %s: run %d of task %d of step %d is out of range",
