Move open jobs when their queue leads to another pool

Cause: the pool of a job was set when its submission was read and never again, so the decision looked for its tasks only among the waiting jobs of the former pool. Only a new leader read it anew.

Ruled out: the check of workers after a change of the leader (there is none), and the decision itself, which starts later jobs of the queue at once.

Change: the leader compares the pools of all open jobs with each new configuration and moves those whose queue leads elsewhere, within one tick (100 ms). Runs stay where they are. Related: the rule that an unstored start needs the pool stored for the queue looked at the job's pool, which may now differ from that of the run's worker, so it looks at the worker's. A job whose queue was removed stays in its pool, as before.

Evidence: without the call of followQueues, TestWaitingJobsFollowTheirQueue failed with 0 runs instead of 1 after the change (the code before); it passes with it. TestMovedJobStartsUnstoredOnlyInStoredPools guards the related rule. The log has one line queue_moved for each queue and change.

--- a/internal/dispatch/check.go
+++ b/internal/dispatch/check.go
@@ -50,10 +50,10 @@
 	return unchecked[j.Pool] || slices.ContainsFunc(d.storedQueuePools[j.Queue], isUnchecked)
 }
 
-// isQueuePoolStored reports whether the next leader will look for unstored runs of the job in its pool. Callers hold
-// mu.
-func (d *Dispatcher) isQueuePoolStored(j *workload.Job) bool {
-	return slices.Contains(d.storedQueuePools[j.Queue], j.Pool)
+// isQueuePoolStored reports whether the next leader will look for unstored runs of the queue's jobs in the pool.
+// Callers hold mu.
+func (d *Dispatcher) isQueuePoolStored(queue, pool string) bool {
+	return slices.Contains(d.storedQueuePools[queue], pool)
 }
 
 // nextQueuePools returns the pools to which queues have led, with those of the given jobs, or nil if they are stored
@@ -61,7 +61,7 @@
 func (d *Dispatcher) nextQueuePools(jobs iter.Seq[*job]) map[string][]string {
 	var next map[string][]string
 	for j := range jobs {
-		if d.isQueuePoolStored(j.Job) || slices.Contains(next[j.Queue], j.Pool) {
+		if d.isQueuePoolStored(j.Queue, j.Pool) || slices.Contains(next[j.Queue], j.Pool) {
 			continue
 		}
 		if next == nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -119,6 +119,7 @@
 	pendingCancels map[string]cancellation    // cancellations that were read before their submission
 	agents         map[string]*agent
 	queues         map[string]*fleet.Queue // including queues removed from the configuration
+	routing        *fleet.Config           // the configuration by which open jobs were last assigned to pools
 	running        map[string]fleet.Resources
 	ordersInFlight map[*workload.Run]bool        // runs with a start or stop in flight
 	advice         map[string]*advice            // by step
@@ -319,6 +320,7 @@
 	defer d.mu.Unlock()
 	d.expireLeases()
 	d.dropUnclaimed()
+	d.followQueues()
 	now := d.now()
 	for _, pool := range d.active {
 		for _, j := range pool {
--- a/internal/dispatch/entries_test.go
+++ b/internal/dispatch/entries_test.go
@@ -265,13 +265,19 @@
 
 // followPools returns a follower that has read a configuration with the given pool.
 func followPools(t *testing.T, pool string) *follow.Follower {
+	t.Helper()
+	return followConfig(t, &fleet.Config{Version: 1, Pools: []fleet.Pool{{Name: pool}}})
+}
+
+// followConfig returns a follower that has read the given configuration.
+func followConfig(t *testing.T, c *fleet.Config) *follow.Follower {
 	t.Helper()
 	f := follow.New(operatorStore{}, follow.Decoder{
 		ConfigKey: "config", IsWave: func(string) bool { return false },
 		Config: func([]byte) (*fleet.Config, error) {
-			c := &fleet.Config{Version: 1, Pools: []fleet.Pool{{Name: pool}}}
-			c.Index()
-			return c, nil
+			read := *c // the follower may read the record again while the test uses the first result
+			read.Index()
+			return &read, nil
 		},
 	}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -261,14 +261,19 @@
 func (d *Dispatcher) insert(w *workload.Job) *job {
 	j := &job{Job: w, published: w.State}
 	d.jobs[w.ID] = j
-	if d.active[w.Pool] == nil {
-		d.active[w.Pool] = map[string]*job{}
-	}
-	d.active[w.Pool][w.ID] = j
+	d.addActive(j)
 	d.counters.accepted.Add(1)
 	return j
 }
 
+// addActive adds a job that has not ended to those of its pool. Callers hold mu.
+func (d *Dispatcher) addActive(j *job) {
+	if d.active[j.Pool] == nil {
+		d.active[j.Pool] = map[string]*job{}
+	}
+	d.active[j.Pool][j.ID] = j
+}
+
 // adoptJob takes over a job that existed when the term began. Callers hold mu.
 func (d *Dispatcher) adoptJob(j *job) {
 	if j.State.Ended() {
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -41,7 +41,9 @@
 	released := 0
 	for r := range d.unreleased {
 		a := d.agents[r.Worker]
-		if a == nil || d.storedWorkers[a.id] == "" || !d.isQueuePoolStored(r.Task.Step.Job) ||
+		// The pool is that of the worker: the job's queue may lead to another one since the assignment.
+		if a == nil || d.storedWorkers[a.id] == "" ||
+			!d.isQueuePoolStored(r.Task.Step.Job.Queue, d.storedWorkers[a.id]) ||
 			r.Phase != workload.RunAssigned || !d.attached(r) || !d.confirmedSince(r.Task.LastLost()) ||
 			d.lastStored < a.incarnationAt {
 			continue
