Count a job as pending until a worker has started a task of it

Cause: Task.Assign set Job.Started and the state "running" before the start was sent, and nothing took them back when the start was refused or withdrawn. The progress stores that state, so a new leader took each assignment for a start as well.

Ruled out: a late reading of the store by other entry instances; all of them ask the leader.

Change: a job has started when its worker has accepted a start, lists the run, or lists an end. That is shown at once without an append: the next leader learns it from the worker. Until then a job with an inherited run is shown as running, as it may be, and counts as pending. A batch that was collected before the start no longer takes the state back.

Evidence: TestRefusedJobIsPending (running instead of pending), TestStartedJobIsNotPending (0 pending instead of 1 before the start) and TestNewLeaderKeepsAJobPending failed on the code before and pass now.

Tests replaced, as strict as before: TestEndIsPublishedOnlyOnceStored, TestPausedLeaderPublishesNoSpareEnds and TestLateSpareEndIsNotPublished took the state "pending" for "the end is not shown"; their jobs have started, so it is "running" now. TestSpareEndOfAnEarlierJobWithTheSameID expected "running" for a job whose task is only assigned.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -83,8 +83,8 @@
 	*workload.Job
 	// changed means that the current progress is not stored.
 	changed bool
-	// published is the state that is returned to clients. It is the stored state, or an end that is stored in a spare
-	// partition.
+	// published is the state that clients may see. An end is published once it is stored, with the job's progress or in a
+	// spare partition.
 	published workload.State
 	// firstStart is the time from the acceptance to the first assignment, readAfter the time until this leader had read
 	// the submission, and objective the time in which the job should be done according to its estimates.
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -128,6 +128,7 @@
 	now := d.now()
 	if err == nil {
 		d.counters.starts.Add(1)
+		d.noteStarted(r.Task.Step.Job)
 		if r.Phase == workload.RunAssigned {
 			r.Phase = workload.RunActive
 			r.ActiveSince = now
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -207,7 +207,7 @@
 func (d *Dispatcher) assign(p scheduling.Placement, now time.Time) {
 	t := p.Task
 	number := t.LastRun + 1
-	if j := d.jobs[t.Step.Job.ID]; !j.Started {
+	if j := d.jobs[t.Step.Job.ID]; !j.Started && j.firstStart == 0 {
 		j.firstStart = now.Sub(j.Submitted)
 		j.objective = d.objective(t.Step.Occurrence, d.queue(j.Queue))
 		d.counters.startMillis.Observe(j.firstStart)
--- a/internal/dispatch/publish.go
+++ b/internal/dispatch/publish.go
@@ -40,15 +40,12 @@
 	obsolete bool
 }
 
-// publish makes a state of a job visible to clients. Callers hold mu.
+// publish makes the end of a job visible to clients. Callers hold mu.
 func (d *Dispatcher) publish(j *job, state workload.State) {
-	if j.published == state || j.published.Ended() {
+	if j.published.Ended() || !state.Ended() {
 		return
 	}
 	j.published = state
-	if !state.Ended() {
-		return
-	}
 	took := j.EndedAt.Sub(j.Submitted)
 	d.counters.countJobEnd(state, took)
 	now := d.now()
@@ -64,6 +61,18 @@
 		Object("phases", phases).Msg("job ended")
 }
 
+// noteStarted records that a worker has started a task of the job, and makes it visible to clients. Unlike an end, this
+// need not be stored first: the next leader learns of it from the worker. Callers hold mu.
+func (d *Dispatcher) noteStarted(w *workload.Job) {
+	if w.Started {
+		return
+	}
+	w.MarkStarted()
+	if j := d.jobs[w.ID]; j != nil && j.published == workload.StatePending {
+		j.published = workload.StateRunning
+	}
+}
+
 // progressStored records that the progress of a job is stored. Callers hold mu.
 func (d *Dispatcher) progressStored(j *job, state workload.State) {
 	if state.Ended() {
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -31,10 +31,27 @@
 	if j == nil || j.Queue != queue || j.Team != team {
 		return "", ErrNoJob
 	}
-	return j.published, nil
+	return j.shownState(), nil
 }
 
-// PendingJobs returns the number of a queue's jobs of which no task has started.
+// shownState returns the state of the job for clients. A run that an earlier leader assigned may be at work, so its job
+// counts as running until its worker has shown the outcome of the start. Callers hold mu.
+func (j *job) shownState() workload.State {
+	if j.published != workload.StatePending {
+		return j.published
+	}
+	shown := workload.StatePending
+	j.EachTask(func(t *workload.Task) {
+		for _, r := range t.Runs {
+			if r.Inherited {
+				shown = workload.StateRunning
+			}
+		}
+	})
+	return shown
+}
+
+// PendingJobs returns the number of a queue's jobs of which no task is known to have started.
 func (d *Dispatcher) PendingJobs(queue string) (int, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -100,6 +100,7 @@
 		t.FailedRuns = append(t.FailedRuns, e.Run)
 	}
 	now := d.now()
+	d.noteStarted(j.Job)
 	t.LastRun = max(t.LastRun, e.Run)
 	if run != nil {
 		d.recordOutcome(a, run, e.Kind, now)
@@ -160,6 +161,7 @@
 // updateRun applies a worker's status of a run. The status dates from some time after the request was sent, perhaps
 // long before now: a process that was paused reads old answers. Callers hold mu.
 func (d *Dispatcher) updateRun(run *workload.Run, x *worker.Running, asked, now time.Time) {
+	d.noteStarted(run.Task.Step.Job)
 	if run.Phase == workload.RunAssigned && run.Released {
 		run.Phase = workload.RunActive
 		run.ActiveSince = now
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -128,6 +128,7 @@
 	r := t.Assign(a.id, x.Run, d.now())
 	r.Released, r.Inherited = true, true
 	d.attach(r)
+	d.noteStarted(j.Job)
 	d.markChanged(j)
 	d.Log.Info().Str("event", "run_adopted").Str("task", x.Task).Int("run", x.Run).Str("worker", a.id).
 		Msg("took over a run that was not stored")
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -39,7 +39,8 @@
 	Spec  *fleet.JobSpec
 	// Submitted is the time of day at which the job was accepted.
 	Submitted time.Time
-	// State is the job's state. Started is set when the first task starts.
+	// State is the job's state. Started means that a worker is known to have started a task; an assignment alone may be
+	// refused or withdrawn.
 	State   State
 	Started bool
 	EndedAt time.Time
@@ -287,13 +288,17 @@
 	t.LastRun = max(t.LastRun, number)
 	r := &Run{Task: t, Number: number, Worker: worker, Since: now, Pace: 100}
 	t.Runs = append(t.Runs, r)
-	t.Step.Job.Started = true
-	if t.Step.Job.State == StatePending {
-		t.Step.Job.State = StateRunning
-	}
 	return r
 }
 
+// MarkStarted records that a worker has started a task of the job.
+func (j *Job) MarkStarted() {
+	j.Started = true
+	if j.State == StatePending {
+		j.State = StateRunning
+	}
+}
+
 // countAssigned records the first assignment of a task. With the last one, the step has got all the capacity it waited
 // for.
 func (s *Step) countAssigned(now time.Time) {
@@ -317,8 +322,9 @@
 }
 
 // End applies the end of a run, as reported by its worker. attempts is the number of failed runs of a task after
-// which the job fails. End reports whether the end changed the job.
+// which the job fails.
 func (j *Job) End(t *Task, run *Run, kind worker.EndKind, checkpoint string, attempts int, now time.Time) {
+	j.MarkStarted()
 	if run != nil {
 		if checkpoint != "" {
 			run.Checkpoint = checkpoint
