Store the progress of large jobs in parts, and let a refused record hold up only its job

The append was repeated without end, and everything that has to be stored waited behind it. A batch was bounded by its records and not by its bytes.

Ruled out: the size of the submission itself, which is stored; the 200 was true.

Change: the progress of a job with more than 64 tasks in progress is a head and parts of 32 tasks, and only changed records are stored. An append stays within the settings' call_bytes, each record within record_bytes. A refusal that a repetition cannot change (a client error but 409, 412, 429) splits the append; the record that is refused alone costs its job its unsent starts and ten seconds, is counted (records_refused_total) and logged once a job, and other work goes on. The head is stored before the parts, and the parts in the order of the steps, for the case that they do not fit into one append. Records of earlier versions are read; a large one is split with its next change.

--- a/internal/dispatch/check_test.go
+++ b/internal/dispatch/check_test.go
@@ -31,7 +31,7 @@
 	d := newFixture(2)
 	d.Workers = &unresponsiveWorkers{}
 	defer d.stop()
-	for _, r := range b.records {
+	for _, r := range b.records() {
 		d.applyProgressRecord(r, stored)
 	}
 	d.restoreWorkers()
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"strconv"
 	"time"
 
@@ -30,8 +28,9 @@
 	confirmInterval = time.Second
 	// slowAppendThreshold is the duration above which an append is logged.
 	slowAppendThreshold = 250 * time.Millisecond
-	// maxBatchRecords bounds one append well below the store's size limit in bytes.
+	// maxBatchRecords bounds the records of one append, and maxBatchBytes their size, which takes the store 50 ms.
 	maxBatchRecords = 500
+	maxBatchBytes   = 1 << 20
 )
 
 // committer appends records to one partition of the topic of progress. Only one goroutine uses it.
@@ -53,20 +52,6 @@
 	return &committer{d: d, partition: partition, pace: store.TimeoutEstimator{Min: minAppendTimeout, Max: appendTimeout}}
 }
 
-// batch is the content of one append.
-type batch struct {
-	records []store.Record
-	states  map[*job]workload.State
-	starts  []*workload.Run
-	ends    map[*agent]endMark
-	// workers is the set of workers that the batch stores; nil if it has not changed.
-	workers map[string]string
-	// queuePools is the set of pools by queue that the batch stores; nil if it has not changed.
-	queuePools map[string][]string
-	// confirm requests an append even without records.
-	confirm bool
-}
-
 // endMark is a number up to which the ends of a worker are stored. Numbers begin anew with each restart of the worker.
 type endMark struct {
 	number   int64
@@ -81,6 +66,10 @@
 func (c *committer) fence(ctx context.Context) (end int64, ok bool) {
 	value := strconv.AppendInt(nil, c.d.Token, 10)
 	err := c.append(ctx, []store.Record{{Key: workload.TermKey, Value: value}})
+	if errors.Is(err, store.ErrRefused) {
+		c.d.Log.Error().Err(err).Str("event", "fence_refused").Int("partition", c.partition).
+			Msg("the store refuses the record that begins a term")
+	}
 	return c.end, err == nil
 }
 
@@ -102,8 +91,8 @@
 // run stores a batch and then sends the starts and acknowledgements that depend on it. An error means that the term
 // has ended.
 func (c *committer) run(ctx context.Context, b *batch) error {
-	if len(b.records) > 0 || b.confirm {
-		if err := c.append(ctx, b.records); err != nil {
+	if len(b.items) > 0 || b.confirm {
+		if err := c.store(ctx, b.items); err != nil {
 			return err
 		}
 	}
@@ -111,7 +100,30 @@
 	return nil
 }
 
-// append repeats one append until its outcome is known. An append without records takes no sequence number.
+// store appends the records of some items. If the store refuses them, it appends each half of them, so that a record that
+// cannot be stored does not hold up the others, and marks that record as refused.
+func (c *committer) store(ctx context.Context, items []*batchItem) error {
+	records := make([]store.Record, len(items))
+	for i, item := range items {
+		records[i] = item.record
+	}
+	err := c.append(ctx, records)
+	switch {
+	case !errors.Is(err, store.ErrRefused) || len(items) == 0:
+		return err
+	case len(items) == 1:
+		items[0].refused = err
+		return nil
+	}
+	half := len(items) / 2
+	if err := c.store(ctx, items[:half]); err != nil {
+		return err
+	}
+	return c.store(ctx, items[half:])
+}
+
+// append repeats one append until its outcome is known. An append without records takes no sequence number. An error that
+// is not store.ErrRefused means that the term has ended.
 func (c *committer) append(ctx context.Context, records []store.Record) error {
 	if len(records) > 0 {
 		c.sequence++
@@ -131,6 +143,11 @@
 			return c.checkOffset(first, len(records))
 		case errors.Is(err, store.ErrFenced):
 			return err
+		case errors.Is(err, store.ErrRefused):
+			if len(records) > 0 {
+				c.sequence-- // the store has not counted the append
+			}
+			return err
 		case errors.As(err, &unexpected) && unanswered > 0:
 			// An attempt without an answer may be carried out later under its sequence number, and would then be
 			// taken for the next append.
@@ -201,108 +218,3 @@
 	defer d.mu.Unlock()
 	d.lastStored = sent
 }
-
-// collectBatch returns everything that has to be stored, or nil if there is nothing.
-func (d *Dispatcher) collectBatch() *batch {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	b := &batch{states: map[*job]workload.State{}, ends: map[*agent]endMark{}}
-	for id, j := range d.changed {
-		if len(b.records) >= maxBatchRecords {
-			break
-		}
-		delete(d.changed, id)
-		if j == nil {
-			b.removeProgress(id)
-			continue
-		}
-		if err := b.add(j); err != nil {
-			d.Log.Error().Err(err).Str("event", "bad_progress").Str("job", id).Msg("progress cannot be encoded")
-		}
-	}
-	d.addWorkers(b)
-	d.addQueuePools(b)
-	if len(d.changed) > 0 {
-		d.signal()
-	} else {
-		for _, a := range d.agents {
-			if applied := a.appliedEnd(); applied > a.storedEnd {
-				b.ends[a] = endMark{applied, a.restarts}
-			}
-		}
-	}
-	if len(b.records) == 0 && len(b.ends) == 0 {
-		return nil
-	}
-	return b
-}
-
-// add adds a job's progress, and the runs that may start once it is stored.
-func (b *batch) add(j *job) error {
-	value, err := json.Marshal(j.Progress())
-	if err != nil {
-		return err
-	}
-	j.changed = false
-	b.records = append(b.records, store.Record{Key: workload.ProgressKey(j.ID), Value: value})
-	b.states[j] = j.State
-	j.EachTask(func(t *workload.Task) {
-		for _, r := range t.Runs {
-			if !r.Stored {
-				b.starts = append(b.starts, r)
-			}
-		}
-	})
-	return nil
-}
-
-// addQueuePools adds the pools of the batch's jobs to the stored pools of their queues. Callers hold mu.
-func (d *Dispatcher) addQueuePools(b *batch) {
-	next := d.nextQueuePools(maps.Keys(b.states))
-	if next == nil {
-		return
-	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		d.Log.Error().Err(err).Str("event", "bad_queue_pools").Msg("the pools of the queues cannot be encoded")
-		return
-	}
-	// As with the set of workers, what the append takes out counts as not stored from now on.
-	maps.DeleteFunc(d.storedQueuePools, func(queue string, _ []string) bool { return next[queue] == nil })
-	b.records = append(b.records, store.Record{Key: workload.QueuePoolsKey, Value: value})
-	b.queuePools = next
-}
-
-// removeProgress removes the stored progress of a job whose submission has been removed.
-func (b *batch) removeProgress(id string) {
-	b.records = append(b.records, store.Record{Key: workload.ProgressKey(id)})
-}
-
-// applyCommitted publishes the states of a stored batch, sends its starts and allows the acknowledgement of its ends.
-func (d *Dispatcher) applyCommitted(b *batch) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if b.workers != nil {
-		d.storedWorkers = b.workers
-	}
-	if b.queuePools != nil {
-		d.storedQueuePools = b.queuePools
-	}
-	for j, state := range b.states {
-		d.progressStored(j, state)
-	}
-	for _, r := range b.starts {
-		r.Stored = true
-		delete(d.unreleased, r)
-		if r.Phase == workload.RunAssigned {
-			d.sendStart(r)
-		}
-	}
-	for a, end := range b.ends {
-		if end.restarts != a.restarts {
-			continue
-		}
-		a.storedEnd = max(a.storedEnd, end.number)
-		a.wakeRenewal()
-	}
-}
--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -126,16 +126,16 @@
 	defer d.stop()
 	first := &batch{}
 	d.addWorkers(first)
-	is.Equal(len(first.records), 1)
+	is.Equal(len(first.records()), 1)
 	d.storedWorkers = first.workers
 	d.agent("w1").entry, d.agent("w1").contacted = d.agent("w0").entry, true
 	soon := &batch{}
 	d.addWorkers(soon)
-	is.Equal(len(soon.records), 0)
+	is.Equal(len(soon.records()), 0)
 	d.workersAt -= workerSetInterval
 	later := &batch{}
 	d.addWorkers(later)
-	is.Equal(len(later.records), 1)
+	is.Equal(len(later.records()), 1)
 	is.Equal(len(later.workers), 2)
 }
 
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -12,7 +12,7 @@
 // counters holds the leader's metrics. They belong to the process, because a process may lead several terms.
 type counters struct {
 	accepted, starts, startsRefused, runsLost, strays, badEntries, appendRetries, moves, unstoredStarts expvar.Int
-	unknownEnds, workersGivenUp, unconfirmedEntries, spareEnds                                          expvar.Int
+	unknownEnds, workersGivenUp, unconfirmedEntries, spareEnds, recordsRefused                          expvar.Int
 	ends                                                                                                expvar.Map
 	jobs                                                                                                expvar.Map
 	// doneMillis is the time from acceptance to the end of jobs that were done, and startMillis the time from
@@ -36,6 +36,7 @@
 	m.Set("unconfirmed_worker_entries_total", &c.unconfirmedEntries)
 	m.Set("append_retries_total", &c.appendRetries)
 	m.Set("unstored_starts_total", &c.unstoredStarts)
+	m.Set("records_refused_total", &c.recordsRefused)
 	m.Set("spare_ends_total", &c.spareEnds)
 	m.Set("unknown_ends_total", &c.unknownEnds)
 	m.Set("workers_given_up_total", &c.workersGivenUp)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -64,6 +64,8 @@
 	// JobTopic holds submissions and cancellations, in JobPartitions partitions.
 	JobTopic      string
 	JobPartitions int
+	// StoreLimits limits the size of what is stored. Its zero value stands for store.DefaultLimits.
+	StoreLimits store.Limits
 	// ProgressTopic holds the leader's records, and WorkerTopic the workers' entries.
 	ProgressTopic, WorkerTopic string
 	// StatusTopic receives the status of maintenance waves for the operator.
@@ -95,6 +97,8 @@
 	partitions uint64
 	// endedBefore means that the job had ended when the term began.
 	endedBefore bool
+	// unstorableUntil is the boot clock until which nothing of the job is started, because the store refused its progress.
+	unstorableUntil time.Duration
 	// removalSentAt is the boot clock at which the removal of the expired job's submissions was last sent; 0 if it was
 	// not.
 	removalSentAt time.Duration
@@ -111,7 +115,9 @@
 
 	mu             sync.Mutex // guards the fields below
 	loaded         bool
-	loadedJobs     map[string]*loadedJob // submissions by job ID; nil once the jobs are loaded
+	loadedJobs     map[string]*loadedJob        // submissions by job ID; nil once the jobs are loaded
+	loadedParts    map[string]map[string][]byte // parts of jobs' progress by job ID and key, while the jobs are loaded
+	obsoleteKeys   []string                     // keys of parts to be removed whose jobs are not known any more
 	jobs           map[string]*job
 	active         map[string]map[string]*job // by pool and ID: jobs that have not ended
 	waiting        map[string]map[string]*job // by pool and ID: jobs with a task that may wait for a run
@@ -173,6 +179,9 @@
 
 // New returns a dispatcher for one term.
 func New(o Options) *Dispatcher {
+	if o.StoreLimits == (store.Limits{}) {
+		o.StoreLimits = store.DefaultLimits
+	}
 	d := &Dispatcher{
 		Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{},
 		active: map[string]map[string]*job{}, waiting: map[string]map[string]*job{},
@@ -184,7 +193,8 @@
 		storedQueuePools: map[string][]string{},
 		waveRecords:      map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		inflow: map[string]*scheduling.Inflow{}, loadedJobs: map[string]*loadedJob{},
-		counters: sharedCounters, estimates: newEstimates(),
+		loadedParts: map[string]map[string][]byte{},
+		counters:    sharedCounters, estimates: newEstimates(),
 	}
 	d.driver = newInstanceDriver(d)
 	return d
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -128,6 +129,11 @@
 	switch kind {
 	case workload.KeyProgress:
 		progress[id] = r
+	case workload.KeyPart:
+		if d.loadedParts[id] == nil {
+			d.loadedParts[id] = map[string][]byte{}
+		}
+		d.loadedParts[id][r.Key] = r.Value
 	case workload.KeyWorkers:
 		err = json.Unmarshal(r.Value, &d.storedWorkers)
 	case workload.KeyQueuePools:
@@ -181,7 +187,12 @@
 			d.changed[id] = nil
 		}
 	}
-	d.loadedJobs = nil
+	for id, parts := range d.loadedParts {
+		if _, known := d.loadedJobs[id]; !known || progress[id].Value == nil { // left by an earlier job
+			d.obsoleteKeys = slices.AppendSeq(d.obsoleteKeys, maps.Keys(parts))
+		}
+	}
+	d.loadedJobs, d.loadedParts = nil, nil
 	d.restoreWorkers()
 	for _, j := range d.jobs {
 		d.adoptJob(j)
@@ -226,8 +237,9 @@
 
 // restoreJob creates one job, or returns nil if its submission cannot be decoded. Callers hold mu.
 func (d *Dispatcher) restoreJob(id string, submission, progress []byte, now time.Time) *job {
+	parts := d.loadedParts[id]
 	w, ended := workload.DecodeEnded(id, submission, progress)
-	if !ended {
+	if ended = ended && len(parts) == 0; !ended { // parts hold the remaining runs
 		var err error
 		if w, err = workload.DecodeSubmission(id, submission); err != nil {
 			d.Log.Warn().Err(err).Str("event", "bad_record").Str("job", id).Msg("submission cannot be decoded")
@@ -239,7 +251,7 @@
 	}
 	j := d.insert(w)
 	if progress != nil && !ended {
-		if err := w.Restore(progress, now); err != nil {
+		if err := w.Restore(progress, parts, now); err != nil {
 			d.Log.Error().Err(err).Str("event", "bad_progress").Str("job", id).
 				Msg("stored progress cannot be decoded, job is suspended")
 			delete(d.active[j.Pool], id)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -115,7 +115,7 @@
 	var wants []scheduling.PendingStep
 	room := scheduling.MaxFree(workers)
 	for id, j := range d.waiting[pool] {
-		if d.awaitsCheck(j.Job, unchecked) {
+		if d.awaitsCheck(j.Job, unchecked) || bootclock.Now() < j.unstorableUntil {
 			continue
 		}
 		waits := false
@@ -215,12 +215,7 @@
 			Dur("objective", j.objective).Str("worker", p.Worker.ID).Msg("first task of job assigned")
 	}
 	if t.Step.Spec.Gang {
-		for _, member := range t.Step.Tasks {
-			number = max(number, member.LastRun+1)
-		}
-		if t.Index > 0 {
-			number = t.Step.Tasks[0].LastRun // the first member has been given the number already
-		}
+		number = gangRunNumber(t)
 	}
 	r := t.Assign(p.Worker.ID, number, now)
 	r.Ticket = p.Ticket
@@ -231,6 +226,19 @@
 		Msg("task assigned")
 }
 
+// gangRunNumber returns the run number for a member of a gang. All members have the same one, which the first has been
+// given already when the others are assigned.
+func gangRunNumber(t *workload.Task) int {
+	if t.Index > 0 {
+		return t.Step.Tasks[0].LastRun
+	}
+	number := 1
+	for _, member := range t.Step.Tasks {
+		number = max(number, member.LastRun+1)
+	}
+	return number
+}
+
 // advice is the last answer of the advice service for a step.
 type advice struct {
 	tickets map[string]string
--- a/internal/dispatch/query_test.go
+++ b/internal/dispatch/query_test.go
@@ -97,14 +97,14 @@
 	earlier := newFixture(1)
 	job := earlier.addJob("0011223344556677", oneTask)
 	earlier.place()
-	record := earlier.collectBatch().records[0]
+	record := earlier.collectBatch().records()[0]
 	earlier.stop()
 
 	d := newFixture(1)
 	defer d.stop()
 	j := d.addJob(job.ID, oneTask)
 	j.Occurrences = nil
-	is.NoErr(j.Restore(record.Value, time.Now()))
+	is.NoErr(j.Restore(record.Value, nil, time.Now()))
 	d.adoptJob(j)
 	run := j.Task(0, 0, 0).Runs[0]
 	state, pending := d.stateAndPending(t, j.ID)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -101,7 +101,7 @@
 	}
 	now := d.now()
 	d.noteStarted(j.Job)
-	t.LastRun = max(t.LastRun, e.Run)
+	t.NoteRun(e.Run)
 	if run != nil {
 		d.recordOutcome(a, run, e.Kind, now)
 	}
--- a/internal/dispatch/retention.go
+++ b/internal/dispatch/retention.go
@@ -36,6 +36,7 @@
 		case j.partitions == 0 && d.jobsReadThrough() >= j.removalSentAt:
 			delete(d.jobs, id)
 			d.changed[id] = nil // a nil job removes the stored progress
+			d.obsoleteKeys = append(d.obsoleteKeys, j.PartKeys()...)
 			d.signal()
 		case j.partitions != 0 && !d.removingJobs && sent < maxRemovalBatch &&
 			(j.removalSentAt == 0 || boot-j.removalSentAt >= removalRetryDelay):
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -99,7 +99,7 @@
 	}
 	// The append may be carried out and its answer lost, so a worker that it takes out counts as not stored from now on.
 	maps.DeleteFunc(d.storedWorkers, func(id, pool string) bool { return set[id] != pool })
-	b.records = append(b.records, store.Record{Key: workload.WorkersKey, Value: value})
+	b.add(&batchItem{record: store.Record{Key: workload.WorkersKey, Value: value}})
 	b.workers = set
 }
 
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -116,8 +116,9 @@
 	d := dispatch.New(dispatch.Options{
 		Store: n.platform.Store, Workers: workers, Advisor: n.platform.Advisor, Instances: n.platform.Instances,
 		Follower: n.follower, Bounds: n.settings.Bounds, JobTopic: n.platform.JobTopic,
-		JobPartitions: n.settings.StorePartitions, ProgressTopic: n.platform.ProgressTopic,
-		WorkerTopic: n.platform.WorkerTopic, StatusTopic: n.platform.StatusTopic,
+		JobPartitions: n.settings.StorePartitions, StoreLimits: n.settings.StoreLimits,
+		ProgressTopic: n.platform.ProgressTopic,
+		WorkerTopic:   n.platform.WorkerTopic, StatusTopic: n.platform.StatusTopic,
 		DecodeEntry: n.platform.DecodeEntry, WaveStatus: n.platform.WaveStatus,
 		Token: token, LastConfirmed: n.election.ConfirmedAt, Log: n.log,
 	})
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"pollenlead/internal/store"
+)
 
 // Settings holds the settings of one process, as read from its settings file.
 type Settings struct {
@@ -13,8 +17,9 @@
 	// relays to workers.
 	PeerPort, MetricsPort, RelayPort int
 	StoreAddress                     string
-	// StorePartitions is the number of partitions of each topic.
+	// StorePartitions is the number of partitions of each topic, and StoreLimits limits the size of what is stored.
 	StorePartitions  int
+	StoreLimits      store.Limits
 	InstancesAddress string
 	AdviceAddress    string
 	// CPUShare is the fraction of a core that this process has.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,30 @@
 	Value  []byte
 }
 
+// Size returns the number of bytes of the record that count against Limits.Record: the length of the key, the key and the
+// value.
+func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) }
+
+// recordPrefixBytes is the length that precedes each record in an append.
+const recordPrefixBytes = 4
+
+// CallSize returns the number of bytes that the record adds to an append.
+func (r Record) CallSize() int { return recordPrefixBytes + r.Size() }
+
+// MaxKeyBytes is the size of the longest key that the store accepts.
+const MaxKeyBytes = 255
+
+// Limits holds the store's limits of size in bytes: of one record, and of all records of one append.
+type Limits struct{ Record, Call int }
+
+// DefaultLimits apply if the settings name none.
+var DefaultLimits = Limits{Record: 256 << 10, Call: 2 << 20}
+
+// Fits reports whether the store accepts the record.
+func (l Limits) Fits(r Record) bool {
+	return len(r.Key) <= MaxKeyBytes && r.Size() <= l.Record && r.CallSize() <= l.Call
+}
+
 // Producer identifies a writer whose appends are fenced by epoch and made idempotent by sequence.
 type Producer struct {
 	Name     string
@@ -68,6 +92,8 @@
 	ErrBusy = errors.New("store: call refused without effect")
 	// ErrUnknown means that no answer arrived: the call may have been carried out, or may be carried out later.
 	ErrUnknown = errors.New("store: no answer, outcome unknown")
+	// ErrRefused means that the store refused the call without any effect, and that a repetition would be refused as well.
+	ErrRefused = errors.New("store: call refused for good")
 	// ErrFull means that the store accepts no more records.
 	ErrFull = errors.New("store: full")
 )
--- a/internal/workload/ended_test.go
+++ b/internal/workload/ended_test.go
@@ -70,7 +70,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if err := j.Restore(progress, time.UnixMilli(1)); err != nil {
+		if err := j.Restore(progress, nil, time.UnixMilli(1)); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -52,6 +52,13 @@
 	// Waited is the time for which ready steps had tasks that were never assigned, summed over the steps. It counts
 	// from the restoration of a job.
 	Waited time.Duration
+
+	// inParts means that the progress is stored in parts; see ChangedRecords.
+	inParts bool
+	// takenHead is the value of the last record of the job's own progress that was taken while it was stored in parts.
+	takenHead []byte
+	// obsoleteParts holds the keys of stored parts to be removed.
+	obsoleteParts []string
 }
 
 // Occurrence is one execution of the steps of a job.
@@ -73,6 +80,8 @@
 	Unassigned int
 	// ReadyAt is the time at which the last step that this one depends on was done.
 	ReadyAt time.Time
+
+	parts []part // nil unless the job is stored in parts
 }
 
 // Task is the state of one task.
@@ -196,6 +205,9 @@
 		j.NextOccurrence++
 		added = true
 	}
+	if added {
+		j.splitIfLarge()
+	}
 	return added
 }
 
@@ -218,6 +230,9 @@
 			tasks[n] = Task{Step: s, Index: n}
 			s.Tasks[n] = &tasks[n]
 		}
+		if j.inParts {
+			s.parts = make([]part, partCount(spec.Count))
+		}
 		o.Steps = append(o.Steps, s)
 	}
 	j.Occurrences = append(j.Occurrences, o)
@@ -285,7 +300,7 @@
 	if t.LastRun == 0 {
 		t.Step.countAssigned(now)
 	}
-	t.LastRun = max(t.LastRun, number)
+	t.NoteRun(number)
 	r := &Run{Task: t, Number: number, Worker: worker, Since: now, Pace: 100}
 	t.Runs = append(t.Runs, r)
 	return r
@@ -299,6 +314,12 @@
 	}
 }
 
+// NoteRun records that a run number has been used.
+func (t *Task) NoteRun(number int) {
+	t.LastRun = max(t.LastRun, number)
+	t.markChanged()
+}
+
 // countAssigned records the first assignment of a task. With the last one, the step has got all the capacity it waited
 // for.
 func (s *Step) countAssigned(now time.Time) {
@@ -310,6 +331,7 @@
 
 // Remove removes a run that is known to have ended and keeps its checkpoint.
 func (t *Task) Remove(run *Run) {
+	t.markChanged()
 	for i, r := range t.Runs {
 		if r == run {
 			t.Runs = append(t.Runs[:i], t.Runs[i+1:]...)
@@ -351,10 +373,12 @@
 	if s.Spec.Gang {
 		for _, member := range s.Tasks {
 			member.Done = true
+			member.markChanged()
 		}
 		s.Open = 0
 	} else {
 		t.Done = true
+		t.markChanged()
 		s.Open--
 	}
 	if s.Open > 0 {
@@ -378,6 +402,7 @@
 	for i, x := range j.Occurrences {
 		if x == o {
 			j.Occurrences = append(j.Occurrences[:i], j.Occurrences[i+1:]...)
+			j.removeParts(o)
 			return
 		}
 	}
@@ -385,6 +410,7 @@
 
 func (t *Task) fail(run *Run, attempts int, now time.Time) {
 	t.Failures++
+	t.markChanged()
 	if run != nil {
 		t.FailedOn, t.FailedAt = run.Worker, now
 	}
@@ -411,6 +437,7 @@
 func (j *Job) finish(s State, now time.Time) {
 	j.State = s
 	j.EndedAt = now
+	j.markAllPartsChanged()
 }
 
 // EachTask calls f for every task of the occurrences in progress.
--- a/internal/workload/job_test.go
+++ b/internal/workload/job_test.go
@@ -65,7 +65,7 @@
 	is.NoErr(err)
 
 	restored := NewJob(j.ID, j.Queue, j.Pool, j.Team, j.Spec, j.Submitted)
-	is.NoErr(restored.Restore(value, start))
+	is.NoErr(restored.Restore(value, nil, start))
 	is.Equal(restored.State, StateRunning)
 	is.Equal(restored.NextOccurrence, 1)
 	is.True(restored.Task(0, 0, 0).Done)
--- a/internal/workload/odd_test.go
+++ b/internal/workload/odd_test.go
@@ -65,7 +65,7 @@
 	is := is.New(t)
 	for _, text := range oddProgress {
 		j := NewJob("id", "q", "p", "", &fleet.JobSpec{Steps: []fleet.Step{{Count: 2}}}, start)
-		if err := j.Restore([]byte(text), start); err == nil {
+		if err := j.Restore([]byte(text), nil, start); err == nil {
 			t.Errorf("accepted: %.200s", text)
 		}
 		is.True(!j.Advance(start.Add(time.Hour), 0))
@@ -123,7 +123,7 @@
 		if err != nil || j.Spec.Occurrences() > 10 {
 			return
 		}
-		if j.Restore(progress, start) != nil && len(j.Occurrences) > 0 {
+		if j.Restore(progress, nil, start) != nil && len(j.Occurrences) > 0 {
 			t.Fatal("a job without readable progress has occurrences")
 		}
 		j.Advance(start, 0)
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -46,11 +47,13 @@
 	maxOccurrences = 1_000_000
 	// maxRun bounds the run numbers, so that the next one does not overflow.
 	maxRun = 1 << 31
+	// maxIDBytes bounds a job's ID, so that the keys of its records stay within the store's limit of 255 bytes.
+	maxIDBytes = 128
 )
 
 // checkSpec reports the first value of a stored job that no entry instance accepts.
 func checkSpec(id string, spec *fleet.JobSpec) error {
-	if id == "" || strings.Contains(id, ".") {
+	if id == "" || len(id) > maxIDBytes || strings.Contains(id, ".") {
 		return errors.New("the ID cannot be part of a task's name")
 	}
 	if len(spec.Steps) > maxSteps || spec.Times < 0 || spec.Times > maxOccurrences || spec.Every < 0 {
@@ -105,12 +108,16 @@
 	return j, true
 }
 
-// Progress is the stored record of a job's progress. It leaves out tasks that never ran.
+// Progress is the stored record of a job's progress. It leaves out tasks that never ran. If the job is stored in parts,
+// its tasks are in records of their own.
 type Progress struct {
 	State         State                `json:"state"`
 	EndedAtMillis int64                `json:"ended_ms,omitempty"`
 	Next          int                  `json:"next"`
 	Occurrences   []occurrenceProgress `json:"occ,omitempty"`
+	// InParts means that the job is stored in parts. Open then holds the occurrences in progress instead of Occurrences.
+	InParts bool              `json:"parts,omitempty"`
+	Open    []occurrenceRange `json:"open,omitempty"`
 }
 
 type occurrenceProgress struct {
@@ -120,6 +127,11 @@
 
 type stepProgress struct {
 	Step int `json:"s"`
+	tasksProgress
+}
+
+// tasksProgress is the progress of all tasks of a step, or of those of one part.
+type tasksProgress struct {
 	// AllDone replaces a list of all tasks in Done.
 	AllDone bool           `json:"all,omitempty"`
 	Done    []int          `json:"done,omitempty"`
@@ -140,17 +152,21 @@
 	Worker string `json:"w"`
 }
 
-// Progress returns the record of the job's current progress.
+// Progress returns the record of the job's current progress, with its tasks unless the job is stored in parts.
 func (j *Job) Progress() Progress {
 	p := Progress{State: j.State, Next: j.NextOccurrence}
 	if j.State.Ended() {
 		p.EndedAtMillis = j.EndedAt.UnixMilli()
 	}
+	if j.inParts {
+		p.InParts, p.Open = true, j.openOccurrences()
+		return p
+	}
 	for _, o := range j.Occurrences {
 		op := occurrenceProgress{Number: o.Number}
 		for _, s := range o.Steps {
-			if sp, ok := s.progress(j.State.Ended()); ok {
-				op.Steps = append(op.Steps, sp)
+			if t := progressOf(s.Tasks, j.State.Ended()); !t.empty() {
+				op.Steps = append(op.Steps, stepProgress{Step: s.Index, tasksProgress: t})
 			}
 		}
 		if len(op.Steps) > 0 || !j.State.Ended() {
@@ -160,11 +176,10 @@
 	return p
 }
 
-// progress returns the record of the step's progress and whether it holds anything. For an ended job it holds only
-// the remaining runs.
-func (s *Step) progress(ended bool) (stepProgress, bool) {
-	p := stepProgress{Step: s.Index, AllDone: s.Open == 0}
-	for _, t := range s.Tasks {
+// progressOf returns the progress of some tasks of a step. For an ended job it holds only the remaining runs.
+func progressOf(tasks []*Task, ended bool) tasksProgress {
+	p := tasksProgress{AllDone: !ended && !slices.ContainsFunc(tasks, func(t *Task) bool { return !t.Done })}
+	for _, t := range tasks {
 		switch {
 		case t.Done && !p.AllDone && !ended:
 			p.Done = append(p.Done, t.Index)
@@ -172,9 +187,11 @@
 			p.Tasks = append(p.Tasks, t.progress())
 		}
 	}
-	return p, p.AllDone && !ended || len(p.Done) > 0 || len(p.Tasks) > 0
+	return p
 }
 
+func (p *tasksProgress) empty() bool { return !p.AllDone && len(p.Done) == 0 && len(p.Tasks) == 0 }
+
 func (t *Task) progress() taskProgress {
 	p := taskProgress{
 		Index: t.Index, LastRun: t.LastRun, Failures: t.Failures, FailedOn: t.FailedOn, Checkpoint: t.Checkpoint,
@@ -185,16 +202,26 @@
 	return p
 }
 
-// Restore applies a Progress record to a job without progress. All runs are restored as assigned and stored; only
-// their workers can report whether they received the start request. After an error the job has no occurrences and adds
-// none: which of its tasks are done is not known, so none may start.
-func (j *Job) Restore(value []byte, now time.Time) error {
+// Restore applies a Progress record, and the records of the job's parts by key, to a job without progress. All runs are
+// restored as assigned and stored; only their workers can report whether they received the start request. After an error
+// the job has no occurrences and adds none: which of its tasks are done is not known, so none may start.
+func (j *Job) Restore(value []byte, parts map[string][]byte, now time.Time) error {
 	err := j.restore(value, now)
+	if err == nil {
+		err = j.restoreParts(parts, now)
+	}
 	if err != nil {
 		j.Occurrences, j.NextOccurrence = nil, j.Spec.Occurrences()
 		j.State, j.Started = StateRunning, true
+		return err
 	}
-	return err
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			s.finishRestore()
+		}
+	}
+	j.splitIfLarge()
+	return nil
 }
 
 func (j *Job) restore(value []byte, now time.Time) error {
@@ -209,6 +236,11 @@
 	if p.EndedAtMillis != 0 {
 		j.EndedAt = time.UnixMilli(p.EndedAtMillis)
 	}
+	if p.InParts {
+		if err := j.restoreOpen(p.Open, now); err != nil {
+			return err
+		}
+	}
 	for _, op := range p.Occurrences {
 		if op.Number < 0 || op.Number >= j.Spec.Occurrences() || j.Occurrence(op.Number) != nil {
 			return fmt.Errorf("progress of job %s: occurrence %d is out of range or repeated", j.ID, op.Number)
@@ -218,7 +250,7 @@
 			if sp.Step < 0 || sp.Step >= len(o.Steps) {
 				return fmt.Errorf("progress of job %s: job has %d steps, got index %d", j.ID, len(o.Steps), sp.Step)
 			}
-			if err := o.Steps[sp.Step].restore(sp, now); err != nil {
+			if err := o.Steps[sp.Step].restore(sp.tasksProgress, 0, len(o.Steps[sp.Step].Tasks), now); err != nil {
 				return err
 			}
 		}
@@ -227,54 +259,74 @@
 	return nil
 }
 
-func (s *Step) restore(p stepProgress, now time.Time) error {
+// restore applies the progress of the tasks from index from up to index to.
+func (s *Step) restore(p tasksProgress, from, to int, now time.Time) error {
 	if p.AllDone {
-		for _, t := range s.Tasks {
+		for _, t := range s.Tasks[from:to] {
 			t.Done = true
 		}
-		s.Open = 0
 	}
 	for _, i := range p.Done {
-		if i < 0 || i >= len(s.Tasks) || s.Tasks[i].Done {
+		if i < from || i >= to || s.Tasks[i].Done {
 			return fmt.Errorf("progress of job %s: step %d has %d tasks, got index %d out of range or twice",
 				s.Job.ID, s.Index, len(s.Tasks), i)
 		}
 		s.Tasks[i].Done = true
-		s.Open--
 	}
 	for _, tp := range p.Tasks {
-		if tp.Index < 0 || tp.Index >= len(s.Tasks) {
+		if tp.Index < from || tp.Index >= to {
 			return fmt.Errorf("progress of job %s: step %d has %d tasks, got index %d",
 				s.Job.ID, s.Index, len(s.Tasks), tp.Index)
 		}
-		if tp.LastRun < 0 || tp.LastRun > maxRun || tp.Failures < 0 || len(s.Tasks[tp.Index].Runs) > 0 {
-			return fmt.Errorf("progress of job %s: run %d or %d failures of task %d of step %d are out of range or repeated",
-				s.Job.ID, tp.LastRun, tp.Failures, tp.Index, s.Index)
+		if err := s.Tasks[tp.Index].restore(tp, now); err != nil {
+			return err
 		}
-		t := s.Tasks[tp.Index]
-		t.RestoredRun = tp.LastRun
-		t.LastRun, t.Failures, t.FailedOn, t.Checkpoint = tp.LastRun, tp.Failures, tp.FailedOn, tp.Checkpoint
-		if t.FailedOn != "" {
-			t.FailedAt = now
+	}
+	return nil
+}
+
+func (t *Task) restore(p taskProgress, now time.Time) error {
+	s := t.Step
+	if p.LastRun < 0 || p.LastRun > maxRun || p.Failures < 0 || len(t.Runs) > 0 {
+		return fmt.Errorf("progress of job %s: run %d or %d failures of task %d of step %d are out of range or repeated",
+			s.Job.ID, p.LastRun, p.Failures, p.Index, s.Index)
+	}
+	t.RestoredRun = p.LastRun
+	t.LastRun, t.Failures, t.FailedOn, t.Checkpoint = p.LastRun, p.Failures, p.FailedOn, p.Checkpoint
+	if t.FailedOn != "" {
+		t.FailedAt = now
+	}
+	for _, rp := range p.Runs {
+		if rp.Number < 1 || rp.Number > maxRun || rp.Worker == "" {
+			return fmt.Errorf("progress of job %s: run %d of task %d of step %d is out of range",
+				s.Job.ID, rp.Number, p.Index, s.Index)
 		}
-		for _, rp := range tp.Runs {
-			if rp.Number < 1 || rp.Number > maxRun || rp.Worker == "" {
-				return fmt.Errorf("progress of job %s: run %d of task %d of step %d is out of range",
-					s.Job.ID, rp.Number, tp.Index, s.Index)
-			}
-			t.Runs = append(t.Runs, &Run{
-				Task: t, Number: rp.Number, Worker: rp.Worker, Since: now, Pace: 100,
-				Stored: true, Released: true, Inherited: true,
-			})
+		t.Runs = append(t.Runs, &Run{
+			Task: t, Number: rp.Number, Worker: rp.Worker, Since: now, Pace: 100,
+			Stored: true, Released: true, Inherited: true,
+		})
+	}
+	return nil
+}
+
+// finishRestore derives the counts of a restored step from its tasks. A gang is done as a whole, but not all of its
+// parts may have been stored.
+func (s *Step) finishRestore() {
+	if s.Spec.Gang && slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Done }) {
+		for _, t := range s.Tasks {
+			t.Done = true
 		}
 	}
-	s.Unassigned = 0
+	s.Open, s.Unassigned = 0, 0
 	for _, t := range s.Tasks {
-		if !t.Done && t.LastRun == 0 {
+		if t.Done {
+			continue
+		}
+		s.Open++
+		if t.LastRun == 0 {
 			s.Unassigned++
 		}
 	}
-	return nil
 }
 
 // Keys of the records of jobs in the store.
@@ -284,6 +336,7 @@
 	progressPrefix   = "p/"
 	wavePrefix       = "w/"
 	donePrefix       = "d/"
+	partPrefix       = "t/"
 )
 
 // HomeSizesKey is the key of the record that holds the initial number of instances of each pool.
@@ -313,6 +366,7 @@
 	KeyWorkers
 	KeyQueuePools
 	KeyDone
+	KeyPart
 )
 
 // SubmissionKey returns the key of a job's submission.
@@ -354,6 +408,10 @@
 		return KeyWave, key[2:]
 	case donePrefix:
 		return KeyDone, key[2:]
+	case partPrefix:
+		if id, _, _, _, err := ParseTaskName(key[2:]); err == nil {
+			return KeyPart, id
+		}
 	}
 	return KeyUnknown, ""
 }
