Refuse a submission that cannot be stored, without effect on others

What callers saw: a submission whose record exceeds the store's limit (a body just below max_body_bytes, as the record holds more than the body) was answered with 504 at the end of its deadline, after every partition had refused it again and again. Submissions in the same append were answered with 504 as well, and a hundred large ones together exceeded call_bytes.

Cause: an append that the store does not accept was taken for one without an answer, and a batch of submissions was bounded by its records only.

Change: a record over the settings' limit is refused at once with 413 and is not sent. A batch stays within call_bytes. If the store refuses a batch for good, each half is appended by itself.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -180,7 +180,8 @@
 	handler := &front.Handler{
 		Config: n.follower,
 		Jobs: store.NewBatchers(
-			ctx, n.platform.Store, n.platform.JobTopic, n.settings.StorePartitions, preferredPartition(n.settings),
+			ctx, n.platform.Store, n.settings.StoreLimits, n.platform.JobTopic, n.settings.StorePartitions,
+			preferredPartition(n.settings),
 		),
 		Codec:         n.platform.Codec,
 		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log},
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -242,6 +242,10 @@
 		if err == nil {
 			return true
 		}
+		if errors.Is(err, store.ErrRefused) && !unknown {
+			h.refuse(w, r, q, &refusal{status: http.StatusRequestEntityTooLarge, reason: err.Error()})
+			return false
+		}
 		unknown = unknown || !errors.Is(err, store.ErrBusy) && !errors.Is(err, store.ErrFull)
 		if ctx.Err() != nil || !unknown && time.Since(began) > storeRetryWindow {
 			h.respondNotStored(w, r, q, err, unknown)
--- a/internal/store/batcher.go
+++ b/internal/store/batcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 // there when the store is slow.
 type Batcher struct {
 	store     Store
+	limits    Limits
 	topic     string
 	partition int
 	queue     chan batchItem
@@ -38,15 +40,20 @@
 }
 
 // NewBatcher returns a Batcher whose appends run until ctx is done.
-func NewBatcher(ctx context.Context, s Store, topic string, partition int) *Batcher {
-	g := &Batcher{store: s, topic: topic, partition: partition, queue: make(chan batchItem, maxQueuedRecords)}
+func NewBatcher(ctx context.Context, s Store, limits Limits, topic string, partition int) *Batcher {
+	g := &Batcher{
+		store: s, limits: limits, topic: topic, partition: partition, queue: make(chan batchItem, maxQueuedRecords),
+	}
 	go g.run(ctx)
 	return g
 }
 
-// Append appends one record together with others. If the queue is full, it returns ErrBusy without sending the record.
-// If ctx is done before the result arrives, the outcome is unknown.
+// Append appends one record together with others. If the queue is full, it returns ErrBusy without sending the record, and
+// ErrRefused if the record exceeds the limits of size. If ctx is done before the result arrives, the outcome is unknown.
 func (g *Batcher) Append(ctx context.Context, r Record) error {
+	if !g.limits.Fits(r) {
+		return fmt.Errorf("%w: record of %d bytes, at most %d are possible", ErrRefused, r.Size(), g.limits.Record)
+	}
 	item := batchItem{record: r, done: make(chan error, 1)}
 	g.pending.Add(1)
 	select {
@@ -64,37 +71,58 @@
 }
 
 func (g *Batcher) run(ctx context.Context) {
+	var next *batchItem // does not fit into the batch before
 	for {
 		var batch []batchItem
-		select {
-		case <-ctx.Done():
-			return
-		case item := <-g.queue:
-			batch = append(batch, item)
+		if next != nil {
+			batch = append(batch, *next)
+		} else {
+			select {
+			case <-ctx.Done():
+				return
+			case item := <-g.queue:
+				batch = append(batch, item)
+			}
 		}
-		batch = g.collect(batch)
-		err := g.append(ctx, batch)
+		batch, next = g.collect(batch)
+		g.append(ctx, batch)
 		g.pending.Add(-int32(len(batch)))
-		for _, item := range batch {
-			item.done <- err
-		}
 	}
 }
 
-// collect adds the queued records to the batch, up to maxBatchRecords.
-func (g *Batcher) collect(batch []batchItem) []batchItem {
+// collect adds the queued records to the batch, up to maxBatchRecords and to the size of a call. It returns the first record
+// that does not fit any more, if there is one.
+func (g *Batcher) collect(batch []batchItem) ([]batchItem, *batchItem) {
+	size := batch[0].record.CallSize()
 	for len(batch) < maxBatchRecords {
 		select {
 		case item := <-g.queue:
+			if size += item.record.CallSize(); size > g.limits.Call {
+				return batch, &item
+			}
 			batch = append(batch, item)
 		default:
-			return batch
+			return batch, nil
 		}
 	}
-	return batch
+	return batch, nil
 }
 
-func (g *Batcher) append(ctx context.Context, batch []batchItem) error {
+// append appends a batch and reports the result to the waiting callers. If the store refuses it for good, each half is
+// appended by itself, so that a record that cannot be stored fails alone.
+func (g *Batcher) append(ctx context.Context, batch []batchItem) {
+	err := g.appendOnce(ctx, batch)
+	if half := len(batch) / 2; half > 0 && errors.Is(err, ErrRefused) {
+		g.append(ctx, batch[:half])
+		g.append(ctx, batch[half:])
+		return
+	}
+	for _, item := range batch {
+		item.done <- err
+	}
+}
+
+func (g *Batcher) appendOnce(ctx context.Context, batch []batchItem) error {
 	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	defer cancel()
 	records := make([]Record, len(batch))
@@ -123,17 +151,20 @@
 
 // NewBatchers returns Batchers for all partitions of a topic. This process prefers one of them, so that its records
 // wait for few appends of other processes and share batches. The appends run until ctx is done.
-func NewBatchers(ctx context.Context, s Store, topic string, partitions, preferred int) *Batchers {
+func NewBatchers(
+	ctx context.Context, s Store, limits Limits, topic string, partitions, preferred int,
+) *Batchers {
 	g := &Batchers{preferred: preferred, failedUntil: make([]time.Duration, partitions)}
 	for i := range partitions {
-		g.partitions = append(g.partitions, NewBatcher(ctx, s, topic, i))
+		g.partitions = append(g.partitions, NewBatcher(ctx, s, limits, topic, i))
 	}
 	return g
 }
 
 // Append appends a record to one of the partitions, first to the preferred one. Partitions can fail independently, so
 // a record that one partition does not acknowledge in time goes to the next; readers must tolerate a record that is
-// in two partitions. Unless all attempts were refused, an error means that the outcome is unknown.
+// in two partitions. Unless all attempts were refused, an error means that the outcome is unknown. A record that a
+// partition refuses for good is not tried at the others.
 func (g *Batchers) Append(ctx context.Context, r Record) error {
 	unknown := false
 	for n := range g.partitions {
@@ -142,6 +173,9 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, ErrRefused) && !unknown {
+			return err
+		}
 		g.markFailed(p)
 		unknown = unknown || !errors.Is(err, ErrBusy) && !errors.Is(err, ErrFull)
 		if ctx.Err() != nil {
--- a/internal/store/batcher_test.go
+++ b/internal/store/batcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -42,7 +43,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	s := &slowStore{release: make(chan struct{})}
-	g := NewBatcher(ctx, s, "topic", 0)
+	g := NewBatcher(ctx, s, DefaultLimits, "topic", 0)
 	const records = 20
 	var waiting sync.WaitGroup
 	errs := make([]error, records)
@@ -65,7 +66,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	s := &slowStore{release: make(chan struct{})}
-	g := NewBatcher(ctx, s, "topic", 0)
+	g := NewBatcher(ctx, s, DefaultLimits, "topic", 0)
 	short, cancel := context.WithTimeout(ctx, time.Millisecond)
 	defer cancel()
 	is.Equal(g.Append(short, Record{Key: "k"}), ErrUnknown)
@@ -93,7 +94,7 @@
 	defer stop()
 	s := &brokenStore{slowStore: slowStore{release: make(chan struct{})}, broken: 1, err: ErrUnknown}
 	close(s.release)
-	g := NewBatchers(ctx, s, "topic", 3, 1)
+	g := NewBatchers(ctx, s, DefaultLimits, "topic", 3, 1)
 	is.NoErr(g.Append(ctx, Record{Key: "a"}))
 	is.Equal(g.choose(0), 2) // the failed partition is tried last for some time
 	is.Equal(g.choose(2), 1)
@@ -104,6 +105,56 @@
 	is := is.New(t)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	is.Equal(NewBatchers(ctx, &brokenStore{err: ErrBusy}, "topic", 1, 0).Append(ctx, Record{}), ErrBusy)
-	is.Equal(NewBatchers(ctx, &brokenStore{err: ErrUnknown}, "topic", 1, 0).Append(ctx, Record{}), ErrUnknown)
+	for _, err := range []error{ErrBusy, ErrUnknown, ErrRefused} {
+		is.Equal(NewBatchers(ctx, &brokenStore{err: err}, DefaultLimits, "topic", 1, 0).Append(ctx, Record{}), err)
+	}
+}
+
+// sizedStore refuses appends over its limits, as the platform does, and counts the records that it stores.
+type sizedStore struct {
+	slowStore
+	limits Limits
+	odd    string // key that is refused for another reason
+}
+
+func (s *sizedStore) Append(ctx context.Context, a Append) (int64, error) {
+	size := 0
+	for _, r := range a.Records {
+		size += r.CallSize()
+		if !s.limits.Fits(r) || r.Key == s.odd {
+			return 0, ErrRefused
+		}
+	}
+	if size > s.limits.Call {
+		return 0, ErrRefused
+	}
+	return s.slowStore.Append(ctx, a)
+}
+
+// TestRefusedRecordFailsAlone guards against submissions that are refused, or whose outcome is reported as unknown, because
+// a record in the same append exceeds the store's limits or all of them together do.
+func TestRefusedRecordFailsAlone(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	limits := Limits{Record: 1000, Call: 3000}
+	s := &sizedStore{slowStore: slowStore{release: make(chan struct{})}, limits: limits, odd: "3"}
+	g := NewBatchers(ctx, s, limits, "topic", 2, 0)
+	const records = 30
+	var waiting sync.WaitGroup
+	errs := make([]error, records)
+	for i := range records {
+		size := 900
+		if i == 7 {
+			size = 1200
+		}
+		waiting.Go(func() { errs[i] = g.Append(ctx, Record{Key: fmt.Sprint(i), Value: make([]byte, size)}) })
+	}
+	close(s.release)
+	waiting.Wait()
+	for i, err := range errs {
+		is.Equal(err != nil, i == 3 || i == 7)
+		is.Equal(errors.Is(err, ErrRefused), i == 3 || i == 7)
+	}
+	is.Equal(s.records, records-2)
 }
