Start all members of a gang from the same checkpoint

Ruled out: the placement and the run number, which were the same for all members in each record.

Change: a gang has one checkpoint, kept and stored with its first member. It changes only when a run of the gang ends, so a repeated start and one by a new leader carry the same value. Records of earlier versions, with a value for each member, are read: the first one is used.

Evidence: TestInterruptedGangStartsFromOneCheckpoint (four different checkpoints) failed on the code before and passes now; TestGangResumesFromOneCheckpoint and TestGangOfAnEarlierVersionResumesFromOneCheckpoint guard the choice and old records.

--- /dev/null
+++ b/internal/dispatch/gang_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/worker"
+	"pollenlead/internal/workload"
+)
+
+// newGangFixture returns a dispatcher with a gang of four on four workers, whose starts wait for the store.
+func newGangFixture(t *testing.T) (*Dispatcher, []*workload.Run) {
+	t.Helper()
+	d := newFixture(4)
+	d.Workers = &unresponsiveWorkers{}
+	t.Cleanup(d.stop)
+	for i := range d.agents {
+		d.agents[i].clockAt = d.bootStart
+	}
+	j := d.addJob("0011223344556677", fleet.Step{
+		Count: 4, Gang: true, Checkpoints: true, MaxPerWorker: 1, Need: fleet.Resources{CPUMilli: 1000},
+	})
+	d.place()
+	return d, gangRuns(t, j)
+}
+
+func gangRuns(t *testing.T, j *job) []*workload.Run {
+	t.Helper()
+	var runs []*workload.Run
+	j.EachTask(func(task *workload.Task) {
+		if len(task.Runs) != 1 {
+			t.Fatalf("%d runs of a member", len(task.Runs))
+		}
+		runs = append(runs, task.Runs[0])
+	})
+	return runs
+}
+
+// TestInterruptedGangStartsFromOneCheckpoint guards against a gang that is interrupted by the crash of one worker and whose
+// members are started again from different checkpoints. They ended alone without end, and the job was never done.
+func TestInterruptedGangStartsFromOneCheckpoint(t *testing.T) {
+	is := is.New(t)
+	d, runs := newGangFixture(t)
+	values := []string{"a", "b", "c", "d"}
+	d.mu.Lock()
+	for n, r := range runs {
+		r.Stored, r.Released, r.Phase = true, true, workload.RunActive
+		a := d.agent(r.Worker)
+		d.updateRun(r, &worker.Running{Task: r.Task.Name(), Run: 1, Checkpoint: values[n], Percent: 40}, d.now(), d.now())
+		if n > 0 {
+			d.applyEnd(a, worker.End{
+				Number: 1, Task: r.Task.Name(), Run: 1, Kind: worker.EndGangMemberEnded, Checkpoint: values[n],
+			})
+		}
+	}
+	d.dropLostRun(d.agent(runs[0].Worker), runs[0])
+	d.mu.Unlock()
+	d.place()
+	started := map[string]int{}
+	for _, r := range gangRuns(t, d.jobs["0011223344556677"]) {
+		is.Equal(r.Number, 2)
+		_, s, ok := d.nextStart(d.agent(r.Worker), r, false)
+		is.True(ok)
+		started[s.Checkpoint]++
+	}
+	is.Equal(started, map[string]int{"d": 4}) // the value that was saved last
+}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -117,7 +117,7 @@
 	}
 	return a.address(), worker.Start{
 		Task: t.Name(), Run: r.Number, Spec: t.Step.Job.Spec.Spec, DeadlineMillis: deadline, FencingToken: d.Token,
-		Checkpoint: t.Checkpoint, Ticket: r.Ticket,
+		Checkpoint: t.ResumeFrom(), Ticket: r.Ticket,
 	}, true
 }
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -167,9 +167,7 @@
 		run.ActiveSince = now
 	}
 	run.Percent, run.SeenAt, run.Load = x.Percent, asked, x.Load
-	if x.Checkpoint != "" {
-		run.Checkpoint = x.Checkpoint
-	}
+	run.SetCheckpoint(x.Checkpoint, asked)
 }
 
 // handleMissingRun handles a run that the worker has listed neither as running nor as ended. Callers hold mu.
--- /dev/null
+++ b/internal/workload/gang_test.go
@@ -0,0 +1,55 @@
+package workload
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/worker"
+)
+
+func newGang(members int) *Job {
+	j := NewJob("0011223344556677", "q", "p", "team", &fleet.JobSpec{
+		Steps: []fleet.Step{{Count: members, Gang: true, Checkpoints: true}},
+	}, start)
+	j.Advance(start, 0)
+	return j
+}
+
+// TestGangResumesFromOneCheckpoint guards against members of an interrupted gang that are started again from different
+// checkpoints, so that they cannot work together and give up each time. The newest value is used, although that of the
+// member whose worker was lost is learned last.
+func TestGangResumesFromOneCheckpoint(t *testing.T) {
+	is := is.New(t)
+	j := newGang(3)
+	tasks := j.Occurrences[0].Steps[0].Tasks
+	var runs []*Run
+	for n, task := range tasks {
+		runs = append(runs, task.Assign("w"+strconv.Itoa(n), 1, start))
+	}
+	runs[0].SetCheckpoint("lost", start.Add(time.Second))
+	runs[1].SetCheckpoint("older", start.Add(time.Second))
+	j.End(tasks[1], runs[1], worker.EndGangMemberEnded, "older", 3, start.Add(3*time.Second))
+	j.End(tasks[2], runs[2], worker.EndGangMemberEnded, "newest", 3, start.Add(3*time.Second))
+	tasks[0].Remove(runs[0]) // its worker was lost, and its lease has expired
+	for _, task := range tasks {
+		is.Equal(task.ResumeFrom(), "newest")
+	}
+	s := recordStore{}
+	s.save(t, j, 10)
+	s.restore(t, j).EachTask(func(task *Task) { is.Equal(task.ResumeFrom(), "newest") })
+}
+
+// TestGangOfAnEarlierVersionResumesFromOneCheckpoint guards against the same after an upgrade: earlier versions stored a
+// checkpoint with each member.
+func TestGangOfAnEarlierVersionResumesFromOneCheckpoint(t *testing.T) {
+	is := is.New(t)
+	j := newGang(3)
+	j = NewJob(j.ID, "q", "p", "team", j.Spec, start)
+	is.NoErr(j.Restore([]byte(`{"state":"running","next":1,"occ":[{"n":0,"steps":[{"s":0,"t":[{"i":0,"r":1},
+		{"i":1,"r":1,"c":"a"},{"i":2,"r":1,"c":"b"}]}]}]}`), nil, start))
+	j.EachTask(func(task *Task) { is.Equal(task.ResumeFrom(), "a") })
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -82,6 +82,8 @@
 	ReadyAt time.Time
 
 	parts []part // nil unless the job is stored in parts
+	// checkpointAt is the time at which the gang's checkpoint was new.
+	checkpointAt time.Time
 }
 
 // Task is the state of one task.
@@ -102,6 +104,7 @@
 	// of its restoration.
 	FailedOn   string
 	FailedAt   time.Time
+	// Checkpoint is the newest checkpoint of the task. That of a gang is kept with its first task; see ResumeFrom.
 	Checkpoint string
 	// LostAt is the time at which a run of the task was last given up without a report of its end by its worker.
 	LostAt time.Time
@@ -132,9 +135,11 @@
 	// Since is the time of the assignment, and ActiveSince the time at which the worker accepted the run.
 	Since, ActiveSince time.Time
 	// Percent is the progress that the worker last reported, and SeenAt the time of the request for that report.
-	Percent    int
-	SeenAt     time.Time
-	Checkpoint string
+	Percent int
+	SeenAt  time.Time
+	// Checkpoint is the newest checkpoint that the worker reported, and CheckpointAt the time at which it was new.
+	Checkpoint   string
+	CheckpointAt time.Time
 	// Load is the tail latency in milliseconds of a serving task, or the CPU use in thousandths of a core of any
 	// other task.
 	Load int64
@@ -339,7 +344,38 @@
 		}
 	}
 	if t.Step.Spec.Checkpoints && run.Checkpoint != "" && !t.Done {
+		t.keepCheckpoint(run)
+	}
+}
+
+// keepCheckpoint keeps the checkpoint of a run that has ended. The value from any member of a gang is valid for all of
+// them; the newest one is kept, as members end at different times and that of a lost member is learned last.
+func (t *Task) keepCheckpoint(run *Run) {
+	s := t.Step
+	if !s.Spec.Gang {
 		t.Checkpoint = run.Checkpoint
+		return
+	}
+	first := s.Tasks[0]
+	if first.Checkpoint == "" || !run.CheckpointAt.Before(s.checkpointAt) {
+		first.Checkpoint, s.checkpointAt = run.Checkpoint, run.CheckpointAt
+		first.markChanged()
+	}
+}
+
+// ResumeFrom returns the checkpoint from which the next run of the task resumes, or "". All members of a gang resume from
+// the same one.
+func (t *Task) ResumeFrom() string {
+	if t.Step.Spec.Gang {
+		return t.Step.Tasks[0].Checkpoint
+	}
+	return t.Checkpoint
+}
+
+// SetCheckpoint records a checkpoint that the worker reported at the given time.
+func (r *Run) SetCheckpoint(checkpoint string, at time.Time) {
+	if checkpoint != "" && checkpoint != r.Checkpoint {
+		r.Checkpoint, r.CheckpointAt = checkpoint, at
 	}
 }
 
@@ -348,9 +384,7 @@
 func (j *Job) End(t *Task, run *Run, kind worker.EndKind, checkpoint string, attempts int, now time.Time) {
 	j.MarkStarted()
 	if run != nil {
-		if checkpoint != "" {
-			run.Checkpoint = checkpoint
-		}
+		run.SetCheckpoint(checkpoint, now)
 		t.Remove(run)
 	}
 	if t.Done || j.State.Ended() {
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -309,14 +309,27 @@
 	return nil
 }
 
-// finishRestore derives the counts of a restored step from its tasks. A gang is done as a whole, but not all of its
-// parts may have been stored.
-func (s *Step) finishRestore() {
-	if s.Spec.Gang && slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Done }) {
-		for _, t := range s.Tasks {
-			t.Done = true
+// finishRestoreGang restores what the members of a gang have in common. A gang is done as a whole, but not all of its parts
+// may have been stored. Earlier versions stored a checkpoint with each member.
+func (s *Step) finishRestoreGang() {
+	done := slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Done })
+	first := s.Tasks[0]
+	for _, t := range s.Tasks {
+		t.Done = done
+		if first.Checkpoint == "" {
+			first.Checkpoint = t.Checkpoint
+		}
+		if t != first {
+			t.Checkpoint = ""
 		}
 	}
+}
+
+// finishRestore derives the counts of a restored step from its tasks.
+func (s *Step) finishRestore() {
+	if s.Spec.Gang {
+		s.finishRestoreGang()
+	}
 	s.Open, s.Unassigned = 0, 0
 	for _, t := range s.Tasks {
 		if t.Done {
