Stop a gang of which one member does not start

What callers saw: if the start of one member of a gang was refused or withdrawn, the others held their room and ended "alone" after gang_timeout_ms. A new leader that repeated a start of an inherited gang did so although another member had ended.

Cause: each member's start was handled by itself.

Change: a member is started only while all members have a run of the same number that is not being stopped, and when a start is withdrawn the other members are stopped.

Evidence: TestRefusedGangMemberStopsTheOthers and TestMemberOfAnEndedGangIsNotStarted failed on the code before and pass now.

--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
@@ -67,3 +68,39 @@
 	}
 	is.Equal(started, map[string]int{"d": 4}) // the value that was saved last
 }
+
+// TestRefusedGangMemberStopsTheOthers guards against members of a gang that hold their room and then end alone, because
+// one of them was refused.
+func TestRefusedGangMemberStopsTheOthers(t *testing.T) {
+	is := is.New(t)
+	d, runs := newGangFixture(t)
+	for _, r := range runs {
+		r.Stored, r.Released = true, true
+	}
+	runs[1].Phase = workload.RunActive
+	d.applyStartOutcome(d.agent(runs[0].Worker), runs[0], &worker.RefusedError{Reason: worker.RefusedRoom}, false)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	is.Equal(len(runs[0].Task.Runs), 0)
+	for _, r := range runs[1:] {
+		is.Equal(r.Phase, workload.RunStopping)
+	}
+}
+
+// TestMemberOfAnEndedGangIsNotStarted guards against a start of one member after another one has ended: a new leader repeats
+// a start that its predecessor may not have sent.
+func TestMemberOfAnEndedGangIsNotStarted(t *testing.T) {
+	is := is.New(t)
+	d, runs := newGangFixture(t)
+	for _, r := range runs {
+		r.Stored, r.Released, r.Inherited = true, true, true
+	}
+	d.applyReport(d.agent(runs[3].Worker), worker.Report{ClockMillis: 1, Ended: []worker.End{
+		{Number: 1, Task: runs[3].Task.Name(), Run: 1, Kind: worker.EndGangTimeout},
+	}}, bootclock.Now())
+	_, _, ok := d.nextStart(d.agent(runs[0].Worker), runs[0], false)
+	is.True(!ok)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	is.Equal(runs[0].Phase, workload.RunStopping) // the earlier leader's start may still be carried out
+}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -110,8 +110,9 @@
 		return worker.Address{}, worker.Start{}, false
 	}
 	deadline := d.lease(a)
-	if a.entry == nil || deadline == 0 || t.Step.Job.State.Ended() {
-		// Without an address or a lease the start cannot be sent. An earlier attempt may still be carried out.
+	if a.entry == nil || deadline == 0 || t.Step.Job.State.Ended() || t.Step.Spec.Gang && !r.GangComplete() {
+		// Without an address or a lease the start cannot be sent, and a member of a gang waits in vain if another one has
+		// ended. An earlier attempt may still be carried out.
 		d.withdraw(a, r, r.Inherited || tried)
 		return worker.Address{}, worker.Start{}, false
 	}
@@ -175,6 +176,9 @@
 // withdraw withdraws a run that is not known to have started. If an attempt may still be carried out, a stop has to
 // prevent it first. Callers hold mu.
 func (d *Dispatcher) withdraw(a *agent, r *workload.Run, mayStart bool) {
+	if r.Task.Step.Spec.Gang {
+		defer d.stopGang(r.GangRuns())
+	}
 	if !mayStart && r.Phase == workload.RunAssigned {
 		d.dropRun(a, r)
 		return
@@ -182,6 +186,16 @@
 	d.stopRun(r, "its start is withdrawn")
 }
 
+// stopGang stops the other members of a gang of which one is not started: they would wait for it until they give up.
+// Callers hold mu.
+func (d *Dispatcher) stopGang(others []*workload.Run) {
+	for _, r := range others {
+		if r.Phase != workload.RunStopping {
+			d.stopRun(r, "a member of its gang does not start")
+		}
+	}
+}
+
 // stopRun stops a run, or prevents its start. The run is removed when the worker lists its end, when the worker has
 // acknowledged the stop and does not list the run, or when the lease has expired. Callers hold mu.
 func (d *Dispatcher) stopRun(r *workload.Run, why string) {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -379,6 +379,38 @@
 	}
 }
 
+// GangComplete reports whether every member of the run's gang has a run with the same number that is not being stopped. A
+// member that is started without the others waits for them in vain.
+func (r *Run) GangComplete() bool {
+	for _, member := range r.Task.Step.Tasks {
+		other := member.runNumbered(r.Number)
+		if other == nil || other.Phase == RunStopping {
+			return false
+		}
+	}
+	return true
+}
+
+// GangRuns returns the runs of the other members of the run's gang with the same number.
+func (r *Run) GangRuns() []*Run {
+	var runs []*Run
+	for _, member := range r.Task.Step.Tasks {
+		if other := member.runNumbered(r.Number); other != nil && other != r {
+			runs = append(runs, other)
+		}
+	}
+	return runs
+}
+
+func (t *Task) runNumbered(number int) *Run {
+	for _, r := range t.Runs {
+		if r.Number == number {
+			return r
+		}
+	}
+	return nil
+}
+
 // End applies the end of a run, as reported by its worker. attempts is the number of failed runs of a task after
 // which the job fails.
 func (j *Job) End(t *Task, run *Run, kind worker.EndKind, checkpoint string, attempts int, now time.Time) {
