--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -102,8 +102,8 @@
 	FailedRuns []int
 	// FailedOn is the worker of the most recent failed run, and FailedAt the time of its end. A restored task has the time
 	// of its restoration.
-	FailedOn   string
-	FailedAt   time.Time
+	FailedOn string
+	FailedAt time.Time
 	// Checkpoint is the newest checkpoint of the task. That of a gang is kept with its first task; see ResumeFrom.
 	Checkpoint string
 	// LostAt is the time at which a run of the task was last given up without a report of its end by its worker.
