--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -181,8 +181,8 @@
 	}
 }
 
-// applyStored publishes the state of a job whose progress is stored, and sends the starts that waited for it. Callers hold
-// mu.
+// applyStored publishes the state of a job whose progress is stored, and sends the starts that waited for it. Callers
+// hold mu.
 func (d *Dispatcher) applyStored(item *batchItem) {
 	if item.record.Key == workload.ProgressKey(item.job.ID) {
 		d.progressStored(item.job, item.state)
@@ -196,9 +196,9 @@
 	}
 }
 
-// recordRefused handles a record that the store does not accept. Its job starts nothing for a while; other work goes on.
-// Runs that were not sent yet are given up, and the rest of the record is stored with the next change of the job. Callers
-// hold mu.
+// recordRefused handles a record that the store does not accept. Its job starts nothing for a while; other work goes
+// on. Runs that were not sent yet are given up, and the rest of the record is stored with the next change of the job.
+// Callers hold mu.
 func (d *Dispatcher) recordRefused(b *batch, item *batchItem, reason error) {
 	d.counters.recordsRefused.Add(1)
 	switch item.record.Key {
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -100,8 +100,8 @@
 	return nil
 }
 
-// store appends the records of some items. If the store refuses them, it appends each half of them, so that a record that
-// cannot be stored does not hold up the others, and marks that record as refused.
+// store appends the records of some items. If the store refuses them, it appends each half of them, so that a record
+// that cannot be stored does not hold up the others, and marks that record as refused.
 func (c *committer) store(ctx context.Context, items []*batchItem) error {
 	records := make([]store.Record, len(items))
 	for i, item := range items {
@@ -122,8 +122,8 @@
 	return c.store(ctx, items[half:])
 }
 
-// append repeats one append until its outcome is known. An append without records takes no sequence number. An error that
-// is not store.ErrRefused means that the term has ended.
+// append repeats one append until its outcome is known. An append without records takes no sequence number. An error
+// that is not store.ErrRefused means that the term has ended.
 func (c *committer) append(ctx context.Context, records []store.Record) error {
 	if len(records) > 0 {
 		c.sequence++
--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -39,8 +39,8 @@
 	return runs
 }
 
-// TestInterruptedGangStartsFromOneCheckpoint guards against a gang that is interrupted by the crash of one worker and whose
-// members are started again from different checkpoints. They ended alone without end, and the job was never done.
+// TestInterruptedGangStartsFromOneCheckpoint guards against a gang that is interrupted by the crash of one worker and
+// whose members are started again from different checkpoints. They ended alone without end, and the job was never done.
 func TestInterruptedGangStartsFromOneCheckpoint(t *testing.T) {
 	is := is.New(t)
 	d, runs := newGangFixture(t)
@@ -87,8 +87,8 @@
 	}
 }
 
-// TestMemberOfAnEndedGangIsNotStarted guards against a start of one member after another one has ended: a new leader repeats
-// a start that its predecessor may not have sent.
+// TestMemberOfAnEndedGangIsNotStarted guards against a start of one member after another one has ended: a new leader
+// repeats a start that its predecessor may not have sent.
 func TestMemberOfAnEndedGangIsNotStarted(t *testing.T) {
 	is := is.New(t)
 	d, runs := newGangFixture(t)
--- a/internal/dispatch/largebench_test.go
+++ b/internal/dispatch/largebench_test.go
@@ -10,8 +10,8 @@
 	"pollenlead/internal/workload"
 )
 
-// BenchmarkLargeJob measures what one end of a task costs a leader, for a job whose tasks all run: the decision, and the
-// record of the change. It reports the bytes of one append.
+// BenchmarkLargeJob measures what one end of a task costs a leader, for a job whose tasks all run: the decision, and
+// the record of the change. It reports the bytes of one append.
 func BenchmarkLargeJob(b *testing.B) {
 	for _, tasks := range []int{32, 1000, 10_000} {
 		b.Run(fmt.Sprint(tasks, "-tasks"), func(b *testing.B) {
--- a/internal/dispatch/query_test.go
+++ b/internal/dispatch/query_test.go
@@ -89,9 +89,9 @@
 	}
 }
 
-// TestNewLeaderKeepsAJobPending guards against a new leader that takes an assignment for a start: the worker refuses it,
-// and the job is left out of the pending ones for good. It also guards against a running job that is shown as pending
-// until its worker has answered the new leader.
+// TestNewLeaderKeepsAJobPending guards against a new leader that takes an assignment for a start: the worker refuses
+// it, and the job is left out of the pending ones for good. It also guards against a running job that is shown as
+// pending until its worker has answered the new leader.
 func TestNewLeaderKeepsAJobPending(t *testing.T) {
 	is := is.New(t)
 	earlier := newFixture(1)
--- a/internal/dispatch/queues_test.go
+++ b/internal/dispatch/queues_test.go
@@ -57,8 +57,8 @@
 	is.Equal(later.Task(0, 0, 0).Runs[0].Worker, "w0")
 }
 
-// TestMovedJobStartsUnstoredOnlyInStoredPools guards against an unstored start at a worker in whose pool the next leader
-// does not look for runs of the queue, because the queue was led to another pool after the assignment.
+// TestMovedJobStartsUnstoredOnlyInStoredPools guards against an unstored start at a worker in whose pool the next
+// leader does not look for runs of the queue, because the queue was led to another pool after the assignment.
 func TestMovedJobStartsUnstoredOnlyInStoredPools(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(1)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -20,7 +20,8 @@
 type oneQueue struct{}
 
 func (oneQueue) Config() *fleet.Config {
-	c := &fleet.Config{Version: 1, Queues: []fleet.Queue{{Name: "queue", Host: "a.example", PathPrefix: "/", Public: true}}}
+	queue := fleet.Queue{Name: "queue", Host: "a.example", PathPrefix: "/", Public: true}
+	c := &fleet.Config{Version: 1, Queues: []fleet.Queue{queue}}
 	c.Limits.BodyBytes = 1 << 20
 	c.Index()
 	return c
@@ -44,8 +45,8 @@
 	return store.Newest{}, nil
 }
 
-// TestSubmissionOverTheLimitIsRefused guards against a submission that can never be stored and is answered with 504 at the
-// end of its deadline, as if it might run.
+// TestSubmissionOverTheLimitIsRefused guards against a submission that can never be stored and is answered with 504 at
+// the end of its deadline, as if it might run.
 func TestSubmissionOverTheLimitIsRefused(t *testing.T) {
 	is := is.New(t)
 	s := &countingStore{}
@@ -60,7 +61,8 @@
 		},
 	}
 	submit := func(bytes int) int {
-		r := httptest.NewRequest(http.MethodPost, "http://a.example/0011223344556677", strings.NewReader(strings.Repeat("x", bytes)))
+		body := strings.NewReader(strings.Repeat("x", bytes))
+		r := httptest.NewRequest(http.MethodPost, "http://a.example/0011223344556677", body)
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, r)
 		return w.Code
--- a/internal/store/batcher.go
+++ b/internal/store/batcher.go
@@ -48,8 +48,9 @@
 	return g
 }
 
-// Append appends one record together with others. If the queue is full, it returns ErrBusy without sending the record, and
-// ErrRefused if the record exceeds the limits of size. If ctx is done before the result arrives, the outcome is unknown.
+// Append appends one record together with others. If the queue is full, it returns ErrBusy without sending the record,
+// and ErrRefused if the record exceeds the limits of size. If ctx is done before the result arrives, the outcome is
+// unknown.
 func (g *Batcher) Append(ctx context.Context, r Record) error {
 	if !g.limits.Fits(r) {
 		return fmt.Errorf("%w: record of %d bytes, at most %d are possible", ErrRefused, r.Size(), g.limits.Record)
@@ -90,8 +91,8 @@
 	}
 }
 
-// collect adds the queued records to the batch, up to maxBatchRecords and to the size of a call. It returns the first record
-// that does not fit any more, if there is one.
+// collect adds the queued records to the batch, up to maxBatchRecords and to the size of a call. It returns the first
+// record that does not fit any more, if there is one.
 func (g *Batcher) collect(batch []batchItem) ([]batchItem, *batchItem) {
 	size := batch[0].record.CallSize()
 	for len(batch) < maxBatchRecords {
--- a/internal/store/batcher_test.go
+++ b/internal/store/batcher_test.go
@@ -131,8 +131,8 @@
 	return s.slowStore.Append(ctx, a)
 }
 
-// TestRefusedRecordFailsAlone guards against submissions that are refused, or whose outcome is reported as unknown, because
-// a record in the same append exceeds the store's limits or all of them together do.
+// TestRefusedRecordFailsAlone guards against submissions that are refused, or whose outcome is reported as unknown,
+// because a record in the same append exceeds the store's limits or all of them together do.
 func TestRefusedRecordFailsAlone(t *testing.T) {
 	is := is.New(t)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,8 +16,8 @@
 	Value  []byte
 }
 
-// Size returns the number of bytes of the record that count against Limits.Record: the length of the key, the key and the
-// value.
+// Size returns the number of bytes of the record that count against Limits.Record: the length of the key, the key and
+// the value.
 func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) }
 
 // recordPrefixBytes is the length that precedes each record in an append.
--- a/internal/workload/gang_test.go
+++ b/internal/workload/gang_test.go
@@ -43,8 +43,8 @@
 	s.restore(t, j).EachTask(func(task *Task) { is.Equal(task.ResumeFrom(), "newest") })
 }
 
-// TestGangOfAnEarlierVersionResumesFromOneCheckpoint guards against the same after an upgrade: earlier versions stored a
-// checkpoint with each member.
+// TestGangOfAnEarlierVersionResumesFromOneCheckpoint guards against the same after an upgrade: earlier versions stored
+// a checkpoint with each member.
 func TestGangOfAnEarlierVersionResumesFromOneCheckpoint(t *testing.T) {
 	is := is.New(t)
 	j := newGang(3)
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -363,8 +363,8 @@
 	}
 }
 
-// ResumeFrom returns the checkpoint from which the next run of the task resumes, or "". All members of a gang resume from
-// the same one.
+// ResumeFrom returns the checkpoint from which the next run of the task resumes, or "". All members of a gang resume
+// from the same one.
 func (t *Task) ResumeFrom() string {
 	if t.Step.Spec.Gang {
 		return t.Step.Tasks[0].Checkpoint
@@ -379,8 +379,8 @@
 	}
 }
 
-// GangComplete reports whether every member of the run's gang has a run with the same number that is not being stopped. A
-// member that is started without the others waits for them in vain.
+// GangComplete reports whether every member of the run's gang has a run with the same number that is not being stopped.
+// A member that is started without the others waits for them in vain.
 func (r *Run) GangComplete() bool {
 	for _, member := range r.Task.Step.Tasks {
 		other := member.runNumbered(r.Number)
--- a/internal/workload/parts.go
+++ b/internal/workload/parts.go
@@ -9,9 +9,9 @@
 )
 
 // The store limits the size of a record. The progress of a small job is one record; that of a larger one consists of a
-// head and of parts, each with the tasks of a step in one range of indices. Only what has changed is stored again. If the
-// records do not fit into one append, the head is stored first, and the parts in the order of their steps: a task that
-// depends on others is never stored as started before they are stored as done.
+// head and of parts, each with the tasks of a step in one range of indices. Only what has changed is stored again. If
+// the records do not fit into one append, the head is stored first, and the parts in the order of their steps: a task
+// that depends on others is never stored as started before they are stored as done.
 
 const (
 	// partTasks is the number of tasks in a part. With the longest names and checkpoints, a part stays within the 256 KiB
@@ -145,9 +145,9 @@
 	return open
 }
 
-// ChangedRecords returns the records to store so that the stored progress becomes the current one, in the order in which
-// they have to be stored. maxBytes is the size of the largest value that the store accepts. The caller reports each record
-// that it stores with Take.
+// ChangedRecords returns the records to store so that the stored progress becomes the current one, in the order in
+// which they have to be stored. maxBytes is the size of the largest value that the store accepts. The caller reports
+// each record that it stores with Take.
 func (j *Job) ChangedRecords(maxBytes int) ([]ProgressRecord, error) {
 	value, err := json.Marshal(j.Progress())
 	if err != nil {
@@ -253,8 +253,8 @@
 	return nil
 }
 
-// restoreParts applies the records of the job's parts. Those of a job that is not stored in parts, or of an occurrence that
-// has ended, are obsolete.
+// restoreParts applies the records of the job's parts. Those of a job that is not stored in parts, or of an occurrence
+// that has ended, are obsolete.
 func (j *Job) restoreParts(parts map[string][]byte, now time.Time) error {
 	for key, value := range parts {
 		_, occurrence, step, n, err := ParseTaskName(key[len(partPrefix):])
--- a/internal/workload/parts_test.go
+++ b/internal/workload/parts_test.go
@@ -67,8 +67,9 @@
 	return string(text)
 }
 
-// TestStoredProgressIsComplete guards against a new leader that lacks runs, ends or checkpoints of a job, or has more than
-// there were, for jobs below and above the size of one record, and for records of the job that are stored one by one.
+// TestStoredProgressIsComplete guards against a new leader that lacks runs, ends or checkpoints of a job, or has more
+// than there were, for jobs below and above the size of one record, and for records of the job that are stored one by
+// one.
 func TestStoredProgressIsComplete(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		spec := &fleet.JobSpec{Times: rapid.IntRange(1, 4).Draw(t, "times"), FirstAt: start, Every: time.Second}
@@ -127,14 +128,14 @@
 }
 
 func largeJob(tasks int) *Job {
-	j := NewJob("0011223344556677", "q", "p", "team", &fleet.JobSpec{Steps: []fleet.Step{{Count: tasks, Checkpoints: true}}},
-		start)
+	spec := &fleet.JobSpec{Steps: []fleet.Step{{Count: tasks, Checkpoints: true}}}
+	j := NewJob("0011223344556677", "q", "p", "team", spec, start)
 	j.Advance(start, 0)
 	return j
 }
 
-// TestLargeJobFitsIntoRecords guards against a job whose progress exceeds a record of the store, so that it can never be
-// stored. Its workers and checkpoints have the longest names that are possible.
+// TestLargeJobFitsIntoRecords guards against a job whose progress exceeds a record of the store, so that it can never
+// be stored. Its workers and checkpoints have the longest names that are possible.
 func TestLargeJobFitsIntoRecords(t *testing.T) {
 	is := is.New(t)
 	j, s := largeJob(10_000), recordStore{}
@@ -165,8 +166,8 @@
 	is.Equal(allProgress(s.restore(t, j)), allProgress(j))
 }
 
-// TestRecordOfAnEarlierVersionIsSplit guards against a large job whose progress an earlier version stored as one record:
-// it is read, and stored in parts from the next change on.
+// TestRecordOfAnEarlierVersionIsSplit guards against a large job whose progress an earlier version stored as one
+// record: it is read, and stored in parts from the next change on.
 func TestRecordOfAnEarlierVersionIsSplit(t *testing.T) {
 	is := is.New(t)
 	j, s := largeJob(1000), recordStore{}
@@ -202,8 +203,8 @@
 	is.True(ended)
 }
 
-// TestPartlyStoredGangIsDone guards against a gang that is never placed again because only some of its parts were stored
-// as done before the leader changed.
+// TestPartlyStoredGangIsDone guards against a gang that is never placed again because only some of its parts were
+// stored as done before the leader changed.
 func TestPartlyStoredGangIsDone(t *testing.T) {
 	is := is.New(t)
 	j, s := largeJob(100), recordStore{}
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -203,8 +203,8 @@
 }
 
 // Restore applies a Progress record, and the records of the job's parts by key, to a job without progress. All runs are
-// restored as assigned and stored; only their workers can report whether they received the start request. After an error
-// the job has no occurrences and adds none: which of its tasks are done is not known, so none may start.
+// restored as assigned and stored; only their workers can report whether they received the start request. After an
+// error the job has no occurrences and adds none: which of its tasks are done is not known, so none may start.
 func (j *Job) Restore(value []byte, parts map[string][]byte, now time.Time) error {
 	err := j.restore(value, now)
 	if err == nil {
@@ -309,8 +309,8 @@
 	return nil
 }
 
-// finishRestoreGang restores what the members of a gang have in common. A gang is done as a whole, but not all of its parts
-// may have been stored. Earlier versions stored a checkpoint with each member.
+// finishRestoreGang restores what the members of a gang have in common. A gang is done as a whole, but not all of its
+// parts may have been stored. Earlier versions stored a checkpoint with each member.
 func (s *Step) finishRestoreGang() {
 	done := slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Done })
 	first := s.Tasks[0]
