Send no stops after the end of the term

What callers saw: nothing directly. A former leader that was stopping a run when its term ended started a new goroutine for the stop without end: it took all processor time of an entry instance that also serves callers.

Cause: orderEnded sends a stop again if it was not acknowledged; after the end of the term stopLoop returns at once and calls orderEnded again. Found by the check of liveness (livenesstest), which did not come to an end: on a virtual clock such a loop takes no time.

--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -90,6 +90,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.ordersInFlight, r)
+	if d.ctx.Err() != nil {
+		return // no order is sent after the end of the term
+	}
 	if r.Phase == workload.RunStopping && r.StopAckedAt.IsZero() && d.attached(r) {
 		d.stopRun(r, "its order has ended")
 	}
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -350,3 +350,28 @@
 	is.Equal(workers.asked.Load(), int64(4))
 	is.Equal(workers.sent.Load(), int64(0))
 }
+
+// TestStopEndsWithTheTerm guards against stops that are repeated without a delay after the term of their leader has ended.
+// The process of a former leader had no processor time left for anything else.
+func TestStopEndsWithTheTerm(t *testing.T) {
+	is := is.New(t)
+	workers := &unresponsiveWorkers{}
+	d := newFixture(1)
+	d.Workers = workers
+	defer d.stop()
+	j := d.addJob("0011223344556677", fleet.Step{Count: 1, Need: fleet.Resources{CPUMilli: 1000}})
+	d.place()
+	d.mu.Lock()
+	run := j.Task(0, 0, 0).Runs[0]
+	run.Stored, run.Released, run.Phase = true, true, workload.RunActive
+	d.stopRun(run, "test")
+	d.stop()
+	d.mu.Unlock()
+	await(t, d, func() bool { return len(d.ordersInFlight) == 0 })
+	for range 100 {
+		d.mu.Lock()
+		is.Equal(len(d.ordersInFlight), 0)
+		d.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+}
