--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -8,8 +8,21 @@
 	"golang.org/x/sys/unix"
 )
 
+// source is the clock that Now reads.
+var source = kernelTime
+
+// SetSource replaces the clock that Now reads, and returns a function that restores the former one. It is for tests on a
+// virtual clock: no other goroutine may call Now meanwhile.
+func SetSource(now func() time.Duration) (restore func()) {
+	former := source
+	source = now
+	return func() { source = former }
+}
+
 // Now returns the time since the machine booted.
-func Now() time.Duration {
+func Now() time.Duration { return source() }
+
+func kernelTime() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		// Linux has provided this clock since 2.6.39. Without it no lease can be measured.
--- /dev/null
+++ b/internal/dispatch/livenesstest/liveness_test.go
@@ -0,0 +1,396 @@
+package livenesstest
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/dispatch"
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/worker"
+)
+
+var (
+	logLeader  = flag.Bool("liveness.log", false, "write the log of the leaders")
+	showCounts = flag.Bool("liveness.counts", false, "write how often each shape and event was met")
+)
+
+var dispatchNotLoaded = dispatch.ErrNotLoaded
+
+// counts is how often each shape and event was met.
+type counts map[string]int
+
+func (c counts) add(what string) { c[what]++ }
+
+// scenario is one random case. Its fields are exported so that a failure is printed as a whole.
+type scenario struct {
+	Seed        int
+	FailPercent int
+	Workers     []workerSpec
+	Queues      map[string]string // pools by queue
+	Jobs        []jobSpec
+	Events      []event
+}
+
+type workerSpec struct {
+	Pool, Label, Rack string
+	CPU               int64
+}
+
+type jobSpec struct {
+	At        time.Duration
+	Queue     string
+	Times     int
+	Every     time.Duration
+	Steps     []fleet.Step
+	Durations []time.Duration // by step; 0 for a step that lasts
+	// CancelAfter is the time from the acceptance to the cancellation; 0 if there is none.
+	CancelAfter time.Duration
+}
+
+// event is a disruption.
+type event struct {
+	At     time.Duration
+	Kind   string
+	Worker int
+	For    time.Duration
+	Queue  string
+	Pool   string
+}
+
+var eventKinds = []string{
+	"crash", "restart", "drain", "silent", "unhealthy", "lossy", "store busy", "store lossy", "leader killed",
+	"leader overlaps", "queue moves",
+}
+
+func (s scenario) log() zerolog.Logger {
+	if *logLeader {
+		return zerolog.New(zerolog.ConsoleWriter{Out: os.Stdout, NoColor: true}).With().Timestamp().Logger()
+	}
+	return zerolog.New(io.Discard).Level(zerolog.Disabled)
+}
+
+func millisBetween(t *rapid.T, low, high int, label string) time.Duration {
+	return time.Duration(rapid.IntRange(low, high).Draw(t, label)) * time.Millisecond
+}
+
+func drawStep(t *rapid.T, index int) (fleet.Step, time.Duration) {
+	s := fleet.Step{
+		Count: rapid.SampledFrom([]int{1, 1, 2, 3, 4, 8, 100}).Draw(t, "count"),
+		Need: fleet.Resources{
+			CPUMilli: rapid.SampledFrom([]int64{10, 500, 1000, 3000}).Draw(t, "cpu"), MemoryMB: 100,
+		},
+		Estimate:      time.Second,
+		Checkpoints:   rapid.Bool().Draw(t, "checkpoints"),
+		Gang:          rapid.IntRange(0, 3).Draw(t, "gang") == 0,
+		RequiredLabel: rapid.SampledFrom([]string{"", "", "a", "b"}).Draw(t, "label"),
+		DataRack:      rapid.SampledFrom([]string{"", "", "r0"}).Draw(t, "data rack"),
+		SameRack:      rapid.IntRange(0, 3).Draw(t, "same rack") == 0,
+		MaxPerWorker:  rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(t, "spread"),
+		Filler:        rapid.IntRange(0, 9).Draw(t, "filler") == 0,
+	}
+	if s.Count == 100 {
+		s.Need.CPUMilli, s.Gang = 10, false
+	}
+	if index > 0 && rapid.Bool().Draw(t, "depends") {
+		s.DependsOn = []int{index - 1}
+	}
+	duration := millisBetween(t, 100, 4000, "duration")
+	if !s.Gang && rapid.IntRange(0, 5).Draw(t, "lasts") == 0 {
+		s.LongRunning, s.MayMiss, duration = true, 1, 0
+	}
+	return s, duration
+}
+
+func drawJob(t *rapid.T) jobSpec {
+	j := jobSpec{
+		At:    millisBetween(t, 0, 8000, "submitted"),
+		Queue: rapid.SampledFrom([]string{"q0", "q1"}).Draw(t, "queue"),
+		Times: rapid.SampledFrom([]int{0, 0, 0, 1, 3}).Draw(t, "times"),
+		Every: millisBetween(t, 200, 3000, "every"),
+	}
+	for n := range rapid.IntRange(1, 3).Draw(t, "steps") {
+		s, duration := drawStep(t, n)
+		j.Steps, j.Durations = append(j.Steps, s), append(j.Durations, duration)
+	}
+	if rapid.IntRange(0, 6).Draw(t, "cancelled") == 0 {
+		j.CancelAfter = millisBetween(t, 100, 6000, "cancelled after")
+	}
+	return j
+}
+
+func drawScenario(t *rapid.T) scenario {
+	s := scenario{
+		Seed: rapid.IntRange(0, 1<<20).Draw(t, "seed"), Queues: map[string]string{"q0": "p0", "q1": "p1"},
+		FailPercent: rapid.SampledFrom([]int{0, 10, 50}).Draw(t, "fail percent"),
+	}
+	for range rapid.IntRange(2, 7).Draw(t, "workers") {
+		s.Workers = append(s.Workers, workerSpec{
+			Pool:  rapid.SampledFrom([]string{"p0", "p0", "p1"}).Draw(t, "pool"),
+			Label: rapid.SampledFrom([]string{"a", "a", "b"}).Draw(t, "kind"),
+			Rack:  rapid.SampledFrom([]string{"r0", "r1"}).Draw(t, "rack"),
+			CPU:   rapid.SampledFrom([]int64{4000, 8000, 16000}).Draw(t, "capacity"),
+		})
+	}
+	for range rapid.IntRange(1, 6).Draw(t, "jobs") {
+		s.Jobs = append(s.Jobs, drawJob(t))
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "events") {
+		s.Events = append(s.Events, event{
+			At: millisBetween(t, 0, 12000, "at"), Kind: rapid.SampledFrom(eventKinds).Draw(t, "kind"),
+			Worker: rapid.IntRange(0, len(s.Workers)-1).Draw(t, "worker"), For: millisBetween(t, 100, 6500, "for"),
+			Queue: rapid.SampledFrom([]string{"q0", "q1"}).Draw(t, "moved queue"),
+			Pool:  rapid.SampledFrom([]string{"p0", "p1"}).Draw(t, "new pool"),
+		})
+	}
+	slices.SortStableFunc(s.Events, func(a, b event) int { return int(a.At - b.At) })
+	return s
+}
+
+// action is something that happens at a time of the scenario.
+type action struct {
+	at time.Duration
+	do func(x *world, now time.Time)
+}
+
+// fixedSeed is the seed of the cases unless -rapid.seed sets another one.
+const fixedSeed = "20261205"
+
+// TestWorkOfAnyShapeRuns guards against accepted work that may run and does not, whatever its shape, and against work that
+// waits behind another job's record, queue or worker. -rapid.checks sets the number of cases.
+func TestWorkOfAnyShapeRuns(t *testing.T) {
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		if err := flag.Set("rapid.seed", fixedSeed); err != nil {
+			t.Fatal(err)
+		}
+	}
+	total := counts{}
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScenario(rt)
+		x := play(t, s)
+		for what, n := range x.counts {
+			total[what] += n
+		}
+		if len(x.violations) > 0 {
+			rt.Fatalf("%s\n%+v", strings.Join(x.violations, "\n"), s)
+		}
+	})
+	if *showCounts {
+		for _, what := range slices.Sorted(maps.Keys(total)) {
+			fmt.Printf("%-28s %d\n", what, total[what])
+		}
+	}
+}
+
+// play plays a scenario on a virtual clock.
+func play(t *testing.T, s scenario) (x *world) {
+	synctest.Test(t, func(t *testing.T) {
+		boot := time.Now().Add(-time.Hour)
+		defer bootclock.SetSource(func() time.Duration { return time.Since(boot) })()
+		x = newWorld(s)
+		x.run()
+	})
+	return x
+}
+
+const (
+	// maxScenario bounds the time of a scenario.
+	maxScenario = 90 * time.Second
+	// endTime is the time in which calls that are in flight at the end of a scenario return.
+	endTime = 10 * time.Second
+)
+
+func (x *world) run() {
+	ctx, stop := context.WithCancel(context.Background())
+	began := time.Now()
+	x.disrupted = began
+	x.mu.Lock()
+	for n, w := range x.scenario.Workers {
+		id := fmt.Sprintf("i-%d", n)
+		m := &workerModel{
+			id: id, pool: w.Pool, labels: []string{w.Label, w.Rack}, up: true,
+			capacity: fleet.Resources{CPUMilli: w.CPU, MemoryMB: 65536},
+		}
+		m.reset(began)
+		x.workers[id] = m
+		x.writeEntry(m)
+	}
+	x.publish()
+	go x.follower.Run(ctx)
+	x.lead(ctx)
+	x.mu.Unlock()
+
+	actions := x.actions(ctx)
+	lastBeat, lastObserved := began, began
+	for now := time.Now(); now.Sub(began) < maxScenario && len(x.violations) == 0; now = time.Now() {
+		x.mu.Lock()
+		for len(actions) > 0 && now.Sub(began) >= actions[0].at {
+			actions[0].do(x, now)
+			actions = actions[1:]
+		}
+		for _, w := range x.workers {
+			x.advance(w, now)
+			if w.up && now.Sub(lastBeat) >= heartbeat {
+				x.writeEntry(w)
+			}
+		}
+		if now.Sub(lastBeat) >= heartbeat {
+			lastBeat = now
+		}
+		over := len(actions) == 0 && x.finished(now)
+		x.mu.Unlock()
+		if over {
+			break
+		}
+		if now.Sub(lastObserved) >= observation {
+			x.observe(now)
+			lastObserved = now
+		}
+		time.Sleep(stepTime)
+	}
+	stop()
+	x.leaders.Wait()
+	time.Sleep(endTime)
+}
+
+// actions returns the submissions, cancellations and disruptions in the order of their times.
+func (x *world) actions(ctx context.Context) []action {
+	var list []action
+	add := func(at time.Duration, do func(x *world, now time.Time)) { list = append(list, action{at, do}) }
+	for n, spec := range x.scenario.Jobs {
+		for i := range spec.Steps {
+			x.countShape(&spec.Steps[i], spec.Times)
+		}
+		var job *jobModel
+		add(spec.At, func(x *world, now time.Time) {
+			work := &fleet.JobSpec{Spec: "x", Steps: spec.Steps, Times: spec.Times, Every: spec.Every}
+			if spec.Times > 0 {
+				work.FirstAt = now.Add(time.Second)
+			}
+			job = newJobModel(fmt.Sprintf("%016x", n+1), spec.Queue, work, spec.Durations)
+			x.submit(job)
+			x.disrupted = later(x.disrupted, now)
+		})
+		if spec.CancelAfter > 0 {
+			add(spec.At+spec.CancelAfter, func(x *world, now time.Time) {
+				x.cancelJob(job)
+				x.disrupted = later(x.disrupted, now)
+			})
+		}
+	}
+	for _, e := range x.scenario.Events {
+		add(e.At, func(x *world, now time.Time) {
+			x.counts.add("event " + e.Kind)
+			x.disrupted = later(x.disrupted, now.Add(e.For))
+			if strings.HasPrefix(e.Kind, "store") || strings.HasPrefix(e.Kind, "leader") {
+				x.storeDisrupted = later(x.storeDisrupted, now.Add(e.For))
+			}
+			x.disrupt(ctx, e, now)
+		})
+		switch e.Kind {
+		case "crash":
+			add(e.At+3*heartbeat, func(x *world, _ time.Time) {
+				x.store.put(topicWorkers, 0, x.workerID(e), nil)
+			})
+		case "drain":
+			add(e.At+e.For, func(x *world, now time.Time) {
+				x.crash(x.workers[x.workerID(e)], now)
+				x.store.put(topicWorkers, 0, x.workerID(e), nil)
+			})
+		case "leader killed":
+			add(e.At+e.For, func(x *world, _ time.Time) {
+				if x.leader == nil {
+					x.lead(ctx)
+				}
+			})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b action) int { return int(a.at - b.at) })
+	return list
+}
+
+func (x *world) countShape(s *fleet.Step, times int) {
+	for shape, met := range map[string]bool{
+		"shape gang": s.Gang, "shape checkpoints": s.Checkpoints, "shape label": s.RequiredLabel != "",
+		"shape data rack": s.DataRack != "", "shape same rack": s.SameRack, "shape tasks per worker": s.MaxPerWorker > 0,
+		"shape long-running": s.LongRunning, "shape depends": len(s.DependsOn) > 0, "shape large": s.Count >= 100,
+		"shape occurrences": times > 0, "shape filler": s.Filler,
+	} {
+		if met {
+			x.counts.add(shape)
+		}
+	}
+}
+
+func (x *world) workerID(e event) string { return fmt.Sprintf("i-%d", e.Worker) }
+
+// crash ends a worker. Callers hold mu.
+func (x *world) crash(w *workerModel, now time.Time) {
+	for _, r := range w.running {
+		r.item.lastEnd = now
+		x.breakGang(r)
+	}
+	for _, e := range w.ends {
+		if i := x.item(e.Task); i != nil && e.Kind == worker.EndDone && !i.acknowledged {
+			i.unsure = true
+		}
+	}
+	w.up = false
+	w.running = map[string]*runModel{}
+	x.notify()
+}
+
+// disrupt begins a disruption. Callers hold mu.
+func (x *world) disrupt(ctx context.Context, e event, now time.Time) {
+	w, until := x.workers[x.workerID(e)], now.Add(e.For)
+	switch e.Kind {
+	case "crash":
+		x.crash(w, now)
+	case "restart":
+		x.crash(w, now)
+		w.reset(now)
+		w.up, w.draining = true, false
+		x.writeEntry(w)
+	case "drain":
+		w.draining = true
+		x.writeEntry(w)
+	case "silent":
+		w.silentUntil = until
+	case "unhealthy":
+		w.unhealthyUntil = until
+	case "lossy":
+		w.lossyUntil = until
+	case "store busy":
+		x.store.fault(func(s *storeModel) { s.busyUntil = until })
+	case "store lossy":
+		x.store.fault(func(s *storeModel) { s.lossyUntil = until })
+	case "leader killed":
+		x.cancel()
+		x.leader = nil
+	case "leader overlaps":
+		former := x.cancel
+		x.lead(ctx)
+		time.AfterFunc(e.For, former)
+	case "queue moves":
+		x.pools[e.Queue] = e.Pool
+		x.publish()
+	}
+}
+
+func (s *storeModel) fault(set func(*storeModel)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set(s)
+}
