Keep the attempts of a queue with its jobs

What callers saw: a job whose route was removed failed with its first failed run after a change of the leader ("shown as failed without cause").

Cause: a leader that never read the queue took its attempts for 1.

Change: the submission has the attempts of its queue, which are used if the leader knows no such queue. A submission of an earlier version without them is read as before. The lookup of queues moved to queues.go.

Evidence: TestAttemptsOutlastTheQueue failed without the use of the submission's attempts (failed after one run) and passes with it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -365,20 +365,6 @@
 	return d.now()
 }
 
-// queue returns the queue of a job, even if it was removed from the configuration. Callers hold mu.
-func (d *Dispatcher) queue(name string) *fleet.Queue {
-	if c := d.Follower.Config(); c != nil {
-		if q := c.Queue(name); q != nil {
-			d.queues[name] = q
-			return q
-		}
-	}
-	if q := d.queues[name]; q != nil {
-		return q
-	}
-	return &fleet.Queue{Name: name, Attempts: 1, Stretch: 1}
-}
-
 // addTeamUsage adds r to the resources in use by a team, or subtracts it if sign is -1. Callers hold mu.
 func (d *Dispatcher) addTeamUsage(team string, r fleet.Resources, sign int64) {
 	if team == "" {
--- a/internal/dispatch/queues.go
+++ b/internal/dispatch/queues.go
@@ -1,5 +1,35 @@
 package dispatch
 
+import "pollenlead/internal/fleet"
+
+// queue returns the queue of a job, even if it was removed from the configuration. Callers hold mu.
+func (d *Dispatcher) queue(name string) *fleet.Queue {
+	if q := d.knownQueue(name); q != nil {
+		return q
+	}
+	return &fleet.Queue{Name: name, Attempts: 1, Stretch: 1}
+}
+
+// knownQueue returns a queue of the configuration, or one that this leader has read before its removal; nil if there is
+// none. Callers hold mu.
+func (d *Dispatcher) knownQueue(name string) *fleet.Queue {
+	if c := d.Follower.Config(); c != nil {
+		if q := c.Queue(name); q != nil {
+			d.queues[name] = q
+			return q
+		}
+	}
+	return d.queues[name]
+}
+
+// attempts returns the number of failed runs of a task after which the job fails. Callers hold mu.
+func (d *Dispatcher) attempts(j *job) int {
+	if q := d.knownQueue(j.Queue); q != nil {
+		return max(q.Attempts, 1)
+	}
+	return max(j.Attempts, 1)
+}
+
 // followQueues moves the open jobs of each queue to the pool to which the newest configuration leads the queue. Runs
 // that exist stay where they are; what is still to be started starts in the new pool. A job whose queue was removed
 // stays in its pool. Callers hold mu.
--- a/internal/dispatch/queues_test.go
+++ b/internal/dispatch/queues_test.go
@@ -8,6 +8,7 @@
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
+	"pollenlead/internal/store"
 	"pollenlead/internal/workload"
 )
 
@@ -80,3 +81,21 @@
 	d.releaseUnstored(long)
 	is.True(run.Released)
 }
+
+// TestAttemptsOutlastTheQueue guards against a new leader that fails a job with its first failed run, because the queue of
+// the job was removed before the term began.
+func TestAttemptsOutlastTheQueue(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	const id = "0011223344556677"
+	d.applyJobRecord(0, store.Record{Key: workload.SubmissionKey(id), Value: []byte(
+		`{"queue":"removed","pool":"pool","team":"team","attempts":3,"spec":{"Steps":[{"Count":1}]}}`)})
+	for failures := 1; failures <= 3; failures++ {
+		d.wallStart = d.wallStart.Add(time.Minute)
+		d.dirty["pool"] = true
+		d.place()
+		d.failRun(d.jobs[id].Task(0, 0, 0))
+		is.Equal(d.jobs[id].State == workload.StateFailed, failures == 3)
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -114,8 +114,7 @@
 		d.Log.Info().Str("event", "run_ended").Str("task", e.Task).Int("run", e.Run).Str("worker", a.id).
 			Str("how", string(e.Kind)).Int("failures", t.Failures).Msg("run ended without being done")
 	}
-	attempts := max(d.queue(j.Queue).Attempts, 1)
-	j.End(t, run, e.Kind, e.Checkpoint, attempts, now)
+	j.End(t, run, e.Kind, e.Checkpoint, d.attempts(j), now)
 	d.markChanged(j)
 	if j.State.Ended() {
 		d.stopRuns(j)
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -19,6 +19,8 @@
 	Queue string `json:"queue"`
 	Pool  string `json:"pool"`
 	Team  string `json:"team,omitempty"`
+	// Attempts is that of the queue. A leader that never read the queue, because it was removed, has no other source.
+	Attempts int `json:"attempts,omitempty"`
 	// AtMillis is the Unix time of acceptance in milliseconds.
 	AtMillis int64          `json:"at_ms"`
 	Spec     *fleet.JobSpec `json:"spec"`
@@ -36,7 +38,9 @@
 	if err := checkSpec(id, s.Spec); err != nil {
 		return nil, fmt.Errorf("decode submission of job %s: %w", id, err)
 	}
-	return NewJob(id, s.Queue, s.Pool, s.Team, s.Spec, time.UnixMilli(s.AtMillis)), nil
+	j := NewJob(id, s.Queue, s.Pool, s.Team, s.Spec, time.UnixMilli(s.AtMillis))
+	j.Attempts = max(s.Attempts, 1)
+	return j, nil
 }
 
 const (
