Find a job whose queue was replaced by one of another name

What callers saw: after a version that replaces a route by one of another name with the same host and prefix, each GET for a job that was accepted before was answered with 410.

Cause: the state was shown only if the name of the job's queue is that of the request.

Change: a job whose queue is not in the configuration any more is found at any queue, for the team that submitted it.

Evidence: TestJobOfARenamedQueueIsFound failed on the code before (no such job) and passes now.

--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -28,12 +28,23 @@
 	if j == nil && bootclock.Now()-d.jobsReadThrough() > maxTailAge {
 		return "", ErrNotLoaded // the job may have been accepted meanwhile, in any partition
 	}
-	if j == nil || j.Queue != queue || j.Team != team {
+	if j == nil || j.Team != team || !d.answersFor(queue, j) {
 		return "", ErrNoJob
 	}
 	return j.shownState(), nil
 }
 
+// answersFor reports whether a queue answers requests for a job: its own queue, or any other once the configuration has
+// removed it. A version may replace a queue by one of another name at the same address, and the job remains. Callers hold
+// mu.
+func (d *Dispatcher) answersFor(queue string, j *job) bool {
+	if j.Queue == queue {
+		return true
+	}
+	c := d.Follower.Config()
+	return c != nil && c.Queue(queue) != nil && c.Queue(j.Queue) == nil
+}
+
 // shownState returns the state of the job for clients. A run that an earlier leader assigned may be at work, so its job
 // counts as running until its worker has shown the outcome of the start. Callers hold mu.
 func (j *job) shownState() workload.State {
--- a/internal/dispatch/query_test.go
+++ b/internal/dispatch/query_test.go
@@ -115,3 +115,26 @@
 	is.Equal(state, workload.StatePending)
 	is.Equal(pending, 1)
 }
+
+// TestJobOfARenamedQueueIsFound guards against a job that is answered as unknown because a version replaced its queue by
+// one of another name at the same address. A job of a queue that is still there is found only there.
+func TestJobOfARenamedQueueIsFound(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	j := d.addJob("0011223344556677", oneTask)
+	state := func(queue, team string, queues ...string) error {
+		c := &fleet.Config{Version: 1}
+		for _, name := range queues {
+			c.Queues = append(c.Queues, fleet.Queue{Name: name, Pool: "pool"})
+		}
+		d.Follower = followConfig(t, c)
+		_, err := d.JobState(queue, team, j.ID)
+		return err
+	}
+	is.NoErr(state("queue", "team", "queue"))
+	is.NoErr(state("renamed", "team", "renamed"))
+	is.Equal(state("renamed", "other team", "renamed"), ErrNoJob)
+	is.Equal(state("other", "team", "queue", "other"), ErrNoJob)
+	is.Equal(state("unknown", "team", "renamed"), ErrNoJob)
+}
