Use an instance again that was not moved

A move order without an answer left its worker cordoned for the rest of the term, although the list showed that nothing was done.

Cause: nothing took the cordon back after an unanswered order.

Change: once the time of the move is over and a list that was requested after it shows the instance up in its former pool with the same worker, the worker gets tasks again, unless a wave drains it.

Evidence: TestUnmovedInstanceGetsTasksAgain fails without taking the cordon back (the code before) and passes now.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -56,10 +56,11 @@
 // workerJoinDelay is the time from the end of a move until the new worker's entry has been read.
 const workerJoinDelay = 200 * time.Millisecond
 
-// arrival is an instance that is being moved to a pool.
+// arrival is an instance that is being moved to a pool. worker is the worker that it had before; "" if it was switched off.
 type arrival struct {
-	to    string
-	until time.Duration // boot clock
+	to     string
+	worker string
+	until  time.Duration // boot clock
 }
 
 // balance moves instances between pools. Callers hold mu.
@@ -75,7 +76,9 @@
 	w.orderTokens -= float64(len(moves))
 	for _, m := range moves {
 		w.cordon(workers[m.Instance])
-		w.arrivals[m.Instance] = arrival{to: m.To, until: bootclock.Now() + w.d.Bounds.Move + arrivalTimeout}
+		w.arrivals[m.Instance] = arrival{
+			to: m.To, worker: workers[m.Instance], until: bootclock.Now() + w.d.Bounds.Move + arrivalTimeout,
+		}
 		go w.move(ctx, m, workers[m.Instance])
 	}
 }
@@ -107,7 +110,7 @@
 		return
 	}
 	if worker == "" || err != nil && !errors.As(err, &refused) && !errors.Is(err, instances.ErrBusy) {
-		return // the move may still be carried out: the worker stays cordoned until the list shows the outcome
+		return // the move may still be carried out: inTransit uncordons the worker if the list shows that it was not
 	}
 	w.d.mu.Lock()
 	defer w.d.mu.Unlock()
@@ -224,13 +227,31 @@
 	agent := w.d.agents[x.Worker]
 	arrived := x.Pool == a.to && x.Phase == fleet.InstanceUp &&
 		(x.Worker == "" || agent != nil && agent.entry != nil && agent.contacted)
-	if boot >= a.until || arrived {
+	if arrived || boot >= a.until && w.listedAt >= a.until {
 		delete(w.arrivals, id)
+		if !arrived {
+			w.uncordonUnmoved(id, a)
+		}
 		return false
 	}
 	return x.Pool != a.to || x.Phase != fleet.InstanceUp // otherwise it is counted as listed
 }
 
+// uncordonUnmoved lets tasks start again on an instance whose move was not answered and, by a list that was requested later,
+// not carried out. Callers hold the dispatcher's mu.
+func (w *instanceDriver) uncordonUnmoved(id string, a arrival) {
+	x, agent := w.listed[id], w.d.agents[a.worker]
+	if agent == nil || !agent.cordoned || x.Worker != a.worker || x.Pool == a.to ||
+		x.Phase != fleet.InstanceUp || !w.notInWave(id) {
+		return
+	}
+	agent.cordoned = false
+	w.d.Log.Info().Str("event", "move_not_done").Str("instance", id).Str("worker", a.worker).Str("to", a.to).
+		Msg("instance was not moved and gets tasks again")
+	w.d.markDirty(agent)
+	w.d.signal()
+}
+
 func (w *instanceDriver) instanceCPU() int64 {
 	largest := int64(0)
 	for _, x := range w.listed {
