Ask for advice on the workers that have not been asked about

What callers saw: on a queue with advice, a step whose workers were not among the first twelve that the service was asked about waited until the empty answer expired, and then perhaps again.

Cause: an answer was kept for its validity even if no present worker has a ticket by it, and each request named the first twelve workers in any order.

Change: what the service has answered for a step does not change, so workers that it rejected are remembered, and the next ones are asked about at once while no worker of the pool has a valid ticket.

--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -16,7 +16,9 @@
 // silentInstances answer no order.
 type silentInstances struct{ instances.Service }
 
-func (silentInstances) Move(context.Context, string, string, int64) error { return context.DeadlineExceeded }
+func (silentInstances) Move(context.Context, string, string, int64) error {
+	return context.DeadlineExceeded
+}
 
 // TestUnmovedInstanceGetsTasksAgain guards against an instance that gets no task for the rest of a term, because the order
 // to move it was not answered and was not carried out either.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -239,40 +239,44 @@
 	return number
 }
 
-// advice is the last answer of the advice service for a step.
+// advice is what the advice service has answered for a step. The workers that may run a step do not change.
 type advice struct {
 	tickets map[string]string
 	until   time.Duration // boot clock
-	asking  bool
-	retryAt time.Duration // boot clock
+	// rejected holds the workers that may not run the step.
+	rejected map[string]bool
+	asking   bool
+	retryAt  time.Duration // boot clock
 }
 
 func stepName(s *workload.Step) string {
 	return fmt.Sprintf("%s.%d.%d", s.Job.ID, s.Occurrence.Number, s.Index)
 }
 
-// tickets returns the valid tickets of a step, and requests new ones if there are none. Callers hold mu.
+// tickets returns the valid tickets of a step. If none of the workers has one, it asks for those that are not known to be
+// rejected. Callers hold mu.
 func (d *Dispatcher) tickets(s *workload.Step, workers []*scheduling.Worker) map[string]string {
 	name := stepName(s)
 	a := d.advice[name]
 	if a == nil {
-		a = &advice{}
+		a = &advice{rejected: map[string]bool{}}
 		d.advice[name] = a
 	}
 	now := bootclock.Now()
-	if now < a.until {
-		return a.tickets
-	}
-	if a.asking || now < a.retryAt || d.Advisor == nil {
-		return nil
-	}
-	a.asking = true
-	ids := make([]string, 0, maxAdviceWorkers)
+	valid := now < a.until
+	var ids []string
 	for _, w := range workers {
-		if len(ids) < maxAdviceWorkers && s.Spec.Charge().Fits(w.Capacity) {
+		if valid && a.tickets[w.ID] != "" {
+			return a.tickets
+		}
+		if len(ids) < maxAdviceWorkers && !a.rejected[w.ID] && s.Spec.Charge().Fits(w.Capacity) {
 			ids = append(ids, w.ID)
 		}
 	}
+	if len(ids) == 0 || a.asking || now < a.retryAt || d.Advisor == nil {
+		return nil
+	}
+	a.asking = true
 	go d.requestAdvice(name, s.Job.Pool, a, ids)
 	return nil
 }
@@ -286,15 +290,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a.asking = false
-	a.retryAt = bootclock.Now() + adviceRetryDelay
 	if err != nil {
+		a.retryAt = bootclock.Now() + adviceRetryDelay
 		if !errors.Is(err, context.Canceled) {
 			d.Log.Info().Str("event", "advice_failed").Str("step", name).Err(err).
 				Msg("request for advice on a step failed")
 		}
 		return
 	}
+	for _, id := range ids {
+		if got.Tickets[id] == "" {
+			a.rejected[id] = true
+		}
+	}
 	a.tickets, a.until = got.Tickets, sent+got.Validity-adviceMargin
+	if bootclock.Now() >= a.until { // a validity this short leaves no time for a start
+		a.retryAt = bootclock.Now() + adviceRetryDelay
+	}
 	d.dirty[pool] = true
 	d.signal()
 }
