Keep the last instance with a label that open jobs need

Cause: the balance of pools knows amounts of CPU and not labels.

Change: while open jobs of a pool need a label, one idle instance with it is not moved, unless another one with it is busy there.

Evidence: TestLastInstanceWithALabelStays fails without the rule (three idle instances instead of two) and passes with it.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -144,7 +145,7 @@
 		byName[p.Name] = p
 		pools = append(pools, p)
 	}
-	workers := map[string]string{}
+	workers, labelled := map[string]string{}, w.lastWithLabel()
 	for id, x := range w.listed {
 		p := byName[x.Pool]
 		if _, ordered := w.arrivals[id]; p != nil && !p.Standby && !ordered &&
@@ -159,6 +160,9 @@
 			continue // it is being moved, and the list does not show it yet
 		}
 		w.countInstance(p, id, x, workers, now, boot)
+		if n := len(p.Idle) - 1; labelled[id] && n >= 0 && p.Idle[n].ID == id {
+			p.Idle = p.Idle[:n]
+		}
 	}
 	for id, a := range w.arrivals {
 		if p := byName[a.to]; p != nil && w.inTransit(id, a, boot) {
@@ -209,6 +213,45 @@
 	}
 }
 
+// lastWithLabel returns the idle instances that stay in their pools because no other one with a label that open jobs need
+// there would be left.
+// Callers hold the dispatcher's mu.
+func (w *instanceDriver) lastWithLabel() map[string]bool {
+	type poolLabel struct{ pool, label string }
+	carriers := map[poolLabel][]string{}
+	for pool, jobs := range w.d.active {
+		for _, j := range jobs {
+			for i := range j.Spec.Steps {
+				if label := j.Spec.Steps[i].RequiredLabel; label != "" {
+					carriers[poolLabel{pool, label}] = nil
+				}
+			}
+		}
+	}
+	if len(carriers) == 0 {
+		return nil
+	}
+	for id, x := range w.listed {
+		a := w.d.agents[x.Worker]
+		if a == nil || a.entry == nil || a.entry.Draining || a.cordoned || a.silentSince != 0 {
+			continue
+		}
+		for _, label := range a.entry.Labels {
+			if ids, needed := carriers[poolLabel{x.Pool, label}]; needed {
+				carriers[poolLabel{x.Pool, label}] = append(ids, id)
+			}
+		}
+	}
+	last := map[string]bool{}
+	for _, ids := range carriers {
+		busy := func(id string) bool { return !w.d.agents[w.listed[id].Worker].vacant() }
+		if len(ids) > 0 && !slices.ContainsFunc(ids, busy) {
+			last[slices.Min(ids)] = true
+		}
+	}
+	return last
+}
+
 // notInWave reports whether no wave drains or maintains the instance.
 func (w *instanceDriver) notInWave(id string) bool {
 	for _, x := range w.waves {
--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,3 +44,34 @@
 	is.True(!w.inTransit("m0", w.arrivals["m0"], bootclock.Now()))
 	is.True(!d.agent("w0").cordoned)
 }
+
+// TestLastInstanceWithALabelStays guards against a pool that lends or switches off its only instance with a label that an
+// accepted job needs.
+func TestLastInstanceWithALabelStays(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(3)
+	defer d.stop()
+	d.Follower = followConfig(t, &fleet.Config{Version: 1, Pools: []fleet.Pool{{Name: "pool"}, {Name: "off", Standby: true}}})
+	d.agent("w0").entry.Labels = []string{"a"}
+	w := newInstanceDriver(d)
+	w.listed = map[string]fleet.Instance{}
+	for _, id := range []string{"w0", "w1", "w2"} {
+		w.listed["m-"+id] = fleet.Instance{ID: "m-" + id, Pool: "pool", Phase: fleet.InstanceUp, Worker: id}
+	}
+	idle := func() []string {
+		pools, _ := w.balancePools()
+		var ids []string
+		for _, i := range pools[0].Idle {
+			ids = append(ids, i.ID)
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	is.Equal(idle(), []string{"m-w0", "m-w1", "m-w2"})
+	d.addJob("0011223344556677", fleet.Step{Count: 1, RequiredLabel: "a"})
+	is.Equal(idle(), []string{"m-w1", "m-w2"})
+	d.agent("w1").entry.Labels = []string{"a"}
+	is.Equal(idle(), []string{"m-w1", "m-w2"}) // both would be moved in one decision
+	d.agent("w1").seenEnd++                    // it is not idle
+	is.Equal(idle(), []string{"m-w0", "m-w2"})
+}
