--- a/internal/dispatch/livenesstest/liveness_test.go
+++ b/internal/dispatch/livenesstest/liveness_test.go
@@ -71,7 +71,7 @@
 }
 
 var eventKinds = []string{
-	"crash", "restart", "drain", "silent", "unhealthy", "lossy", "store busy", "store lossy", "leader killed",
+	"crash", "restart", "drain", "silent", "unhealthy", "lossy", "late", "store busy", "store lossy", "leader killed",
 	"leader overlaps", "queue moves",
 }
 
@@ -372,6 +372,8 @@
 		w.unhealthyUntil = until
 	case "lossy":
 		w.lossyUntil = until
+	case "late":
+		w.lateUntil = until
 	case "store busy":
 		x.store.fault(func(s *storeModel) { s.busyUntil = until })
 	case "store lossy":
--- a/internal/dispatch/livenesstest/worker_test.go
+++ b/internal/dispatch/livenesstest/worker_test.go
@@ -31,8 +31,8 @@
 	up          bool
 	draining    bool
 	// silentUntil, unhealthyUntil and lossyUntil are the ends of the times in which no call is answered, starts are refused,
-	// and answers are lost after the call was carried out.
-	silentUntil, unhealthyUntil, lossyUntil time.Time
+	// and answers are lost after the call was carried out. Until lateUntil, calls are carried out late and not answered.
+	silentUntil, unhealthyUntil, lossyUntil, lateUntil time.Time
 
 	token    int64
 	deadline int64
@@ -107,6 +107,10 @@
 	w, err := c.reach(ctx, to)
 	now := time.Now()
 	silent := err == nil && now.Before(w.silentUntil)
+	if err == nil && !silent && now.Before(w.lateUntil) {
+		silent = true
+		c.x.carryOutLate(w, do)
+	}
 	lost := err == nil && now.Before(w.lossyUntil)
 	if err == nil && !silent {
 		err = do(w, now)
@@ -119,6 +123,21 @@
 	return err
 }
 
+// lateTime is the time after which a late call is carried out.
+const lateTime = 1500 * time.Millisecond
+
+// carryOutLate carries out a call later, unless its worker has ended or restarted by then. Callers hold mu.
+func (x *world) carryOutLate(w *workerModel, do func(w *workerModel, now time.Time) error) {
+	incarnation := w.incarnation
+	time.AfterFunc(lateTime, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if w.up && w.incarnation == incarnation {
+			_ = do(w, time.Now()) // nobody waits for the answer
+		}
+	})
+}
+
 func (c client) Start(ctx context.Context, to worker.Address, s worker.Start) (int64, error) {
 	return 0, c.call(ctx, to, func(w *workerModel, now time.Time) error { return c.x.start(w, s, now) })
 }
