--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -207,11 +207,11 @@
 	case workload.QueuePoolsKey:
 		b.queuePools = nil
 	}
-	if j := item.job; j == nil || j.unstorableUntil == 0 { // logged once for each job
+	j := item.job
+	if j == nil || j.unstorableUntil == 0 { // logged once for each job
 		d.Log.Error().Err(reason).Str("event", "record_refused").Str("key", item.record.Key).
 			Int("bytes", item.record.Size()).Msg("the store does not accept a record")
 	}
-	j := item.job
 	if j == nil {
 		return
 	}
