Count the failures of a gang together

What callers saw: a gang of which another member failed each time was started again after it had failed as often as its queue allows, up to attempts times for each member.

Cause: each member had a count of its own.

Change: the failures of all members count. If two members of one run fail by themselves, both count.

Evidence: TestGangFailsAsAWhole failed on the code before (not failed after three failed runs of three attempts) and passes now.

--- a/internal/workload/gang_test.go
+++ b/internal/workload/gang_test.go
@@ -53,3 +53,26 @@
 		{"i":1,"r":1,"c":"a"},{"i":2,"r":1,"c":"b"}]}]}]}`), nil, start))
 	j.EachTask(func(task *Task) { is.Equal(task.ResumeFrom(), "a") })
 }
+
+// TestGangFailsAsAWhole guards against a gang that is started again after it has failed as often as its queue allows, because
+// another member failed each time.
+func TestGangFailsAsAWhole(t *testing.T) {
+	is := is.New(t)
+	j := newGang(3)
+	tasks := j.Occurrences[0].Steps[0].Tasks
+	for n := range 3 {
+		is.Equal(j.State.Ended(), false)
+		var runs []*Run
+		for _, task := range tasks {
+			runs = append(runs, task.Assign("w", n+1, start))
+		}
+		for m, task := range tasks {
+			kind := worker.EndGangMemberEnded
+			if m == n {
+				kind = worker.EndFailed
+			}
+			j.End(task, runs[m], kind, "", 3, start)
+		}
+	}
+	is.Equal(j.State, StateFailed)
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -476,13 +476,22 @@
 	}
 }
 
+// fail counts a failed run. The failures of a gang are those of all its members: each counts a failure of its own runs,
+// and the others of the same run end with it.
 func (t *Task) fail(run *Run, attempts int, now time.Time) {
 	t.Failures++
 	t.markChanged()
 	if run != nil {
 		t.FailedOn, t.FailedAt = run.Worker, now
 	}
-	if t.Step.Spec.LongRunning || t.Failures < attempts {
+	failures := t.Failures
+	if t.Step.Spec.Gang {
+		failures = 0
+		for _, member := range t.Step.Tasks {
+			failures += member.Failures
+		}
+	}
+	if t.Step.Spec.LongRunning || failures < attempts {
 		return
 	}
 	t.Step.Job.finish(StateFailed, now)
