Start a gang unstored only as a whole

What callers saw: while the store does not answer, some members of a gang were started and others not, if the worker or the queue of one of them is not stored; the started ones ended alone.

Cause: each run was released by itself.

Change: a member is released only if all others are or may be.

Evidence: TestGangStartsUnstoredAsAWhole fails without the rule (scripts/mutations.txt) and passes with it.

--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -104,3 +105,25 @@
 	defer d.mu.Unlock()
 	is.Equal(runs[0].Phase, workload.RunStopping) // the earlier leader's start may still be carried out
 }
+
+// TestGangStartsUnstoredAsAWhole guards against members of a gang that start before they are stored although another one
+// must not, so that they wait for it in vain.
+func TestGangStartsUnstoredAsAWhole(t *testing.T) {
+	is := is.New(t)
+	d, runs := newGangFixture(t)
+	for _, r := range runs[1:] {
+		d.storedWorkers[r.Worker] = "pool"
+	}
+	long := bootclock.Now() - unstoredStartDelay - time.Millisecond
+	d.releaseUnstored(long)
+	for _, r := range runs {
+		is.True(!r.Released)
+	}
+	d.storedWorkers[runs[0].Worker] = "pool"
+	d.releaseUnstored(long)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range runs {
+		is.True(r.Released)
+	}
+}
--- a/internal/dispatch/livenesstest/worker_test.go
+++ b/internal/dispatch/livenesstest/worker_test.go
@@ -40,20 +40,18 @@
 	highest  map[string]int
 	ends     []worker.End
 	endCount int64
-	lastSeen time.Time // when the worker last could be reached
 }
 
 // runModel is one run at a worker.
 type runModel struct {
-	item     *itemModel
-	number   int
-	began    time.Time
-	work     time.Duration // done in this run and those that it resumed from
-	resumed  string
-	saved    string
-	failsAt  time.Duration // 0 if the run does not fail
-	working  bool
-	stopping bool
+	item    *itemModel
+	number  int
+	began   time.Time
+	work    time.Duration // done in this run and those that it resumed from
+	resumed string
+	saved   string
+	failsAt time.Duration // 0 if the run does not fail
+	working bool
 }
 
 func (w *workerModel) clock(now time.Time) int64 { return 1000 + now.Sub(w.began).Milliseconds() }
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -40,12 +41,7 @@
 	}
 	released := 0
 	for r := range d.unreleased {
-		a := d.agents[r.Worker]
-		// The pool is that of the worker: the job's queue may lead to another one since the assignment.
-		if a == nil || d.storedWorkers[a.id] == "" ||
-			!d.isQueuePoolStored(r.Task.Step.Job.Queue, d.storedWorkers[a.id]) ||
-			r.Phase != workload.RunAssigned || !d.attached(r) || !d.confirmedSince(r.Task.LastLost()) ||
-			d.lastStored < a.incarnationAt {
+		if !d.mayReleaseUnstored(r) {
 			continue
 		}
 		delete(d.unreleased, r)
@@ -60,6 +56,30 @@
 	}
 }
 
+// mayReleaseUnstored reports whether a run may start before it is stored. The members of a gang start only together.
+// Callers hold mu.
+func (d *Dispatcher) mayReleaseUnstored(r *workload.Run) bool {
+	if !d.mayStartUnstored(r) {
+		return false
+	}
+	if !r.Task.Step.Spec.Gang {
+		return true
+	}
+	waits := func(o *workload.Run) bool { return !o.Released && !d.mayStartUnstored(o) }
+	return !slices.ContainsFunc(r.GangRuns(), waits)
+}
+
+// mayStartUnstored reports whether the next leader finds a run that starts before it is stored. Callers hold mu.
+func (d *Dispatcher) mayStartUnstored(r *workload.Run) bool {
+	a := d.agents[r.Worker]
+	// The pool is that of the worker: the job's queue may lead to another one since the assignment.
+	lost := a == nil || d.storedWorkers[a.id] == "" ||
+		!d.isQueuePoolStored(r.Task.Step.Job.Queue, d.storedWorkers[a.id]) ||
+		r.Phase != workload.RunAssigned || !d.attached(r) || !d.confirmedSince(r.Task.LastLost()) ||
+		d.lastStored < a.incarnationAt
+	return !lost
+}
+
 // confirmedSince reports whether the store has accepted an append that was sent after the given time, so that no other
 // leader had begun then. A leader that has begun may have reached a worker that this leader had given up, and may have
 // acknowledged that its task is done. Callers hold mu.
