--- a/internal/dispatch/livenesstest/liveness_test.go
+++ b/internal/dispatch/livenesstest/liveness_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"os"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -165,6 +166,13 @@
 	do func(x *world, now time.Time)
 }
 
+// TestMain limits the tests to one processor: the goroutines of a scenario wait for each other all the time, and take a
+// multiple of the time on several.
+func TestMain(m *testing.M) {
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
+
 // fixedSeed is the seed of the cases unless -rapid.seed sets another one.
 const fixedSeed = "20261205"
 
@@ -263,6 +271,7 @@
 	stop()
 	x.leaders.Wait()
 	time.Sleep(endTime)
+	synctest.Wait()
 }
 
 // actions returns the submissions, cancellations and disruptions in the order of their times.
