--- a/internal/dispatch/large_test.go
+++ b/internal/dispatch/large_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -201,7 +202,8 @@
 	d, c, s := newLimitedFixture(t, 10)
 	s.limits.Call = maxBatchBytes + maxBatchBytes/4
 	for n := range 40 {
-		d.addJob(fmt.Sprintf("%016x", n), fleet.Step{Count: 2000, Need: fleet.Resources{CPUMilli: 1}})
+		j := d.addJob(fmt.Sprintf("%016x", n), fleet.Step{Count: 2000, Need: fleet.Resources{CPUMilli: 1}})
+		j.EachTask(func(task *workload.Task) { task.Checkpoint = strings.Repeat("c", 80) })
 	}
 	d.place()
 	storeAll(t, c)
--- a/internal/store/batcher_test.go
+++ b/internal/store/batcher_test.go
@@ -150,6 +150,9 @@
 		}
 		waiting.Go(func() { errs[i] = g.Append(ctx, Record{Key: fmt.Sprint(i), Value: make([]byte, size)}) })
 	}
+	for g.partitions[0].pending.Load()+g.partitions[1].pending.Load() < records-1 { // the oversized record is not queued
+		time.Sleep(time.Millisecond)
+	}
 	close(s.release)
 	waiting.Wait()
 	for i, err := range errs {
