--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -11,8 +11,8 @@
 // source is the clock that Now reads.
 var source = kernelTime
 
-// SetSource replaces the clock that Now reads, and returns a function that restores the former one. It is for tests on a
-// virtual clock: no other goroutine may call Now meanwhile.
+// SetSource replaces the clock that Now reads, and returns a function that restores the former one. It is for tests on
+// a virtual clock: no other goroutine may call Now meanwhile.
 func SetSource(now func() time.Duration) (restore func()) {
 	former := source
 	source = now
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -24,8 +24,8 @@
 	return a, nil
 }
 
-// TestAdviceReachesEveryWorker guards against a step that waits until an empty answer expires, or longer, because the worker
-// that may run it was not among the first that the advice service was asked about.
+// TestAdviceReachesEveryWorker guards against a step that waits until an empty answer expires, or longer, because the
+// worker that may run it was not among the first that the advice service was asked about.
 func TestAdviceReachesEveryWorker(t *testing.T) {
 	for n := range 40 {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -57,7 +57,8 @@
 // workerJoinDelay is the time from the end of a move until the new worker's entry has been read.
 const workerJoinDelay = 200 * time.Millisecond
 
-// arrival is an instance that is being moved to a pool. worker is the worker that it had before; "" if it was switched off.
+// arrival is an instance that is being moved to a pool. worker is the worker that it had before; "" if it was switched
+// off.
 type arrival struct {
 	to     string
 	worker string
@@ -213,9 +214,8 @@
 	}
 }
 
-// lastWithLabel returns the idle instances that stay in their pools because no other one with a label that open jobs need
-// there would be left.
-// Callers hold the dispatcher's mu.
+// lastWithLabel returns the idle instances that stay in their pools because no other one with a label that open jobs
+// need there would be left. Callers hold the dispatcher's mu.
 func (w *instanceDriver) lastWithLabel() map[string]bool {
 	type poolLabel struct{ pool, label string }
 	carriers := map[poolLabel][]string{}
@@ -280,8 +280,8 @@
 	return x.Pool != a.to || x.Phase != fleet.InstanceUp // otherwise it is counted as listed
 }
 
-// uncordonUnmoved lets tasks start again on an instance whose move was not answered and, by a list that was requested later,
-// not carried out. Callers hold the dispatcher's mu.
+// uncordonUnmoved lets tasks start again on an instance whose move was not answered and, by a list that was requested
+// later, not carried out. Callers hold the dispatcher's mu.
 func (w *instanceDriver) uncordonUnmoved(id string, a arrival) {
 	x, agent := w.listed[id], w.d.agents[a.worker]
 	if agent == nil || !agent.cordoned || x.Worker != a.worker || x.Pool == a.to ||
--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -21,8 +21,8 @@
 	return context.DeadlineExceeded
 }
 
-// TestUnmovedInstanceGetsTasksAgain guards against an instance that gets no task for the rest of a term, because the order
-// to move it was not answered and was not carried out either.
+// TestUnmovedInstanceGetsTasksAgain guards against an instance that gets no task for the rest of a term, because the
+// order to move it was not answered and was not carried out either.
 func TestUnmovedInstanceGetsTasksAgain(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(1)
@@ -45,13 +45,14 @@
 	is.True(!d.agent("w0").cordoned)
 }
 
-// TestLastInstanceWithALabelStays guards against a pool that lends or switches off its only instance with a label that an
-// accepted job needs.
+// TestLastInstanceWithALabelStays guards against a pool that lends or switches off its only instance with a label that
+// an accepted job needs.
 func TestLastInstanceWithALabelStays(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(3)
 	defer d.stop()
-	d.Follower = followConfig(t, &fleet.Config{Version: 1, Pools: []fleet.Pool{{Name: "pool"}, {Name: "off", Standby: true}}})
+	pools := []fleet.Pool{{Name: "pool"}, {Name: "off", Standby: true}}
+	d.Follower = followConfig(t, &fleet.Config{Version: 1, Pools: pools})
 	d.agent("w0").entry.Labels = []string{"a"}
 	w := newInstanceDriver(d)
 	w.listed = map[string]fleet.Instance{}
--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -106,8 +106,8 @@
 	is.Equal(runs[0].Phase, workload.RunStopping) // the earlier leader's start may still be carried out
 }
 
-// TestGangStartsUnstoredAsAWhole guards against members of a gang that start before they are stored although another one
-// must not, so that they wait for it in vain.
+// TestGangStartsUnstoredAsAWhole guards against members of a gang that start before they are stored although another
+// one must not, so that they wait for it in vain.
 func TestGangStartsUnstoredAsAWhole(t *testing.T) {
 	is := is.New(t)
 	d, runs := newGangFixture(t)
--- a/internal/dispatch/livenesstest/liveness_test.go
+++ b/internal/dispatch/livenesstest/liveness_test.go
@@ -176,8 +176,8 @@
 // fixedSeed is the seed of the cases unless -rapid.seed sets another one.
 const fixedSeed = "20261205"
 
-// TestWorkOfAnyShapeRuns guards against accepted work that may run and does not, whatever its shape, and against work that
-// waits behind another job's record, queue or worker. -rapid.checks sets the number of cases.
+// TestWorkOfAnyShapeRuns guards against accepted work that may run and does not, whatever its shape, and against work
+// that waits behind another job's record, queue or worker. -rapid.checks sets the number of cases.
 func TestWorkOfAnyShapeRuns(t *testing.T) {
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
 		if err := flag.Set("rapid.seed", fixedSeed); err != nil {
--- a/internal/dispatch/livenesstest/oracle_test.go
+++ b/internal/dispatch/livenesstest/oracle_test.go
@@ -132,8 +132,8 @@
 	return i.ready()
 }
 
-// mayRun reports whether the task, or its whole gang, may run with room twice over, and less than half of its pool is in
-// use.
+// mayRun reports whether the task, or its whole gang, may run with room twice over, and less than half of its pool is
+// in use.
 func (x *world) mayRun(i *itemModel) bool {
 	var used, capacity fleet.Resources
 	places, wanted := 0, 1
@@ -243,8 +243,8 @@
 	}
 }
 
-// observeStalled checks a job of which only tasks are left whose end the leader may not have read: it is shown as done, or
-// the tasks run again. Callers hold mu.
+// observeStalled checks a job of which only tasks are left whose end the leader may not have read: it is shown as done,
+// or the tasks run again. Callers hold mu.
 func (x *world) observeStalled(j *jobModel, stalled bool, now time.Time) {
 	possible := false
 	for _, i := range j.items {
--- a/internal/dispatch/livenesstest/store_test.go
+++ b/internal/dispatch/livenesstest/store_test.go
@@ -124,7 +124,9 @@
 	return first, nil
 }
 
-func (s *storeModel) Read(ctx context.Context, topic string, n int, from int64, wait time.Duration) (store.Page, error) {
+func (s *storeModel) Read(
+	ctx context.Context, topic string, n int, from int64, wait time.Duration,
+) (store.Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/dispatch/livenesstest/worker_test.go
+++ b/internal/dispatch/livenesstest/worker_test.go
@@ -30,8 +30,9 @@
 	sequence    int64
 	up          bool
 	draining    bool
-	// silentUntil, unhealthyUntil and lossyUntil are the ends of the times in which no call is answered, starts are refused,
-	// and answers are lost after the call was carried out. Until lateUntil, calls are carried out late and not answered.
+	// silentUntil, unhealthyUntil and lossyUntil are the ends of the times in which no call is answered, starts are
+	// refused, and answers are lost after the call was carried out. Until lateUntil, calls are carried out late and not
+	// answered.
 	silentUntil, unhealthyUntil, lossyUntil, lateUntil time.Time
 
 	token    int64
--- a/internal/dispatch/livenesstest/world_test.go
+++ b/internal/dispatch/livenesstest/world_test.go
@@ -28,7 +28,8 @@
 	topicJobs, topicProgress, topicWorkers, topicOperator = "jobs", "progress", "servers", "op"
 )
 
-// modelLimits are the store's limits of size, in the ratio of the platform's and small enough for jobs of a hundred tasks.
+// modelLimits are the store's limits of size, in the ratio of the platform's and small enough for jobs of a hundred
+// tasks.
 var modelLimits = store.Limits{Record: 4 << 10, Call: 32 << 10}
 
 // world is the state of the models during one scenario.
@@ -236,7 +237,8 @@
 			j.open[[2]int{k, s}] = spec.Steps[s].Count
 			for n := range spec.Steps[s].Count {
 				i := &itemModel{
-					job: j, task: workload.TaskName(id, k, s, n), occurrence: k, step: s, index: n, spec: &spec.Steps[s], duration: durations[s],
+					job: j, task: workload.TaskName(id, k, s, n), occurrence: k, step: s, index: n,
+					spec: &spec.Steps[s], duration: durations[s],
 					checkpoints: map[string]bool{}, savedWork: map[string]time.Duration{},
 				}
 				j.items[workload.TaskName("", k, s, n)] = i
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -351,8 +351,8 @@
 	is.Equal(workers.sent.Load(), int64(0))
 }
 
-// TestStopEndsWithTheTerm guards against stops that are repeated without a delay after the term of their leader has ended.
-// The process of a former leader had no processor time left for anything else.
+// TestStopEndsWithTheTerm guards against stops that are repeated without a delay after the term of their leader has
+// ended. The process of a former leader had no processor time left for anything else.
 func TestStopEndsWithTheTerm(t *testing.T) {
 	is := is.New(t)
 	workers := &unresponsiveWorkers{}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -253,8 +253,8 @@
 	return fmt.Sprintf("%s.%d.%d", s.Job.ID, s.Occurrence.Number, s.Index)
 }
 
-// tickets returns the valid tickets of a step. If none of the workers has one, it asks for those that are not known to be
-// rejected. Callers hold mu.
+// tickets returns the valid tickets of a step. If none of the workers has one, it asks for those that are not known to
+// be rejected. Callers hold mu.
 func (d *Dispatcher) tickets(s *workload.Step, workers []*scheduling.Worker) map[string]string {
 	name := stepName(s)
 	a := d.advice[name]
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -35,8 +35,8 @@
 }
 
 // answersFor reports whether a queue answers requests for a job: its own queue, or any other once the configuration has
-// removed it. A version may replace a queue by one of another name at the same address, and the job remains. Callers hold
-// mu.
+// removed it. A version may replace a queue by one of another name at the same address, and the job remains. Callers
+// hold mu.
 func (d *Dispatcher) answersFor(queue string, j *job) bool {
 	if j.Queue == queue {
 		return true
--- a/internal/dispatch/query_test.go
+++ b/internal/dispatch/query_test.go
@@ -116,8 +116,8 @@
 	is.Equal(pending, 1)
 }
 
-// TestJobOfARenamedQueueIsFound guards against a job that is answered as unknown because a version replaced its queue by
-// one of another name at the same address. A job of a queue that is still there is found only there.
+// TestJobOfARenamedQueueIsFound guards against a job that is answered as unknown because a version replaced its queue
+// by one of another name at the same address. A job of a queue that is still there is found only there.
 func TestJobOfARenamedQueueIsFound(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(1)
--- a/internal/dispatch/queues_test.go
+++ b/internal/dispatch/queues_test.go
@@ -82,8 +82,8 @@
 	is.True(run.Released)
 }
 
-// TestAttemptsOutlastTheQueue guards against a new leader that fails a job with its first failed run, because the queue of
-// the job was removed before the term began.
+// TestAttemptsOutlastTheQueue guards against a new leader that fails a job with its first failed run, because the queue
+// of the job was removed before the term began.
 func TestAttemptsOutlastTheQueue(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(1)
--- a/internal/workload/gang_test.go
+++ b/internal/workload/gang_test.go
@@ -54,8 +54,8 @@
 	j.EachTask(func(task *Task) { is.Equal(task.ResumeFrom(), "a") })
 }
 
-// TestGangFailsAsAWhole guards against a gang that is started again after it has failed as often as its queue allows, because
-// another member failed each time.
+// TestGangFailsAsAWhole guards against a gang that is started again after it has failed as often as its queue allows,
+// because another member failed each time.
 func TestGangFailsAsAWhole(t *testing.T) {
 	is := is.New(t)
 	j := newGang(3)
