--- a/review/standin2/case_stale.go
+++ b/review/standin2/case_stale.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"os"
 	"strings"
 	"time"
 
@@ -44,6 +46,9 @@
 	front := w.other(lead)
 	time.Sleep(6 * time.Second)
 	cut := w.cloud.worker("b1").lastHold().Add(3150 * time.Millisecond)
+	if os.Getenv("PHASE") == "random" { // any begin in the cycle of the idle workers' renewals
+		cut = cut.Add(rand.N(2050 * time.Millisecond))
+	}
 	due := cut.Add(2150 * time.Millisecond)
 	scheduled := map[string]any{
 		"spec": "ms=20000,cpu=1000", "times": 1, "start_at_ms": due.UnixMilli(), "steps": []map[string]any{
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,9 +26,11 @@
 var cases = map[string]func(w *world, trouble bool) error{
 	"advice":  caseAdvice,
 	"quota":   caseQuota,
+	"label":   caseLabel,
 	"pending": casePending,
 	"same-id": caseSameID,
 	"stale":   caseStale,
+	"wave":    caseWave,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -19,6 +19,7 @@
 	id      string
 	machine string
 	service string
+	kind    string
 	address string
 	born    time.Time
 	cpu     int64
@@ -62,13 +63,13 @@
 const startupTime = 100 * time.Millisecond
 
 // addWorker starts a worker on a free loopback port.
-func (w *world) addWorker(id, machine, service string, cpu int64) (*worker, error) {
+func (w *world) addWorker(id, machine, service, kind string, cpu int64) (*worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	x := &worker{
-		world: w, id: id, machine: machine, service: service, address: l.Addr().String(), born: time.Now(), cpu: cpu,
+		world: w, id: id, machine: machine, service: service, kind: kind, address: l.Addr().String(), born: time.Now(), cpu: cpu,
 		done: make(chan struct{}), running: map[string]*run{}, highest: map[string]int{}, finished: map[string]bool{}, changed: make(chan struct{}),
 	}
 	x.server = &http.Server{Handler: x, ReadHeaderTimeout: 5 * time.Second}
@@ -77,7 +78,7 @@
 	w.mu.Lock()
 	w.workers = append(w.workers, x)
 	w.mu.Unlock()
-	w.note("worker %s of service %s is up", id, service)
+	w.note("worker %s of service %s is up, kind %s", id, service, kind)
 	return x, nil
 }
 
@@ -123,7 +124,7 @@
 	text, err := json.Marshal(map[string]any{
 		"service": x.service, "addr": x.address, "zone": "regina", "version": "v1", "slots": 8, "state": "ready",
 		"cold_left_ms": 0, "capacity": map[string]any{"cpu": x.cpu, "mem_mb": 65536, "gpu": 0},
-		"labels": []string{"a", "r1-1"}, "clock_ms": x.clock(), "sequence": x.sequence, "born": x.born.UnixMilli(),
+		"labels": []string{x.kind, "r1-1"}, "clock_ms": x.clock(), "sequence": x.sequence, "born": x.born.UnixMilli(),
 		"machine": x.machine,
 	})
 	if err != nil {
