--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec target/review-2/standin2 pending target/pollenlead review/10/record.txt
+exec target/review-2/standin2 quota target/pollenlead review/10/record.txt
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec target/review-2/standin2 same-id target/pollenlead review/8/record.txt
+exec target/review-2/standin2 stale target/pollenlead review/8/record.txt
