--- a/review/standin2/case_label.go
+++ b/review/standin2/case_label.go
@@ -10,7 +10,7 @@
 func caseLabel(w *world, trouble bool) error {
 	w.cloud.standby["spare"] = true
 	for i, kind := range []string{"big", "big", "small", "small", "small"} {
-		if _, err := w.addMachineOf(kind, fmt.Sprintf("m%d", i+1), "books", 8000); err != nil {
+		if _, err := w.addMachineOf(kind, entryZone, fmt.Sprintf("m%d", i+1), "books", 8000); err != nil {
 			return err
 		}
 	}
--- a/review/standin2/case_quota.go
+++ b/review/standin2/case_quota.go
@@ -13,8 +13,6 @@
 	// quotaBound is the rule's: max_count x (1 + quota_overage) and one work item more.
 	quotaBound = quotaCPU*11/10 + taskCPU
 	taskCPU    = 1000
-	// zoneRoundTrip is the time to a worker in another zone and back.
-	zoneRoundTrip = 2800 * time.Microsecond
 	// storeDown is the length of the store's outage.
 	storeDown = 4500 * time.Millisecond
 )
@@ -26,11 +24,10 @@
 	if err != nil {
 		return err
 	}
-	far, err := w.addMachine("m2", "far", 8000)
+	far, err := w.addMachineOf("a", otherZone, "m2", "far", 8000)
 	if err != nil {
 		return err
 	}
-	far.delay = zoneRoundTrip
 	c := newConfiguration(3)
 	c.service("near", false)
 	c.service("far", false)
--- a/review/standin2/case_wave.go
+++ b/review/standin2/case_wave.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// waveMachines is the number of machines of each wave, and waveInterval the time between two waves.
+	// allMachines is the number of machines, waveMachines that of each wave, and waveInterval the time between two waves.
+	allMachines  = 25
 	waveMachines = 12
 	waveInterval = 26 * time.Second
 	// outageInterval is the time from the begin of one outage of the store to that of the next.
@@ -27,9 +28,11 @@
 		}
 	}
 	var machines []string
-	for n := range waveMachines {
+	for n := range allMachines {
 		id := fmt.Sprintf("m%d", n+1)
-		machines = append(machines, id)
+		if n < waveMachines {
+			machines = append(machines, id)
+		}
 		if _, err := w.addMachine(id, "books", 8000); err != nil {
 			return err
 		}
--- a/review/standin2/services.go
+++ b/review/standin2/services.go
@@ -88,7 +88,7 @@
 	cpu             int64
 	fence           int64
 	lives           int
-	kind            string
+	kind, zone      string
 	// maintained holds the waves for which the machine has had its upkeep, and wave the one for which it is down now.
 	maintained map[int64]bool
 	wave       int64
@@ -113,12 +113,12 @@
 
 // addMachine adds a machine with its worker.
 func (w *world) addMachine(id, pool string, cpu int64) (*worker, error) {
-	return w.addMachineOf("a", id, pool, cpu)
+	return w.addMachineOf("a", entryZone, id, pool, cpu)
 }
 
-// addMachineOf adds a machine of a kind with its worker.
-func (w *world) addMachineOf(kind, id, pool string, cpu int64) (*worker, error) {
-	m := &machine{id: id, pool: pool, state: "up", cpu: cpu, kind: kind, maintained: map[int64]bool{}}
+// addMachineOf adds a machine of a kind in a zone with its worker.
+func (w *world) addMachineOf(kind, zone, id, pool string, cpu int64) (*worker, error) {
+	m := &machine{id: id, pool: pool, state: "up", cpu: cpu, kind: kind, zone: zone, maintained: map[int64]bool{}}
 	w.cloud.mu.Lock()
 	defer w.cloud.mu.Unlock()
 	w.cloud.machines[id] = m
@@ -134,7 +134,7 @@
 		return nil
 	}
 	m.lives++
-	x, err := c.world.addWorker(fmt.Sprintf("i-%s-%d", m.id, m.lives), m.id, m.pool, m.kind, m.cpu)
+	x, err := c.world.addWorker(fmt.Sprintf("i-%s-%d", m.id, m.lives), m.id, m.pool, m.kind, m.zone, m.cpu)
 	m.worker = x
 	return err
 }
@@ -242,7 +242,7 @@
 			id = m.worker.id
 		}
 		list = append(list, map[string]any{
-			"machine": m.id, "pool": m.pool, "state": m.state, "zone": "regina", "labels": []string{m.kind, "r1-1"},
+			"machine": m.id, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{m.kind, "r1-1"},
 			"capacity": map[string]any{"cpu": m.cpu, "mem_mb": 65536, "gpu": 0}, "id": id,
 		})
 	}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -20,6 +20,7 @@
 	machine string
 	service string
 	kind    string
+	zone    string
 	address string
 	born    time.Time
 	cpu     int64
@@ -59,19 +60,30 @@
 	how    string
 }
 
+const (
+	// entryZone is the zone of the entry instances, and otherZone another one. zoneRoundTrip is the time from one to the
+	// other and back.
+	entryZone     = "regina"
+	otherZone     = "saskatoon"
+	zoneRoundTrip = 2800 * time.Microsecond
+)
+
 // startupTime is the time that a run that lasts needs until it is at work.
 const startupTime = 100 * time.Millisecond
 
 // addWorker starts a worker on a free loopback port.
-func (w *world) addWorker(id, machine, service, kind string, cpu int64) (*worker, error) {
+func (w *world) addWorker(id, machine, service, kind, zone string, cpu int64) (*worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	x := &worker{
-		world: w, id: id, machine: machine, service: service, kind: kind, address: l.Addr().String(), born: time.Now(), cpu: cpu,
+		world: w, id: id, machine: machine, service: service, kind: kind, zone: zone, address: l.Addr().String(), born: time.Now(), cpu: cpu,
 		done: make(chan struct{}), running: map[string]*run{}, highest: map[string]int{}, finished: map[string]bool{}, changed: make(chan struct{}),
 	}
+	if zone != entryZone {
+		x.delay = zoneRoundTrip
+	}
 	x.server = &http.Server{Handler: x, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = x.server.Serve(l) }()
 	go x.live()
@@ -122,7 +134,7 @@
 	defer x.mu.Unlock()
 	x.sequence++
 	text, err := json.Marshal(map[string]any{
-		"service": x.service, "addr": x.address, "zone": "regina", "version": "v1", "slots": 8, "state": "ready",
+		"service": x.service, "addr": x.address, "zone": x.zone, "version": "v1", "slots": 8, "state": "ready",
 		"cold_left_ms": 0, "capacity": map[string]any{"cpu": x.cpu, "mem_mb": 65536, "gpu": 0},
 		"labels": []string{x.kind, "r1-1"}, "clock_ms": x.clock(), "sequence": x.sequence, "born": x.born.UnixMilli(),
 		"machine": x.machine,
