Log which life of a worker lost its runs, and starts that were answered after that

Today's lines cannot tell the hypotheses apart: runs_lost names neither the life of the worker that the leader knew nor the runs, and a start that succeeds after its run was given up leaves no line. runs_lost and worker_restarted now name the incarnations and how many starts were in flight, late_start is new, and two counters count the near misses. No decision changes.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -244,9 +246,11 @@
 // noteRestart handles the first report of a restarted worker: its clock, its lease and its numbers of ends have begun
 // anew. The runs stay attached until the report has been compared with them: a start may have arrived, or may still
 // arrive, after the restart. Callers hold mu.
-func (d *Dispatcher) noteRestart(a *agent) {
-	d.Log.Info().Str("event", "worker_restarted").Str("worker", a.id).Int("runs", len(a.runs)).
-		Int64("unstored_ends", a.seenEnd-a.storedEnd).Msg("worker has started again under its ID")
+func (d *Dispatcher) noteRestart(a *agent, incarnation int64) {
+	d.Log.Info().Str("event", "worker_restarted").Str("worker", a.id).Int64("former_incarnation", a.incarnation).
+		Int64("incarnation", incarnation).Int("runs", len(a.runs)).Int("starts_in_flight", d.startsInFlight(a)).
+		Int64("stored_end", a.storedEnd).Int64("unstored_ends", a.seenEnd-a.storedEnd).
+		Msg("worker has started again under its ID")
 	a.restarts++
 	a.restartedAt = bootclock.Now()
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
@@ -255,14 +259,44 @@
 	a.clockAt, a.contacted, a.moreEnds = 0, false, false
 }
 
+// startsInFlight returns the number of the worker's runs of which a start may not have been answered yet. Callers hold mu.
+func (d *Dispatcher) startsInFlight(a *agent) int {
+	n := 0
+	for _, r := range a.runs {
+		if r.Phase == workload.RunAssigned && d.ordersInFlight[r] {
+			n++
+		}
+	}
+	return n
+}
+
+// maxLoggedRuns bounds the runs that a log line names.
+const maxLoggedRuns = 20
+
+// runNames returns the names of the worker's runs for the log, at most maxLoggedRuns. Callers hold mu.
+func (a *agent) runNames() []string {
+	names := make([]string, 0, min(len(a.runs), maxLoggedRuns))
+	for key := range a.runs {
+		if len(names) == maxLoggedRuns {
+			break
+		}
+		names = append(names, fmt.Sprintf("%s run %d", key.task, key.number))
+	}
+	slices.Sort(names)
+	return names
+}
+
 // dropRuns drops all runs of a worker on which none of them is running any more. Callers hold mu.
 func (d *Dispatcher) dropRuns(a *agent, why string) {
 	if len(a.runs) == 0 {
 		return
 	}
-	d.Log.Info().Str("event", "runs_lost").Str("worker", a.id).Int("runs", len(a.runs)).Str("why", why).
+	inFlight := d.startsInFlight(a)
+	d.Log.Info().Str("event", "runs_lost").Str("worker", a.id).Int64("incarnation", a.incarnation).
+		Int("runs", len(a.runs)).Int("starts_in_flight", inFlight).Strs("tasks", a.runNames()).Str("why", why).
 		Msg("runs of a worker are lost")
 	d.counters.runsLost.Add(int64(len(a.runs)))
+	d.counters.startsLost.Add(int64(inFlight))
 	for _, r := range a.runs {
 		d.dropLostRun(a, r)
 	}
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -12,7 +12,7 @@
 // counters holds the leader's metrics. They belong to the process, because a process may lead several terms.
 type counters struct {
 	accepted, starts, startsRefused, runsLost, strays, badEntries, appendRetries, moves, unstoredStarts expvar.Int
-	unknownEnds, workersGivenUp, unconfirmedEntries, spareEnds, recordsRefused                          expvar.Int
+	unknownEnds, workersGivenUp, unconfirmedEntries, spareEnds, recordsRefused, startsLost, lateStarts  expvar.Int
 	ends                                                                                                expvar.Map
 	jobs                                                                                                expvar.Map
 	// doneMillis is the time from acceptance to the end of jobs that were done, and startMillis the time from
@@ -31,6 +31,8 @@
 	m.Set("starts_total", &c.starts)
 	m.Set("starts_failed_total", &c.startsRefused)
 	m.Set("runs_lost_total", &c.runsLost)
+	m.Set("runs_lost_with_start_in_flight_total", &c.startsLost)
+	m.Set("starts_answered_too_late_total", &c.lateStarts)
 	m.Set("stray_runs_total", &c.strays)
 	m.Set("bad_worker_entries_total", &c.badEntries)
 	m.Set("unconfirmed_worker_entries_total", &c.unconfirmedEntries)
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -133,6 +133,9 @@
 	if err == nil {
 		d.counters.starts.Add(1)
 		d.noteStarted(r.Task.Step.Job)
+		if !d.attached(r) {
+			d.noteLateStart(a, r)
+		}
 		if r.Phase == workload.RunAssigned {
 			r.Phase = workload.RunActive
 			r.ActiveSince = now
@@ -161,6 +164,13 @@
 	d.withdraw(a, r, unknown)
 }
 
+// noteLateStart records that a worker has started a run that is no longer assigned to it. Callers hold mu.
+func (d *Dispatcher) noteLateStart(a *agent, r *workload.Run) {
+	d.counters.lateStarts.Add(1)
+	d.Log.Warn().Str("event", "late_start").Str("task", r.Task.Name()).Int("run", r.Number).Str("worker", a.id).
+		Int64("incarnation", a.incarnation).Msg("worker has started a run that had been given up")
+}
+
 // applyStartRefusal applies a worker's refusal of a start. Callers hold mu.
 func (d *Dispatcher) applyStartRefusal(a *agent, r *workload.Run, refused *worker.RefusedError) {
 	now := d.now()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -19,7 +19,7 @@
 			if sent < a.restartedAt {
 				return a.seenEnd > a.storedEnd // the worker may have answered before it restarted
 			}
-			d.noteRestart(a)
+			d.noteRestart(a, r.Incarnation)
 			granted = d.Bounds.MaxLease // a deadline on its earlier clock may have arrived after the restart
 		}
 		a.incarnation, a.incarnationAt = r.Incarnation, bootclock.Now()
