Name the worker's incarnation in the address of a call

The address now also carries the incarnation that the leader knew when it prepared the call, also through delegates, and ErrOtherIncarnation reports an order that was not sent because another one answers. Nothing enforces it yet: no decision and no byte to a worker changes.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -186,12 +186,12 @@
 	}
 }
 
-// address returns the worker's address. Callers hold mu.
+// address returns the worker's address, with its incarnation if it has answered in this term. Callers hold mu.
 func (a *agent) address() worker.Address {
 	if a.entry == nil {
 		return worker.Address{ID: a.id}
 	}
-	return worker.Address{ID: a.id, Address: a.entry.Address, Zone: a.entry.Zone}
+	return worker.Address{ID: a.id, Address: a.entry.Address, Zone: a.entry.Zone, Incarnation: a.incarnation}
 }
 
 // holdAddress returns the address for the next renewal. A silent worker may have started again at the address of an
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -145,7 +145,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
-	x.Worker, x.Address = to.ID, to.Address
+	x.Worker, x.Address, x.Incarnation = to.ID, to.Address, to.Incarnation
 	return s.call(c.ctx, x, max(timeout, time.Millisecond))
 }
 
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -189,7 +189,8 @@
 
 // call sends a call to its worker and queues the outcome as the answer.
 func (s *delegateSession) call(ctx context.Context, x *call, spec string, a *answer) {
-	to, workers := worker.Address{ID: x.Worker, Address: x.Address}, s.delegate.Workers
+	to := worker.Address{ID: x.Worker, Address: x.Address, Incarnation: x.Incarnation}
+	workers := s.delegate.Workers
 	switch {
 	case x.Hold != nil:
 		s.hold(ctx, to, x.Hold, a)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,7 +95,7 @@
 	Calls  []call `cbor:"2,keyasint,omitempty"`
 }
 
-// call is one call for a worker. Exactly one of its last four fields is set.
+// call is one call for a worker. Exactly one of Start, Stop, Pace and Hold is set.
 type call struct {
 	Number  uint64 `cbor:"1,keyasint,omitempty"`
 	Worker  string `cbor:"2,keyasint,omitempty"`
@@ -108,6 +108,8 @@
 	Stop          *runCall   `cbor:"7,keyasint,omitempty"`
 	Pace          *runCall   `cbor:"8,keyasint,omitempty"`
 	Hold          *holdCall  `cbor:"9,keyasint,omitempty"`
+	// Incarnation is the one that the worker's address names.
+	Incarnation int64 `cbor:"10,keyasint,omitempty"`
 }
 
 type startCall struct {
@@ -201,6 +203,8 @@
 	failureUnhealthy   failure = "unhealthy"
 	failureInvalid     failure = "invalid"
 	failureOther       failure = "other"
+	// failureOtherIncarnation is unknown to leaders of earlier versions, which send no incarnation and so never get it.
+	failureOtherIncarnation failure = "other_incarnation"
 )
 
 // sentinels are the errors that carry no data besides their kind.
@@ -210,6 +214,7 @@
 }{
 	{failureNotSent, worker.ErrNotSent}, {failureUnknown, worker.ErrUnknown}, {failureOtherWorker, worker.ErrOtherWorker},
 	{failureUnhealthy, worker.ErrUnhealthy}, {failureInvalid, worker.ErrInvalid},
+	{failureOtherIncarnation, worker.ErrOtherIncarnation},
 }
 
 // encodeError stores the error of a call in its answer.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -16,6 +16,10 @@
 	Address string
 	// Zone is the worker's availability zone.
 	Zone string
+	// Incarnation is the life of the worker that an order is meant for; 0 for any. A worker may start again under its ID
+	// at the same address, so an order is sent only on a connection on which this incarnation has answered. A renewal
+	// reaches any incarnation.
+	Incarnation int64
 }
 
 // Start is the request to start one run of a task.
@@ -60,6 +64,8 @@
 	ErrUnknown = errors.New("worker: no answer")
 	// ErrOtherWorker means that a worker with another ID answers at the address.
 	ErrOtherWorker = errors.New("worker: another worker has the address")
+	// ErrOtherIncarnation means that an order was not sent, because the worker has started again under its ID.
+	ErrOtherIncarnation = errors.New("worker: another incarnation of the worker answers")
 	// ErrUnhealthy means that the worker refused the call because it is unhealthy, and did not carry it out.
 	ErrUnhealthy = errors.New("worker: unhealthy, nothing was done")
 	// ErrInvalid means that the worker does not accept such a call.
