Wait for the former holder's start before an adopted task counts as lost

What callers would see: after a graceful stop of an entry instance, an idempotent job runs twice at once for up to 10 s, and its team may have one task more running than its upper limit. A non-idempotent job ends as unknown although its task is about to run. Cause: the new holder of a started job asks the worker for the task. It took 'unknown task' for proof that the task cannot run, but that answer says nothing about a start that the former holder has sent and that has not arrived yet. A closed session leaves its worker leases open, so the worker carries such a start out. Evidence: TestLateStartOfFormerHolderIsAdopted, a start that arrives 8 s after the hand-over, fails without the change (1 start too many). Change: after a graceful close the new holder asks again for 12 s, until the former worker leases have expired. It adopts the task if it shows up. After a revocation the leases have expired, and nothing changes.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -37,6 +37,9 @@
 	// worker lease (10 s) with its guard interval, so the task has ended by then unless another process renews the
 	// lease.
 	lostTimeout = 30 * time.Second
+	// earlierLeaseTimeout is the time after the end of a session after which nothing starts under its worker leases: they
+	// last no longer than the session lease (10 s), and 2 s allow for different clock rates.
+	earlierLeaseTimeout = 12 * time.Second
 	// scanInterval is the minimum time between two scans of the applied state. A scan reads all jobs, and records may
 	// arrive continuously.
 	scanInterval = 200 * time.Millisecond
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -448,6 +448,45 @@
 	}
 }
 
+// startedByFormerHolder leaves the job "j" of the ended session "e2" to the runner, started at w-1. The former holder has
+// closed its session, so its worker lease and a start that it has sent may outlast the session.
+func (w *testEnv) startedByFormerHolder() {
+	release := record.Op{Release: &record.Release{
+		Teams: []record.TeamUnits{{Name: "t", Units: 4}}, Slots: []record.InstanceSlots{{Instance: "w-1", Slots: 4}},
+	}}
+	w.apply("e1", release)
+	w.apply("e2", record.Op{SessionOpen: &record.SessionOpen{}})
+	w.apply("e2", record.Op{Demand: &record.Demand{
+		Teams: []record.ResourceDemand{{Name: "t", Wanted: 4}}, Pools: []record.ResourceDemand{{Name: "p", Wanted: 4}},
+	}})
+	w.accept("e2", "j", false)
+	w.apply("e1", release)
+	started := w.apply("e2", record.Op{JobStart: &record.JobStart{Job: "j", Attempt: 1, Instance: "w-1"}})
+	w.is.Equal(started.Reason, statemachine.ReasonNone)
+	w.apply("e2", record.Op{SessionClose: &record.SessionClose{}})
+}
+
+// TestLateStartOfFormerHolderIsAdopted guards against a job that runs twice at once, and a team above its upper limit,
+// because the start that the former holder sent reaches the worker after its successor has asked for the task.
+func TestLateStartOfFormerHolderIsAdopted(t *testing.T) {
+	run(t, func(w *testEnv, _ *Runner, _ func(time.Duration) int) {
+		arrives := time.Now().Add(8 * time.Second)
+		w.task = func(string) (platform.TaskStatus, error) {
+			switch now := time.Now(); {
+			case now.Before(arrives):
+				return platform.TaskStatus{}, platform.ErrUnknownTask
+			case now.Before(arrives.Add(5 * time.Second)):
+				return platform.TaskStatus{State: platform.TaskRunning}, nil
+			}
+			return done(platform.Task{}), nil
+		}
+		w.startedByFormerHolder()
+		w.expect(40*time.Second, statemachine.JobSucceeded, "")
+		w.is.Equal(len(w.starts), 0)
+		w.is.Equal(w.adopts, []string{"j-1 lease"})
+	})
+}
+
 // TestShutdown guards against a shutdown that stops running tasks, starts new ones, or never completes.
 func TestShutdown(t *testing.T) {
 	run(t, func(w *testEnv, _ *Runner, shutdown func(time.Duration) int) {
--- a/internal/job/outcome.go
+++ b/internal/job/outcome.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"pollenlead/internal/platform"
 	"pollenlead/internal/record"
@@ -96,7 +97,7 @@
 			return t
 		case a.jobCtx.Err() != nil:
 			return a.interrupted()
-		case errors.Is(err, platform.ErrUnknownTask):
+		case errors.Is(err, platform.ErrUnknownTask) && !a.startMayArrive(began):
 			return a.endLost("the instance does not know the task of the earlier holder")
 		case a.r.c.Now().Sub(began) > lostTimeout:
 			return a.endLost("the task could not be adopted: " + err.Error())
@@ -105,6 +106,13 @@
 	}
 }
 
+// startMayArrive reports whether the earlier holder may have sent a start that has not reached the worker yet, given
+// that the adoption began at the given time. A holder that closes its session leaves its worker leases open, because
+// its tasks go on under them.
+func (a *attempt) startMayArrive(began time.Time) bool {
+	return a.job.Adopted && !a.job.LeaseExpired && a.r.c.Now().Sub(began) < earlierLeaseTimeout
+}
+
 func (a *attempt) adoptOnce() (trigger, error) {
 	status, err := call(a.jobCtx, func(ctx context.Context) (platform.TaskStatus, error) {
 		return a.worker().Task(ctx, a.taskID())
