Replace a worker lease that refuses the start of a job

What callers would see: after a worker has started again, jobs lose attempts at it: each start carries the worker lease that the former life had opened and is refused, until the next renewal of the lease, by reading up to 4 s later, is refused as well. Attempts are bounded (50). Cause: the gateway reports a refused lease to the ledger, the job runner did not. The next attempt got the former life's lease again. Evidence: TestRestartedWorkerGetsANewLease, with a ledger that replaces a lease only when it is reported, fails without the change. Change: the job runner reports the refusal too. A start after a lost answer that is then refused so also frees its capacity at once, since nothing runs under a lease that the worker refuses.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -190,8 +190,11 @@
 }
 
 func (a *attempt) handleRefusal(refused *platform.RefusedError) trigger {
-	if refused.Refusal == platform.RefusedLeaving {
+	switch refused.Refusal {
+	case platform.RefusedLeaving:
 		a.observation = routing.ObservedLeaving
+	case platform.RefusedLeaseLapsed:
+		a.capacity.refuseLease(a.jobCtx)
 	}
 	if a.mayBeRunning {
 		return a.endLost("the start was not answered, and then " + refused.Error())
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -120,8 +120,13 @@
 	// release and abandon are the methods Done and Abandon of admission.Ticket.
 	release func(routing.Observation)
 	abandon func(routing.Observation)
+	// refuseLease is the method LeaseRefused of admission.Ticket.
+	refuseLease func(context.Context)
 }
 
 func capacityFromTicket(t *admission.Ticket) capacity {
-	return capacity{instance: t.Instance, address: t.Address, leaseID: t.LeaseID, release: t.Done, abandon: t.Abandon}
+	return capacity{
+		instance: t.Instance, address: t.Address, leaseID: t.LeaseID,
+		release: t.Done, abandon: t.Abandon, refuseLease: t.LeaseRefused,
+	}
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -57,9 +57,11 @@
 	adopts      []string
 	usedPermits int
 	abandoned   int // abandoned permits
-	others      []string
-	blocked     string // team without units
-	queued      map[string]int
+	// leaseRefused means that the runner has reported the first worker lease as refused.
+	leaseRefused bool
+	others       []string
+	blocked      string // team without units
+	queued       map[string]int
 }
 
 func done(platform.Task) platform.TaskStatus {
@@ -206,9 +208,20 @@
 
 type permit struct{ w *testEnv }
 
-func (p permit) Lease(context.Context) (string, error) { return "lease", nil }
-func (p permit) LeaseRefused(context.Context, string)  {}
-func (p permit) Release()                              { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.usedPermits-- }
+func (p permit) Lease(context.Context) (string, error) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	if p.w.leaseRefused {
+		return "new lease", nil
+	}
+	return "lease", nil
+}
+func (p permit) LeaseRefused(_ context.Context, id string) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	p.w.leaseRefused = p.w.leaseRefused || id == "lease"
+}
+func (p permit) Release() { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.usedPermits-- }
 func (p permit) Abandon(func()) {
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
@@ -487,6 +500,22 @@
 	})
 }
 
+// TestRestartedWorkerGetsANewLease guards against a job that loses attempt after attempt at a worker that has started
+// again, because each start carries the lease that the former life of the worker had opened.
+func TestRestartedWorkerGetsANewLease(t *testing.T) {
+	run(t, func(w *testEnv, _ *Runner, _ func(time.Duration) int) {
+		w.start = func(_ string, task platform.Task) (platform.TaskStatus, error) {
+			if task.LeaseID == "lease" {
+				return platform.TaskStatus{}, &platform.RefusedError{Refusal: platform.RefusedLeaseLapsed}
+			}
+			return done(task), nil
+		}
+		w.accept("e1", "j", true)
+		w.expect(10*time.Second, statemachine.JobSucceeded, "")
+		w.is.Equal(len(w.starts), 2)
+	})
+}
+
 // TestShutdown guards against a shutdown that stops running tasks, starts new ones, or never completes.
 func TestShutdown(t *testing.T) {
 	run(t, func(w *testEnv, _ *Runner, shutdown func(time.Duration) int) {
