Hand leadership over only to an instance that announced itself during the term

What callers would see: after the largest entry instance is killed, the others lead for 2 s each, one after the other, until its member record is 15 s old. Each new leader reads the jobs first, so nothing starts for seconds, and leases of 4 s can run out. Cause: a leader that is small beside the largest listed member hands over. The list holds the record of a process that is over, and nobody takes over for that process. Evidence: TestKilledInstanceGetsNoHandOver, with the record of an instance that does not run, fails without the change (2 terms in 4.9 s). Change: a member counts for the hand-over only if its record was stored after the first read of the members in the present term. The claim delays still count all listed members. Result: the test passes, and TestLeaderHandsOverToARunningInstance; internal/leader with -race 5 times, ok.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -33,8 +33,8 @@
 	// maxShareDelay is the largest delay of claims for a CPU share below the largest one, so that a large entry
 	// instance becomes leader.
 	maxShareDelay = 500 * time.Millisecond
-	// handOverFraction is the fraction of the largest CPU share below which a leader hands over.
-	// minTermBeforeHandOver is how long it leads first.
+	// handOverFraction is the fraction of the largest CPU share of a running entry instance below which a leader hands
+	// over. minTermBeforeHandOver is how long it leads first.
 	handOverFraction      = 0.75
 	minTermBeforeHandOver = 2 * time.Second
 	// readWait is the maximum time for which a read waits for a record.
--- a/internal/leader/members.go
+++ b/internal/leader/members.go
@@ -70,6 +70,10 @@
 	ready   bool // the list is good enough for a claim
 	leading bool // this entry instance leads
 	leaving bool // this entry instance stops
+	// termStart is the end of the topic at the first read of this entry instance's term, or -1 before that read.
+	termStart int64
+	// largestInTerm is the largest CPU share of a member that has announced itself since termStart.
+	largestInTerm float64
 }
 
 // run announces this member and reads the other members until ctx is done.
@@ -103,10 +107,20 @@
 	return m.leading
 }
 
+// setLeading records the beginning or the end of a term of this entry instance.
 func (m *members) setLeading(leading bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.leading = leading
+	m.leading, m.termStart, m.largestInTerm = leading, -1, 0
+}
+
+// mayHandOver reports whether this entry instance, which leads, is small beside a member that has announced itself
+// during its term. The record of a member that was killed before the term lasts for memberTTL, and nobody would take
+// over for it.
+func (m *members) mayHandOver() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self.CPUShare < handOverFraction*m.largestInTerm
 }
 
 // known reports whether the members have been read, or whether reading them has failed for so long that claims no
@@ -174,23 +188,38 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var records []store.Record
-	after := ""
+	after, end := "", int64(-1)
 	for {
 		page, err := m.store.ReadNewest(ctx, m.topic, partition, after)
 		if err != nil {
 			m.log.Debug().Err(err).Str("event", "members_unread").Msg("members could not be read")
 			return false, err
 		}
+		if end < 0 {
+			end = page.End
+		}
 		records = append(records, page.Records...)
 		if page.After == "" || page.After == after {
 			break
 		}
 		after = page.After
 	}
-	list, settled := decodeMembers(records, m.self.Name, time.Now())
+	now := time.Now()
+	list, settled := decodeMembers(records, m.self.Name, now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.list = list
+	if !m.leading {
+		return settled, nil
+	}
+	if m.termStart < 0 {
+		m.termStart = end
+	}
+	announced := slices.DeleteFunc(records, func(r store.Record) bool { return r.Offset < m.termStart })
+	inTerm, _ := decodeMembers(announced, m.self.Name, now)
+	for _, x := range inTerm {
+		m.largestInTerm = max(m.largestInTerm, x.CPUShare)
+	}
 	return settled, nil
 }
 
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -60,7 +60,7 @@
 	defer next.Stop()
 	began := bootclock.Now()
 	for {
-		if e.shareRatio() < handOverFraction && bootclock.Now()-began > minTermBeforeHandOver {
+		if e.members.mayHandOver() && bootclock.Now()-began > minTermBeforeHandOver {
 			return endHandOver
 		}
 		if e.isResigning() {
