Repeat the stop of a cancelled job while the former holder's start may arrive

What callers would see: the task of a job that was cancelled right after its entry instance stopped gracefully runs on for up to 10 s. Cause: the new holder took 'unknown task', the answer to its stop, for proof that nothing runs, as before for the adoption of a task. Evidence: TestLateStartOfCancelledJobIsStopped, a start that arrives 8 s after the hand-over, fails without the change. Found by reading. Change: the stop of an adopted task that was never seen is repeated until the former holder's worker leases have expired.

--- a/internal/job/attempt.go
+++ b/internal/job/attempt.go
@@ -254,7 +254,9 @@
 		_, err := call(a.r.baseCtx, func(ctx context.Context) (struct{}, error) {
 			return struct{}{}, a.worker().StopTask(ctx, a.taskID())
 		})
-		if err == nil || errors.Is(err, platform.ErrUnknownTask) {
+		unknown := errors.Is(err, platform.ErrUnknownTask)
+		// The stop of an adopted task is repeated while the start of the earlier holder may arrive after it.
+		if err == nil || unknown && (a.mayBeRunning || !a.startMayArrive(began)) {
 			// ErrUnknownTask does not rule out a start that is still in transit, if no start was answered. mayBeRunning
 			// then stays set, and the capacity is abandoned, which closes the lease, instead of released.
 			a.mayBeRunning = a.mayBeRunning && err != nil
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -54,6 +54,7 @@
 	task        func(id string) (platform.TaskStatus, error)
 	starts      []string
 	stops       []string
+	stop        func() error // the answer to a stop; nil if it always succeeds
 	adopts      []string
 	usedPermits int
 	abandoned   int // abandoned permits
@@ -252,6 +253,9 @@
 	k.w.mu.Lock()
 	defer k.w.mu.Unlock()
 	k.w.stops = append(k.w.stops, id)
+	if k.w.stop != nil {
+		return k.w.stop()
+	}
 	return nil
 }
 func (k worker) AdoptTask(_ context.Context, id, lease string) error {
@@ -500,6 +504,29 @@
 	})
 }
 
+// TestLateStartOfCancelledJobIsStopped guards against a task of a cancelled job that runs on because the start that the
+// former holder sent reaches the worker after the stop.
+func TestLateStartOfCancelledJobIsStopped(t *testing.T) {
+	run(t, func(w *testEnv, _ *Runner, _ func(time.Duration) int) {
+		arrives := time.Now().Add(8 * time.Second)
+		stopped := false
+		w.stop = func() error {
+			if time.Now().Before(arrives) {
+				return platform.ErrUnknownTask
+			}
+			stopped = true
+			return nil
+		}
+		w.task = func(string) (platform.TaskStatus, error) { return platform.TaskStatus{}, platform.ErrUnknownTask }
+		w.startedByFormerHolder()
+		w.expect(2*time.Second, statemachine.JobStarted, "")
+		w.apply("e1", record.Op{JobCancel: &record.JobCancel{Jobs: []string{"j"}}})
+		w.expect(20*time.Second, statemachine.JobCancelled, "")
+		w.is.True(stopped)
+		w.is.Equal(len(w.starts), 0)
+	})
+}
+
 // TestRestartedWorkerGetsANewLease guards against a job that loses attempt after attempt at a worker that has started
 // again, because each start carries the lease that the former life of the worker had opened.
 func TestRestartedWorkerGetsANewLease(t *testing.T) {
