Take no restart before the reboot of an instance for its end

What operators would see: an instance that crashes and comes back while its reboot has not been accepted yet counts as returned from maintenance at once. It gets work that the reboot then ends, and the wave takes the next instance down beside it, below the pool's budget. Cause: the list had shown the instance away and live. That was about its own restart, before the reboot, and a list that lags still showed it live when the driver had recorded the reboot. Evidence: TestRestartBeforeTheRebootIsNotItsEnd fails without the change (probing in place of rebooting, one step after the reboot). Found by reading. Change: if an instance had been away when the driver first saw it rebooting, its return counts only 5 s later. A list that lags by more than 5 s can still mislead. A reboot that the list has shown in full by then costs up to 5 s more.

--- a/internal/maintenance/driver.go
+++ b/internal/maintenance/driver.go
@@ -93,10 +93,11 @@
 
 type instanceKey struct{ wave, instance string }
 
-// phaseStart is a phase and the time at which this driver first saw it.
+// phaseStart is a phase, the time at which this driver first saw it, and whether the instance had been away by then.
 type phaseStart struct {
 	phase     record.LeavePhase
 	firstSeen time.Time
+	away      bool
 }
 
 // NewDriver returns a driver.
@@ -214,7 +215,7 @@
 		key := instanceKey{t.Wave, t.Instance}
 		known, ok := d.phases[key]
 		if !ok || known.phase != t.Phase {
-			known = phaseStart{phase: t.Phase, firstSeen: now}
+			known = phaseStart{phase: t.Phase, firstSeen: now, away: t.Away}
 		}
 		seen[key] = known
 	}
@@ -229,7 +230,9 @@
 	var calls errgroup.Group
 	calls.SetLimit(maxCalls)
 	for n, t := range progress {
-		next, call := decide(t, m, now.Sub(d.phases[instanceKey{t.Wave, t.Instance}].firstSeen))
+		start := d.phases[instanceKey{t.Wave, t.Instance}]
+		t.AwayBefore = start.away
+		next, call := decide(t, m, now.Sub(start.firstSeen))
 		if next == "" {
 			continue
 		}
--- a/internal/maintenance/driver_test.go
+++ b/internal/maintenance/driver_test.go
@@ -273,3 +273,58 @@
 	w.mustSubmit("h", record.Op{WaveControl: &record.WaveControl{Wave: "wave", Action: record.WaveAbort}})
 	is.Equal(w.wave().State, statemachine.WaveAborted)
 }
+
+// TestRestartBeforeTheRebootIsNotItsEnd guards against an instance that counts as returned, so that the next one is taken
+// down, although its reboot is still ahead: it had restarted by itself before the platform accepted the reboot, and the
+// list lags behind.
+func TestRestartBeforeTheRebootIsNotItsEnd(t *testing.T) {
+	is := is.New(t)
+	w := newTestCluster(t, smallPlan(), "h")
+	e := &entry{testCluster: w, holder: "h", valid: true}
+	d := NewDriver(Options{
+		Committer: e, Replica: w, Lease: e, Rebooter: &laggingPlatform{w: w}, Prober: w,
+		Clock: func() time.Time { return w.now },
+	})
+	const id = "p00-00"
+	for n := 0; w.phase(id) != record.LeaveStopping && n < maxTicks; n++ {
+		d.Step(t.Context())
+		w.tick()
+	}
+	w.mustSubmit("h", w.report(record.PhaseGone, []string{id}))
+	w.mustSubmit("h", w.report(record.PhaseLive, []string{id}))
+	for range 4 { // the list still shows the instance from before the reboot
+		d.Step(t.Context())
+		w.tick()
+		is.Equal(w.phase(id), record.LeaveRebooting)
+	}
+	w.mustSubmit("h", w.report(record.PhaseGone, []string{id}))
+	for range 10 {
+		d.Step(t.Context())
+		w.tick()
+		is.Equal(w.phase(id), record.LeaveRebooting)
+	}
+	w.mustSubmit("h", w.report(record.PhaseLive, []string{id}))
+	for range 3 {
+		d.Step(t.Context())
+		w.tick()
+	}
+	is.Equal(w.wave().Done[id], record.LeaveReturned)
+}
+
+// phase returns the phase of an instance that is down, or "".
+func (w *testCluster) phase(id string) record.LeavePhase {
+	if down := w.wave().Down[id]; down != nil {
+		return down.Phase
+	}
+	return ""
+}
+
+// laggingPlatform accepts reboots that the list does not show by itself.
+type laggingPlatform struct{ w *testCluster }
+
+func (p *laggingPlatform) Reboot(_ context.Context, _, operationID string) error {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	p.w.reboots[operationID]++
+	return nil
+}
--- a/internal/maintenance/machine.go
+++ b/internal/maintenance/machine.go
@@ -74,10 +74,16 @@
 	// list at some time after it was stopped.
 	Live bool
 	Away bool
+	// AwayBefore means that the instance had been absent when this driver first saw the phase.
+	AwayBefore bool
 	// Busy means that holders have slots or started jobs of the instance.
 	Busy bool
 }
 
+// rebootVisibleDelay is the time after which the list shows that an instance is rebooting. The list is read every second
+// and lags behind.
+const rebootVisibleDelay = 5 * time.Second
+
 // action is a call that the driver makes before the next trigger.
 type action int
 
@@ -100,7 +106,8 @@
 		return triggerRebooted, actionReboot
 	case record.LeaveRebooting:
 		switch {
-		case t.Away && t.Live:
+		case t.Away && t.Live && (!t.AwayBefore || elapsed >= rebootVisibleDelay):
+			// An instance that was absent before may have restarted by itself, and its reboot may still be ahead.
 			return triggerReturned, actionNone
 		case elapsed >= m.RebootTimeout():
 			return triggerLost, actionNone
--- a/internal/maintenance/machine_test.go
+++ b/internal/maintenance/machine_test.go
@@ -102,6 +102,15 @@
 			"an instance that was absent and is live has returned",
 			InstanceProgress{Phase: record.LeaveRebooting, Live: true, Away: true}, 20, triggerReturned, actionNone,
 		},
+		{
+			"an instance that was absent before its reboot may not have rebooted yet",
+			InstanceProgress{Phase: record.LeaveRebooting, Live: true, Away: true, AwayBefore: true}, 4, "", actionNone,
+		},
+		{
+			"an instance that was absent before its reboot has returned",
+			InstanceProgress{Phase: record.LeaveRebooting, Live: true, Away: true, AwayBefore: true}, 5,
+			triggerReturned, actionNone,
+		},
 		{
 			"an instance that does not return is lost",
 			InstanceProgress{Phase: record.LeaveRebooting, Away: true}, 20, triggerLost, actionNone,
