--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -108,7 +108,8 @@
 func (e *RefusedError) Is(target error) bool { return target == ErrNoEffect }
 
 // Lease is a newly opened lease at a worker. Now is the reading of the worker's monotonic clock when it opened the
-// lease.
+// lease. A worker never uses an ID twice, also not after it has restarted, so that it refuses calls under a lease that it
+// opened before.
 type Lease struct {
 	ID  string
 	Now time.Duration
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -98,6 +98,25 @@
 	is.Equal(call(t, "POST", url+"/leases/"+opened.LeaseID+renew, later, nil), http.StatusConflict)
 }
 
+// Guards against a call under a lease of a worker's former life that takes effect in its next life, which has the same ID
+// and address: a renewal by a time of the former clock, the start of a task, and a synchronous request.
+func TestNextLifeRefusesTheFormerLease(t *testing.T) {
+	is := is.New(t)
+	former, formerURL := startWorker(t, WorkerConfig{ID: "w-1", Slots: 2, ClockStart: hour})
+	lease := openLease(t, former, formerURL)
+	next, url := startWorker(t, WorkerConfig{ID: "w-1", Slots: 2})
+	is.True(openLease(t, next, url) != lease)
+	renewal := renewLeaseRequest{UntilMS: (former.Now() + hour).Milliseconds()}
+	is.Equal(call(t, "POST", url+"/leases/"+lease+"/renew", renewal, nil), http.StatusConflict)
+	start := startTaskRequest{TaskID: "job-1", LeaseID: lease}
+	is.Equal(call(t, "POST", url+"/tasks", start, nil), http.StatusConflict)
+	resp, err := http.DefaultClient.Do(request(url, lease, "body", nil))
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusConflict)
+	is.Equal(len(next.Executions()), 0)
+}
+
 // Guards against a lease that does not expire while the worker receives no calls.
 func TestWorkerLeaseEndsByItself(t *testing.T) {
 	w, url := startWorker(t, WorkerConfig{ID: "w-1", Slots: 8})
