--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -37,6 +37,9 @@
 	// worker lease (10 s) with its guard interval, so the task has ended by then unless another process renews the
 	// lease.
 	lostTimeout = 30 * time.Second
+	// earlierLeaseTimeout is the time after the end of a session after which nothing starts under its worker leases: they
+	// last no longer than the session lease (10 s), and 2 s allow for different clock rates.
+	earlierLeaseTimeout = 12 * time.Second
 	// scanInterval is the minimum time between two scans of the applied state. A scan reads all jobs, and records may
 	// arrive continuously.
 	scanInterval = 200 * time.Millisecond
@@ -117,8 +120,13 @@
 	// release and abandon are the methods Done and Abandon of admission.Ticket.
 	release func(routing.Observation)
 	abandon func(routing.Observation)
+	// refuseLease is the method LeaseRefused of admission.Ticket.
+	refuseLease func(context.Context)
 }
 
 func capacityFromTicket(t *admission.Ticket) capacity {
-	return capacity{instance: t.Instance, address: t.Address, leaseID: t.LeaseID, release: t.Done, abandon: t.Abandon}
+	return capacity{
+		instance: t.Instance, address: t.Address, leaseID: t.LeaseID,
+		release: t.Done, abandon: t.Abandon, refuseLease: t.LeaseRefused,
+	}
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -54,12 +54,15 @@
 	task        func(id string) (platform.TaskStatus, error)
 	starts      []string
 	stops       []string
+	stop        func() error // the answer to a stop; nil if it always succeeds
 	adopts      []string
 	usedPermits int
 	abandoned   int // abandoned permits
-	others      []string
-	blocked     string // team without units
-	queued      map[string]int
+	// leaseRefused means that the runner has reported the first worker lease as refused.
+	leaseRefused bool
+	others       []string
+	blocked      string // team without units
+	queued       map[string]int
 }
 
 func done(platform.Task) platform.TaskStatus {
@@ -206,9 +209,20 @@
 
 type permit struct{ w *testEnv }
 
-func (p permit) Lease(context.Context) (string, error) { return "lease", nil }
-func (p permit) LeaseRefused(context.Context, string)  {}
-func (p permit) Release()                              { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.usedPermits-- }
+func (p permit) Lease(context.Context) (string, error) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	if p.w.leaseRefused {
+		return "new lease", nil
+	}
+	return "lease", nil
+}
+func (p permit) LeaseRefused(_ context.Context, id string) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	p.w.leaseRefused = p.w.leaseRefused || id == "lease"
+}
+func (p permit) Release() { p.w.mu.Lock(); defer p.w.mu.Unlock(); p.w.usedPermits-- }
 func (p permit) Abandon(func()) {
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
@@ -239,6 +253,9 @@
 	k.w.mu.Lock()
 	defer k.w.mu.Unlock()
 	k.w.stops = append(k.w.stops, id)
+	if k.w.stop != nil {
+		return k.w.stop()
+	}
 	return nil
 }
 func (k worker) AdoptTask(_ context.Context, id, lease string) error {
@@ -448,6 +465,84 @@
 	}
 }
 
+// startedByFormerHolder leaves the job "j" of the ended session "e2" to the runner, started at w-1. The former holder has
+// closed its session, so its worker lease and a start that it has sent may outlast the session.
+func (w *testEnv) startedByFormerHolder() {
+	release := record.Op{Release: &record.Release{
+		Teams: []record.TeamUnits{{Name: "t", Units: 4}}, Slots: []record.InstanceSlots{{Instance: "w-1", Slots: 4}},
+	}}
+	w.apply("e1", release)
+	w.apply("e2", record.Op{SessionOpen: &record.SessionOpen{}})
+	w.apply("e2", record.Op{Demand: &record.Demand{
+		Teams: []record.ResourceDemand{{Name: "t", Wanted: 4}}, Pools: []record.ResourceDemand{{Name: "p", Wanted: 4}},
+	}})
+	w.accept("e2", "j", false)
+	w.apply("e1", release)
+	started := w.apply("e2", record.Op{JobStart: &record.JobStart{Job: "j", Attempt: 1, Instance: "w-1"}})
+	w.is.Equal(started.Reason, statemachine.ReasonNone)
+	w.apply("e2", record.Op{SessionClose: &record.SessionClose{}})
+}
+
+// TestLateStartOfFormerHolderIsAdopted guards against a job that runs twice at once, and a team above its upper limit,
+// because the start that the former holder sent reaches the worker after its successor has asked for the task.
+func TestLateStartOfFormerHolderIsAdopted(t *testing.T) {
+	run(t, func(w *testEnv, _ *Runner, _ func(time.Duration) int) {
+		arrives := time.Now().Add(8 * time.Second)
+		w.task = func(string) (platform.TaskStatus, error) {
+			switch now := time.Now(); {
+			case now.Before(arrives):
+				return platform.TaskStatus{}, platform.ErrUnknownTask
+			case now.Before(arrives.Add(5 * time.Second)):
+				return platform.TaskStatus{State: platform.TaskRunning}, nil
+			}
+			return done(platform.Task{}), nil
+		}
+		w.startedByFormerHolder()
+		w.expect(40*time.Second, statemachine.JobSucceeded, "")
+		w.is.Equal(len(w.starts), 0)
+		w.is.Equal(w.adopts, []string{"j-1 lease"})
+	})
+}
+
+// TestLateStartOfCancelledJobIsStopped guards against a task of a cancelled job that runs on because the start that the
+// former holder sent reaches the worker after the stop.
+func TestLateStartOfCancelledJobIsStopped(t *testing.T) {
+	run(t, func(w *testEnv, _ *Runner, _ func(time.Duration) int) {
+		arrives := time.Now().Add(8 * time.Second)
+		stopped := false
+		w.stop = func() error {
+			if time.Now().Before(arrives) {
+				return platform.ErrUnknownTask
+			}
+			stopped = true
+			return nil
+		}
+		w.task = func(string) (platform.TaskStatus, error) { return platform.TaskStatus{}, platform.ErrUnknownTask }
+		w.startedByFormerHolder()
+		w.expect(2*time.Second, statemachine.JobStarted, "")
+		w.apply("e1", record.Op{JobCancel: &record.JobCancel{Jobs: []string{"j"}}})
+		w.expect(20*time.Second, statemachine.JobCancelled, "")
+		w.is.True(stopped)
+		w.is.Equal(len(w.starts), 0)
+	})
+}
+
+// TestRestartedWorkerGetsANewLease guards against a job that loses attempt after attempt at a worker that has started
+// again, because each start carries the lease that the former life of the worker had opened.
+func TestRestartedWorkerGetsANewLease(t *testing.T) {
+	run(t, func(w *testEnv, _ *Runner, _ func(time.Duration) int) {
+		w.start = func(_ string, task platform.Task) (platform.TaskStatus, error) {
+			if task.LeaseID == "lease" {
+				return platform.TaskStatus{}, &platform.RefusedError{Refusal: platform.RefusedLeaseLapsed}
+			}
+			return done(task), nil
+		}
+		w.accept("e1", "j", true)
+		w.expect(10*time.Second, statemachine.JobSucceeded, "")
+		w.is.Equal(len(w.starts), 2)
+	})
+}
+
 // TestShutdown guards against a shutdown that stops running tasks, starts new ones, or never completes.
 func TestShutdown(t *testing.T) {
 	run(t, func(w *testEnv, _ *Runner, shutdown func(time.Duration) int) {
