Assign nothing to a worker that a list of instances has just called down

Cause: the list dropped the runs of a worker, but the worker counted as answering until its next renewal had timed out.

Change: such a worker is treated as silent until it has answered a renewal that was sent after the request of the list, or reports another incarnation.

Result: TestNothingIsAssignedToAWorkerListedAsDown failed before and passes.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -66,6 +66,8 @@
 	firstSeen time.Duration
 	// instance is the one with which a list last showed the worker; "" if none did.
 	instance string
+	// missingAt is the boot clock at which the last list was requested by which the worker is over; 0 if none was.
+	missingAt time.Duration
 	// askedAt is the boot clock at which the last renewal was sent that the worker has answered.
 	askedAt time.Duration
 	runs    map[runKey]*workload.Run
--- a/internal/dispatch/instances_test.go
+++ b/internal/dispatch/instances_test.go
@@ -149,6 +149,33 @@
 	}
 }
 
+// TestNothingIsAssignedToAWorkerListedAsDown guards against runs that are assigned to a worker right after a list has
+// shown its crash. The list after it dropped them, and the next life of the worker carried out their starts.
+func TestNothingIsAssignedToAWorkerListedAsDown(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	a := d.agent("w0")
+	asked := bootclock.Now()
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1}, asked)
+	a.firstSeen, a.incarnationAt = a.firstSeen-time.Minute, a.incarnationAt-time.Minute
+	w := newInstanceDriver(d)
+	w.list(t, fleet.Instance{ID: "m0", Pool: "pool", Phase: fleet.InstanceUp, Worker: "w0"})
+	w.list(t, fleet.Instance{ID: "m0", Pool: "pool", Phase: fleet.InstanceDown})
+	j := d.addJob(unreadJob, oneTask)
+	assigned := func() int {
+		d.dirty["pool"] = true
+		d.place()
+		return len(j.Task(0, 0, 0).Runs)
+	}
+	is.Equal(assigned(), 0)
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1}, asked) // an answer from before the crash
+	is.Equal(assigned(), 0)
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 2}, bootclock.Now())
+	is.Equal(assigned(), 1)
+}
+
 // TestListVerdict guards against a list that decides about a worker of which it says nothing.
 func TestListVerdict(t *testing.T) {
 	const lag = maxListLag
--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
 )
 
@@ -107,7 +108,7 @@
 }
 
 // applyList drops the runs of workers that are over according to a list that was requested at the boot clock sent.
-// Callers hold mu.
+// Nothing is assigned to them until they have answered again. Callers hold mu.
 func (w *instanceDriver) applyList(listed map[string]fleet.Instance, sent time.Duration) {
 	d := w.d
 	w.relist = false
@@ -121,9 +122,9 @@
 		case listUncertain:
 			w.relist = w.relist || a.unchecked || len(a.runs) > 0
 		case listShowsCrash:
-			d.applyMissing(a, "its instance is down")
+			d.applyMissing(a, sent, "its instance is down")
 		case listShowsEnd:
-			d.applyMissing(a, "its instance has another worker or none")
+			d.applyMissing(a, sent, "its instance has another worker or none")
 		}
 	}
 }
@@ -149,8 +150,13 @@
 	return k
 }
 
-// applyMissing drops the runs of a worker that is over according to a list. Callers hold mu.
-func (d *Dispatcher) applyMissing(a *agent, why string) {
+// applyMissing drops the runs of a worker that is over according to a list that was requested at the boot clock sent.
+// Callers hold mu.
+func (d *Dispatcher) applyMissing(a *agent, sent time.Duration, why string) {
+	a.missingAt = sent
+	if a.silentSince == 0 {
+		a.silentSince = bootclock.Now()
+	}
 	if !a.unchecked && len(a.runs) == 0 {
 		return
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -38,7 +38,7 @@
 		d.markDirty(a)
 		d.signal()
 	}
-	if a.silentSince != 0 {
+	if a.silentSince != 0 && (first || sent >= a.missingAt) { // not an answer from before it was missing
 		d.Log.Info().Str("event", "worker_answers").Str("worker", a.id).
 			Dur("silent", bootclock.Now()-a.silentSince).Msg("worker answers again")
 		a.silentSince = 0
