Lose a run at once that was sent only to a former incarnation of its worker

Cause: a run with an order in flight was kept over a restart of its worker, and its start was sent again, under the same number, to whichever life answered. Nothing recorded for which life a start was prepared.

Change: each run records the incarnation to which its start was sent, or which lists it. A start goes to one incarnation only. Once the present one has listed all of its runs and ends without it, the run is lost: an order goes only over a connection on which its incarnation has answered, so nothing that was sent to a former one can be carried out any more. A run that the present one lists is kept, and a run that was never sent waits on.

TestRunOfRestartedWorkerIsKept is unchanged but for a comment: the order in flight of its second run has sent nothing yet.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -250,8 +250,8 @@
 }
 
 // noteRestart handles the first report of a restarted worker: its clock, its lease and its numbers of ends have begun
-// anew. The runs stay attached until the report has been compared with them: a start may have arrived, or may still
-// arrive, after the restart. Callers hold mu.
+// anew. The runs stay attached until the report has been compared with them: a run that it lists goes on. Callers hold
+// mu.
 func (d *Dispatcher) noteRestart(a *agent, incarnation int64) {
 	d.Log.Info().Str("event", "worker_restarted").Str("worker", a.id).Int64("former_incarnation", a.incarnation).
 		Int64("incarnation", incarnation).Int("runs", len(a.runs)).Int("starts_in_flight", d.startsInFlight(a)).
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -112,6 +112,9 @@
 	if r.Phase != workload.RunAssigned || !d.attached(r) {
 		return worker.Address{}, worker.Start{}, false
 	}
+	if r.Incarnation != 0 && r.Incarnation != a.incarnation {
+		return worker.Address{}, worker.Start{}, false // a start is meant for one incarnation; the next report settles it
+	}
 	deadline := d.lease(a)
 	if a.entry == nil || deadline == 0 || t.Step.Job.State.Ended() || t.Step.Spec.Gang && !r.GangComplete() {
 		// Without an address or a lease the start cannot be sent, and a member of a gang waits in vain if another one has
@@ -119,6 +122,7 @@
 		d.withdraw(a, r, r.Inherited || tried)
 		return worker.Address{}, worker.Start{}, false
 	}
+	r.Incarnation = a.incarnation
 	return a.address(), worker.Start{
 		Task: t.Name(), Run: r.Number, Spec: t.Step.Job.Spec.Spec, DeadlineMillis: deadline, FencingToken: d.Token,
 		Checkpoint: t.ResumeFrom(), Ticket: r.Ticket,
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -144,6 +144,7 @@
 			}
 			continue
 		}
+		run.Incarnation = a.incarnation
 		d.updateRun(run, x, asked, now)
 	}
 	a.forgetUnlistedRuns(listed)
@@ -172,6 +173,10 @@
 // handleMissingRun handles a run that the worker has listed neither as running nor as ended. Callers hold mu.
 func (d *Dispatcher) handleMissingRun(a *agent, run *workload.Run, sent time.Duration) {
 	asked := d.at(sent)
+	if run.Incarnation != 0 && run.Incarnation != a.incarnation {
+		d.dropFormerRun(a, run)
+		return
+	}
 	switch run.Phase {
 	case workload.RunAssigned:
 		// An earlier leader stored the assignment. The same run is started again, which the worker treats as one
@@ -201,3 +206,18 @@
 		}
 	}
 }
+
+// dropFormerRun drops a run that was only ever sent to a former incarnation of its worker. The present one cannot carry
+// its start out any more, because an order is sent only on a connection on which its incarnation has answered. Callers
+// hold mu.
+func (d *Dispatcher) dropFormerRun(a *agent, run *workload.Run) {
+	inFlight := run.Phase == workload.RunAssigned && d.ordersInFlight[run]
+	d.Log.Info().Str("event", "run_missing").Str("task", run.Task.Name()).Int("run", run.Number).Str("worker", a.id).
+		Int64("run_incarnation", run.Incarnation).Int64("incarnation", a.incarnation).Bool("start_in_flight", inFlight).
+		Msg("run was sent to a former incarnation of the worker, and the present one does not list it")
+	d.counters.runsLost.Add(1)
+	if inFlight {
+		d.counters.startsLost.Add(1)
+	}
+	d.dropLostRun(a, run)
+}
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -40,7 +42,7 @@
 		{Task: active.Task(0, 0, 0).Name(), Run: 1},
 	}}, bootclock.Now())
 	is.Equal(len(active.Task(0, 0, 0).Runs), 1)   // the worker has it since it started again
-	is.Equal(len(inFlight.Task(0, 0, 0).Runs), 1) // its start may still be carried out
+	is.Equal(len(inFlight.Task(0, 0, 0).Runs), 1) // its start is not sent yet
 	is.Equal(len(lost.Task(0, 0, 0).Runs), 0)
 	is.Equal(len(a.strayStops), 0)
 }
@@ -131,3 +133,130 @@
 	is.True(a.deadline >= 100+d.Bounds.MaxLease.Milliseconds())
 	is.True(a.deadline < 500_000)
 }
+
+// liveWorkers is a worker client that records the addresses of its orders. order answers them with the number of the
+// order; nil answers that they were carried out.
+type liveWorkers struct {
+	unresponsiveWorkers
+	mu     sync.Mutex // guards what follows
+	starts []worker.Address
+	stops  []worker.Address
+	order  func(n int) error
+}
+
+func (w *liveWorkers) Start(_ context.Context, to worker.Address, _ worker.Start) (int64, error) {
+	return 1, w.record(&w.starts, to)
+}
+
+func (w *liveWorkers) Stop(_ context.Context, to worker.Address, _ string, _ int, _ int64) error {
+	return w.record(&w.stops, to)
+}
+
+func (w *liveWorkers) record(calls *[]worker.Address, to worker.Address) error {
+	w.mu.Lock()
+	*calls = append(*calls, to)
+	n := len(w.starts) + len(w.stops)
+	w.mu.Unlock()
+	if w.order == nil {
+		return nil
+	}
+	return w.order(n)
+}
+
+// incarnations returns the incarnations to which starts were sent.
+func (w *liveWorkers) incarnations() []int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []int64
+	for _, to := range w.starts {
+		all = append(all, to.Incarnation)
+	}
+	return all
+}
+
+// newLiveFixture returns a dispatcher with a worker whose incarnation 1 has answered, and a run that is assigned to it
+// and stored.
+func newLiveFixture(t *testing.T, workers worker.Client) (*Dispatcher, *agent, *workload.Run) {
+	t.Helper()
+	d := newFixture(1)
+	t.Cleanup(d.stop)
+	d.Workers = workers
+	a := d.agent("w0")
+	a.entry.Incarnation = 1
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1}, bootclock.Now())
+	run := d.addJob(unreadJob, oneTask).Task(0, 0, 0).Assign("w0", 1, d.now())
+	run.Stored = true
+	d.attach(run)
+	d.recordStoreContact(bootclock.Now())
+	return d, a, run
+}
+
+// restart applies the first report of the worker's incarnation 2, which lists the given runs.
+func (d *Dispatcher) restart(a *agent, running ...worker.Running) {
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 2, Running: running}, bootclock.Now())
+}
+
+// useNextEntry makes an entry of the worker's incarnation 2 its present one.
+func (d *Dispatcher) useNextEntry(a *agent) {
+	entry := *a.entry
+	entry.Incarnation = 2
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.useEntry(a, &entry)
+}
+
+// TestRunInFlightToTheFormerLifeIsLost guards against a start that is sent again to the next life of a worker although
+// the first attempt was meant for the former one: the leader may have given the run up meanwhile.
+func TestRunInFlightToTheFormerLifeIsLost(t *testing.T) {
+	for name, listed := range map[string]bool{"not listed": false, "listed": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			workers := &liveWorkers{}
+			d, a, run := newLiveFixture(t, workers)
+			workers.order = func(n int) error {
+				if n == 1 {
+					var running []worker.Running
+					if listed {
+						running = append(running, worker.Running{Task: run.Task.Name(), Run: 1})
+					}
+					d.useNextEntry(a)
+					d.restart(a, running...)
+					d.recordStoreContact(bootclock.Now())
+				}
+				return worker.ErrUnknown
+			}
+			d.mu.Lock()
+			d.sendStart(run)
+			d.mu.Unlock()
+			await(t, d, func() bool { return len(d.ordersInFlight) == 0 })
+			is.Equal(workers.incarnations(), []int64{1})
+			if listed {
+				is.Equal(len(a.runs), 1)
+				is.Equal(run.Phase, workload.RunActive)
+				return
+			}
+			is.Equal(len(run.Task.Runs), 0)
+			is.True(!run.Task.LostAt.IsZero()) // another leader may know more
+		})
+	}
+}
+
+// TestRunOfTheFormerLifeWaitsForAllEnds guards against a run that is lost, or sent again, because the first report of its
+// worker's next life does not list all ends yet.
+func TestRunOfTheFormerLifeWaitsForAllEnds(t *testing.T) {
+	is := is.New(t)
+	workers := &liveWorkers{order: func(int) error { return worker.ErrUnknown }}
+	d, a, run := newLiveFixture(t, workers)
+	run.Released, run.Incarnation = true, 1
+	d.useNextEntry(a)
+	report := worker.Report{ClockMillis: 1, Incarnation: 2, MoreEnds: true}
+	d.applyReport(a, report, bootclock.Now())
+	d.recordStoreContact(bootclock.Now())
+	is.Equal(len(a.runs), 1)
+	d.ordersInFlight[run] = true
+	d.start(a, run) // a repeat of the start that has had no answer
+	is.Equal(len(workers.incarnations()), 0)
+	report.MoreEnds = false
+	d.applyReport(a, report, bootclock.Now())
+	is.Equal(len(a.runs), 0)
+}
--- a/internal/dispatch/unstored.go
+++ b/internal/dispatch/unstored.go
@@ -146,7 +146,7 @@
 		}
 	}
 	r := t.Assign(a.id, x.Run, d.now())
-	r.Released, r.Inherited = true, true
+	r.Released, r.Inherited, r.Incarnation = true, true, a.incarnation
 	d.attach(r)
 	d.noteStarted(j.Job)
 	d.markChanged(j)
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -158,6 +158,9 @@
 	Stored bool
 	// Released means that the start request may have been sent.
 	Released bool
+	// Incarnation is the incarnation of the worker to which the start was last sent, or which last listed the run; 0 if
+	// this leader knows of none. It is not stored.
+	Incarnation int64
 }
 
 // InService reports whether the run of a long-running task is in service.
