Send a start that waited over a restart of its worker only if the worker is known

A start that waits for the store while its worker starts again went to the next life, which may be of another kind (it may lack the label or the room that the task needs). A leader that was frozen between the append and the start sent it to a life that does not know its successor's fencing token, after the successor had started the task elsewhere.

Cause: the worker was chosen as its former life, and the start was prepared with whatever life had answered last.

Change: a start is prepared only if the worker's entry is of its present incarnation and the store has accepted an append since the first report of that incarnation. Otherwise a run that was never sent is dropped without loss, and an inherited one is stopped first.

--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -115,9 +115,12 @@
 	if r.Incarnation != 0 && r.Incarnation != a.incarnation {
 		return worker.Address{}, worker.Start{}, false // a start is meant for one incarnation; the next report settles it
 	}
-	deadline := d.lease(a)
-	if a.entry == nil || deadline == 0 || t.Step.Job.State.Ended() || t.Step.Spec.Gang && !r.GangComplete() {
-		// Without an address or a lease the start cannot be sent, and a member of a gang waits in vain if another one has
+	deadline := int64(0)
+	if d.mayStartOn(a) {
+		deadline = d.lease(a)
+	}
+	if deadline == 0 || t.Step.Job.State.Ended() || t.Step.Spec.Gang && !r.GangComplete() {
+		// Without a lease the start cannot be sent, and a member of a gang waits in vain if another one has
 		// ended. An earlier attempt may still be carried out.
 		d.withdraw(a, r, r.Inherited || tried)
 		return worker.Address{}, worker.Start{}, false
@@ -129,6 +132,13 @@
 	}, true
 }
 
+// mayStartOn reports whether starts may be sent to the worker's present incarnation. Its kind has to be known, and the
+// store must have accepted an append since its first report: if another leader had begun by then, it would have started
+// the task elsewhere, and an incarnation that it has not reached does not know its fencing token. Callers hold mu.
+func (d *Dispatcher) mayStartOn(a *agent) bool {
+	return a.entry != nil && a.kindKnown() && d.lastStored >= a.incarnationAt
+}
+
 // applyStartOutcome applies the outcome of a start. unknown means that an earlier attempt may still be carried out.
 func (d *Dispatcher) applyStartOutcome(a *agent, r *workload.Run, err error, unknown bool) {
 	d.mu.Lock()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -74,13 +74,19 @@
 	if a.entry.Draining || a.cordoned || !a.contacted || a.silentSince != 0 || !a.health.usable(now) {
 		return false
 	}
-	if a.incarnation != 0 && a.entry.Incarnation != 0 && a.entry.Incarnation != a.incarnation {
-		return false // the worker may be of another kind since its restart
+	if !a.kindKnown() {
+		return false
 	}
 	// After this period the renewal of the worker is overdue.
 	return boot-a.clockAt <= idleHoldWait+d.lag.timeout(holdAnswerTimeout)+holdRetryDelay
 }
 
+// kindKnown reports whether the worker's entry is of its present incarnation. The worker may be of another kind since a
+// restart. Callers hold mu.
+func (a *agent) kindKnown() bool {
+	return a.incarnation == 0 || a.entry.Incarnation == 0 || a.entry.Incarnation == a.incarnation
+}
+
 // limits returns the resources that each team may still use. Callers hold mu.
 func (d *Dispatcher) limits() scheduling.Limits {
 	limits := scheduling.Limits{}
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -260,3 +260,36 @@
 	d.applyReport(a, report, bootclock.Now())
 	is.Equal(len(a.runs), 0)
 }
+
+// TestWaitingStartNeedsAKnownWorker guards against a start that waited while its worker started again, and is sent to a
+// worker of another kind, or by a leader whose successor may have started the task elsewhere.
+func TestWaitingStartNeedsAKnownWorker(t *testing.T) {
+	for name, x := range map[string]struct{ confirmed, stored, sent bool }{
+		"known": {true, true, true}, "of another kind": {stored: true}, "nothing stored since": {confirmed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			workers := &liveWorkers{}
+			d, a, run := newLiveFixture(t, workers)
+			d.restart(a)
+			is.Equal(len(a.runs), 1) // it was never sent
+			if x.confirmed {
+				d.useNextEntry(a)
+			}
+			if x.stored {
+				d.recordStoreContact(bootclock.Now())
+			}
+			d.mu.Lock()
+			d.sendStart(run)
+			d.mu.Unlock()
+			await(t, d, func() bool { return len(d.ordersInFlight) == 0 })
+			if x.sent {
+				is.Equal(workers.incarnations(), []int64{2})
+				return
+			}
+			is.Equal(len(workers.incarnations()), 0)
+			is.Equal(len(run.Task.Runs), 0)
+			is.True(run.Task.LostAt.IsZero()) // it cannot have been carried out
+		})
+	}
+}
