Repeat a stop that a former incarnation of the worker has acknowledged

An inherited run counts as prevented once its worker has acknowledged the stop and does not list it.

Cause: the time of the acknowledgement is that of its arrival. If the worker's restart became known while the answer was under way, an acknowledgement of the former life counted for the next one.

Change: only the incarnation that the worker has now may acknowledge a stop; otherwise the stop is sent again.

Result: TestStopAcknowledgedByTheFormerLifeIsRepeated failed before and passes.

--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -275,6 +275,8 @@
 	defer d.mu.Unlock()
 	var refused *worker.RefusedError
 	switch {
+	case err == nil && to.Incarnation != a.incarnation:
+		return false // a former incarnation has acknowledged it
 	case err == nil:
 		r.StopAckedAt = d.now()
 		a.wakeRenewal()
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -293,3 +293,23 @@
 		})
 	}
 }
+
+// TestStopAcknowledgedByTheFormerLifeIsRepeated guards against a run that counts as prevented at the next life of its
+// worker because the former life has acknowledged the stop.
+func TestStopAcknowledgedByTheFormerLifeIsRepeated(t *testing.T) {
+	is := is.New(t)
+	workers := &liveWorkers{}
+	d, a, run := newLiveFixture(t, workers)
+	run.Released, run.Inherited = true, true
+	workers.order = func(n int) error {
+		if n == 1 {
+			d.restart(a)
+		}
+		return nil
+	}
+	run.Phase = workload.RunStopping
+	is.True(!d.sendStop(a, a.address(), run.Task.Name(), run))
+	is.True(run.StopAckedAt.IsZero())
+	is.True(d.sendStop(a, a.address(), run.Task.Name(), run))
+	is.True(!run.StopAckedAt.IsZero())
+}
