Ask a worker at once when an order has found another incarnation of it

What callers saw: nothing yet; ErrOtherIncarnation is new. Before this change a start that failed with it counted as possibly carried out, so its task waited for a stop, the worker went on to get runs, and the restart was noticed once the open renewal had timed out (1.4 s in the test).

Change: a start that fails with ErrOtherIncarnation was not sent; an earlier attempt without an answer still counts as possibly carried out. The worker is treated as silent, and its open renewal is given up once, so that the next one, which does not wait, finds the present incarnation. The same holds when a list of instances shows the end of the incarnation. A renewal through a delegate still runs until its timeout.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -66,8 +66,10 @@
 	firstSeen time.Duration
 	// instance is the one with which a list last showed the worker; "" if none did.
 	instance string
-	// missingAt is the boot clock at which the last list was requested by which the worker is over; 0 if none was.
+	// missingAt is the boot clock of the last evidence that the worker's known incarnation is over; 0 if there is none.
 	missingAt time.Duration
+	// interrupt ends the wait for the answer to the present renewal; nil if none is open.
+	interrupt context.CancelFunc
 	// askedAt is the boot clock at which the last renewal was sent that the worker has answered.
 	askedAt time.Duration
 	runs    map[runKey]*workload.Run
--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
 )
 
@@ -153,10 +152,7 @@
 // applyMissing drops the runs of a worker that is over according to a list that was requested at the boot clock sent.
 // Callers hold mu.
 func (d *Dispatcher) applyMissing(a *agent, sent time.Duration, why string) {
-	a.missingAt = sent
-	if a.silentSince == 0 {
-		a.silentSince = bootclock.Now()
-	}
+	a.treatAsSilent(sent)
 	if !a.unchecked && len(a.runs) == 0 {
 		return
 	}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -56,9 +56,7 @@
 		if d.ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, worker.ErrOtherWorker) {
-			d.applyOtherWorker(a, to.Address, sent)
-		}
+		d.applyMismatch(a, to, err, sent)
 		if err != nil && !errors.Is(err, worker.ErrUnknown) || err == nil || try == maxStartAttempts {
 			d.applyStartOutcome(a, r, err, unknown)
 			return
@@ -169,6 +167,8 @@
 		if !d.attached(r) {
 			return // dropped with the worker's other runs
 		}
+	case errors.Is(err, worker.ErrOtherIncarnation):
+		// Nothing was sent, but an earlier attempt may have been carried out.
 	case errors.Is(err, worker.ErrNotSent), errors.Is(err, worker.ErrUnhealthy):
 		a.health.backOff(now, unreachableBackoff)
 	default:
@@ -268,9 +268,7 @@
 	sent := bootclock.Now()
 	err := d.Workers.Stop(ctx, to, name, r.Number, d.Token)
 	cancel()
-	if errors.Is(err, worker.ErrOtherWorker) {
-		d.applyOtherWorker(a, to.Address, sent)
-	}
+	d.applyMismatch(a, to, err, sent)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var refused *worker.RefusedError
@@ -302,7 +300,9 @@
 	go func() {
 		ctx, cancel := callContext(d.ctx, now, d.lag.timeout(orderTimeout))
 		defer cancel()
+		sent := bootclock.Now()
 		if err := d.Workers.Stop(ctx, to, key.task, key.number, d.Token); err != nil {
+			d.applyMismatch(a, to, err, sent)
 			d.Log.Info().Str("event", "stop_failed").Str("task", key.task).Str("worker", a.id).Err(err).
 				Msg("stop of an unassigned run failed")
 		}
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -51,7 +51,9 @@
 	d.mu.Unlock()
 	ctx, cancel := callContext(d.ctx, prepared, d.lag.timeout(orderTimeout))
 	defer cancel()
+	sent := bootclock.Now()
 	if err := d.Workers.SetPace(ctx, to, name, r.Number, percent, d.Token); err != nil {
+		d.applyMismatch(a, to, err, sent)
 		d.Log.Info().Str("event", "pace_failed").Str("task", name).Str("worker", to.ID).Err(err).
 			Msg("change of pace of filler run failed")
 		return
--- a/internal/dispatch/renew.go
+++ b/internal/dispatch/renew.go
@@ -21,15 +21,15 @@
 			return
 		}
 		sent := bootclock.Now()
-		report, err := d.hold(ctx, to, h, prepared)
+		held, end := d.interruptible(ctx, a)
+		report, err := d.hold(held, to, h, prepared)
+		end()
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			if !errors.Is(err, relay.ErrDelegate) { // a failed delegate does not show that the worker is silent
-				if errors.Is(err, worker.ErrOtherWorker) {
-					d.applyOtherWorker(a, to.Address, sent)
-				}
+				d.applyMismatch(a, to, err, sent)
 				d.recordSilence(a, err, sent)
 			}
 			sleep.For(ctx, holdRetryDelay)
@@ -64,6 +64,44 @@
 	return d.Workers.Hold(ctx, to, h)
 }
 
+// interruptible returns the context of a worker's renewal, which treatAsSilent cancels. The renewal has to call end.
+func (d *Dispatcher) interruptible(ctx context.Context, a *agent) (held context.Context, end context.CancelFunc) {
+	held, cancel := context.WithCancel(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a.interrupt = cancel
+	return held, cancel
+}
+
+// treatAsSilent records evidence from the given boot clock that the worker's known incarnation is over. Nothing is
+// assigned to the worker until it has answered a renewal that was sent after that. An open renewal is given up, because
+// only a new one reaches the next incarnation. Callers hold mu.
+func (a *agent) treatAsSilent(at time.Duration) {
+	a.missingAt = at
+	if a.silentSince != 0 {
+		return // the next renewal does not wait
+	}
+	a.silentSince = bootclock.Now()
+	if a.interrupt != nil {
+		a.interrupt()
+	}
+}
+
+// applyMismatch applies the error of a call, sent at the given boot clock, that found another worker or another
+// incarnation at the address.
+func (d *Dispatcher) applyMismatch(a *agent, to worker.Address, err error, sent time.Duration) {
+	switch {
+	case errors.Is(err, worker.ErrOtherWorker):
+		d.applyOtherWorker(a, to.Address, sent)
+	case errors.Is(err, worker.ErrOtherIncarnation):
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if to.Incarnation == a.incarnation { // the restart is not known yet
+			a.treatAsSilent(bootclock.Now())
+		}
+	}
+}
+
 // nextHold prepares the next renewal.
 func (d *Dispatcher) nextHold(a *agent) (worker.Address, worker.Hold, bool) {
 	d.mu.Lock()
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -313,3 +314,85 @@
 	is.True(d.sendStop(a, a.address(), run.Task.Name(), run))
 	is.True(!run.StopAckedAt.IsZero())
 }
+
+// TestOrderForTheFormerLifeIsNotRepeated guards against an order that is prepared again and again for a former life of its
+// worker, or that settles an earlier attempt although that one may have been carried out.
+func TestOrderForTheFormerLifeIsNotRepeated(t *testing.T) {
+	for name, answered := range map[string]bool{"first attempt": true, "after an attempt without an answer": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			workers := &liveWorkers{}
+			d, a, run := newLiveFixture(t, workers)
+			workers.order = func(n int) error {
+				if n == 1 && !answered {
+					return worker.ErrUnknown
+				}
+				return worker.ErrOtherIncarnation
+			}
+			_, end := d.interruptible(d.ctx, a)
+			defer end()
+			interrupted := 0
+			a.interrupt = func() { interrupted++ }
+			d.mu.Lock()
+			d.sendStart(run)
+			d.mu.Unlock()
+			if answered {
+				await(t, d, func() bool { return len(d.ordersInFlight) == 0 })
+				is.Equal(len(run.Task.Runs), 0) // nothing was sent
+			} else {
+				await(t, d, func() bool { return run.Phase == workload.RunStopping && d.ordersInFlight[run] })
+				time.Sleep(3 * stopRetryDelay)
+				workers.mu.Lock()
+				is.True(len(workers.stops) < 6)
+				workers.mu.Unlock()
+				d.mu.Lock()
+				is.Equal(len(run.Task.Runs), 1) // the first attempt may have been carried out
+				d.mu.Unlock()
+			}
+			d.mu.Lock()
+			is.Equal(interrupted, 1) // the restart is noticed soon
+			is.True(a.silentSince != 0)
+			d.mu.Unlock()
+			d.restart(a)
+			is.Equal(len(run.Task.Runs), 0)
+			is.Equal(a.silentSince, time.Duration(0))
+		})
+	}
+}
+
+// TestKnownRestartSilencesNobody guards against a worker that gets nothing because an order for its former life has
+// failed after its restart is known.
+func TestKnownRestartSilencesNobody(t *testing.T) {
+	is := is.New(t)
+	d, a, _ := newLiveFixture(t, &liveWorkers{})
+	to := a.address()
+	d.restart(a)
+	d.applyMismatch(a, to, worker.ErrOtherIncarnation, bootclock.Now())
+	is.Equal(a.silentSince, time.Duration(0))
+}
+
+// TestRenewalIsGivenUpWhenTheLifeIsOver guards against a restart that is noticed only once the renewal of the former life
+// has timed out.
+func TestRenewalIsGivenUpWhenTheLifeIsOver(t *testing.T) {
+	is := is.New(t)
+	asked := make(chan time.Duration, 10)
+	d, a, _ := newLiveFixture(t, &silentHolds{asked: asked})
+	go d.renew(d.ctx, a)
+	is.True(<-asked > 0) // a renewal that waits
+	began := time.Now()
+	d.applyMismatch(a, a.address(), worker.ErrOtherIncarnation, bootclock.Now())
+	is.Equal(<-asked, time.Duration(0))
+	is.True(time.Since(began) < holdRetryDelay+holdAnswerTimeout)
+}
+
+// silentHolds is a worker client that leaves renewals without an answer and reports their waits.
+type silentHolds struct {
+	liveWorkers
+	asked chan time.Duration
+}
+
+func (w *silentHolds) Hold(ctx context.Context, _ worker.Address, h worker.Hold) (worker.Report, error) {
+	w.asked <- h.Wait
+	<-ctx.Done()
+	return worker.Report{}, worker.ErrUnknown
+}
