Assign nothing to a worker whose address another worker has

The runs of such a worker were dropped, and others could be assigned to it until its renewal had failed as well.

Change: the worker is treated as silent until it has answered again.

Result: TestNothingIsAssignedToAWorkerWhoseAddressIsTaken failed before and passes.

--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -133,6 +133,7 @@
 		return
 	}
 	a.answeredAt = ""
+	a.treatAsSilent(bootclock.Now())
 	d.dropRuns(a, "another worker has its address")
 }
 
--- a/internal/dispatch/entries_test.go
+++ b/internal/dispatch/entries_test.go
@@ -321,3 +321,17 @@
 	is.Equal(strings.Count(log.String(), "bad_worker_entry"), maxLoggedEntries)
 	is.True(log.Len() < maxLoggedEntries*2*maxReasonBytes)
 }
+
+// TestNothingIsAssignedToAWorkerWhoseAddressIsTaken guards against runs that are assigned to a worker right after another
+// one has answered at its address.
+func TestNothingIsAssignedToAWorkerWhoseAddressIsTaken(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	a := d.agent("w0")
+	a.answeredAt, a.answeredTime = a.entry.Address, bootclock.Now()
+	d.applyMismatch(a, a.address(), worker.ErrOtherWorker, bootclock.Now())
+	j := d.addJob("0011223344556677", oneTask)
+	d.place()
+	is.Equal(len(j.Task(0, 0, 0).Runs), 0)
+}
