Use no ticket that was issued for a former incarnation of a worker

A ticket is valid for one life of a worker.

Cause: tickets, and the workers that the advice service had turned down, were kept over a restart of the worker, also while the answer of the service was under way, by runs that wait for the store, and when the worker was forgotten in between.

Change: both are forgotten with the incarnation. An answer that was requested before the restart counts for the other workers only, and a run that waits with such a ticket is dropped without loss.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -264,6 +264,7 @@
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
 	clear(a.unclaimedEnds)
 	clear(a.unclaimedRuns)
+	d.forgetAdvice(a)
 	a.clockAt, a.contacted, a.moreEnds = 0, false, false
 }
 
@@ -337,6 +338,7 @@
 		}
 		if len(a.runs) == 0 {
 			if a.entry == nil && !a.renewing && !a.unchecked && len(a.unclaimedRuns) == 0 && a.seenEnd == a.storedEnd {
+				d.forgetAdvice(a)
 				delete(d.agents, id)
 			}
 			continue
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -245,7 +245,8 @@
 	return number
 }
 
-// advice is what the advice service has answered for a step. The workers that may run a step do not change.
+// advice is what the advice service has answered for a step. The workers that may run a step do not change, except that
+// one may be of another kind after a restart.
 type advice struct {
 	tickets map[string]string
 	until   time.Duration // boot clock
@@ -283,12 +284,37 @@
 		return nil
 	}
 	a.asking = true
-	go d.requestAdvice(name, s.Job.Pool, a, ids)
+	go d.requestAdvice(name, s.Job.Pool, a, ids, d.incarnations(ids))
 	return nil
 }
 
-// requestAdvice requests advice on a step from the advice service.
-func (d *Dispatcher) requestAdvice(name, pool string, a *advice, ids []string) {
+// incarnations returns the known incarnation of each of the workers. Callers hold mu.
+func (d *Dispatcher) incarnations(ids []string) map[string]int64 {
+	known := make(map[string]int64, len(ids))
+	for _, id := range ids {
+		if a := d.agents[id]; a != nil {
+			known[id] = a.incarnation
+		}
+	}
+	return known
+}
+
+// forgetAdvice forgets what the advice service has answered about a worker whose known incarnation is over: a ticket is
+// valid for one incarnation. Runs that wait with such a ticket are dropped; they were never sent. Callers hold mu.
+func (d *Dispatcher) forgetAdvice(a *agent) {
+	for _, x := range d.advice {
+		delete(x.tickets, a.id)
+		delete(x.rejected, a.id)
+	}
+	for _, r := range a.runs {
+		if r.Ticket != "" && r.Incarnation == 0 && !r.Inherited && r.Phase == workload.RunAssigned {
+			d.withdraw(a, r, false)
+		}
+	}
+}
+
+// requestAdvice requests advice on a step from the advice service, about workers whose incarnations are known.
+func (d *Dispatcher) requestAdvice(name, pool string, a *advice, ids []string, known map[string]int64) {
 	ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
 	defer cancel()
 	sent := bootclock.Now()
@@ -304,8 +330,12 @@
 		}
 		return
 	}
+	present := d.incarnations(ids)
 	for _, id := range ids {
-		if got.Tickets[id] == "" {
+		switch {
+		case present[id] != known[id]:
+			delete(got.Tickets, id) // the answer may be about its former incarnation
+		case got.Tickets[id] == "":
 			a.rejected[id] = true
 		}
 	}
