--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,7 +19,8 @@
 
 // fakeWorkers is a worker client that records its calls.
 type fakeWorkers struct {
-	mu     sync.Mutex // guards what follows
+	mu     sync.Mutex       // guards what follows
+	orders []worker.Address // of starts, stops and changes of pace
 	starts []worker.Start
 	holds  []worker.Hold
 	stops  []string
@@ -31,7 +32,7 @@
 
 func (f *fakeWorkers) Start(_ context.Context, to worker.Address, s worker.Start) (int64, error) {
 	f.mu.Lock()
-	f.starts = append(f.starts, s)
+	f.starts, f.orders = append(f.starts, s), append(f.orders, to)
 	f.mu.Unlock()
 	if f.start != nil {
 		return f.start(to, s)
@@ -39,17 +40,17 @@
 	return 1, nil
 }
 
-func (f *fakeWorkers) Stop(_ context.Context, _ worker.Address, task string, _ int, _ int64) error {
+func (f *fakeWorkers) Stop(_ context.Context, to worker.Address, task string, _ int, _ int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.stops = append(f.stops, task)
+	f.stops, f.orders = append(f.stops, task), append(f.orders, to)
 	return nil
 }
 
-func (f *fakeWorkers) SetPace(_ context.Context, _ worker.Address, _ string, _, percent int, _ int64) error {
+func (f *fakeWorkers) SetPace(_ context.Context, to worker.Address, _ string, _, percent int, _ int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.paces = append(f.paces, percent)
+	f.paces, f.orders = append(f.paces, percent), append(f.orders, to)
 	return nil
 }
 
@@ -113,7 +114,7 @@
 	outcomes := []error{
 		nil, &worker.RefusedError{Reason: worker.RefusedRoom, ClockMillis: 77}, fmt.Errorf("x: %w", worker.ErrNotSent),
 		fmt.Errorf("x: %w", worker.ErrUnknown), worker.ErrOtherWorker, worker.ErrUnhealthy, worker.ErrInvalid,
-		errors.New("status 500"),
+		fmt.Errorf("x: %w", worker.ErrOtherIncarnation), errors.New("status 500"),
 	}
 	for _, outcome := range outcomes {
 		start := func(worker.Address, worker.Start) (int64, error) { return 55, outcome }
@@ -134,6 +135,7 @@
 		is.True(!errors.Is(err, ErrDelegate))
 		for _, kind := range []error{
 			worker.ErrNotSent, worker.ErrUnknown, worker.ErrOtherWorker, worker.ErrUnhealthy, worker.ErrInvalid,
+			worker.ErrOtherIncarnation,
 		} {
 			is.Equal(errors.Is(err, kind), errors.Is(outcome, kind)) // the kind of the error is preserved
 		}
@@ -142,7 +144,7 @@
 }
 
 // TestCallsForwardEveryField guards against a call that reaches the worker without its checkpoint, ticket, lease,
-// percentage or spec, or without the incarnation whose ends it acknowledges.
+// percentage or spec, or without the incarnation whose ends it acknowledges or which an order is meant for.
 func TestCallsForwardEveryField(t *testing.T) {
 	is := is.New(t)
 	workers := &fakeWorkers{}
@@ -152,8 +154,10 @@
 		Task: "j.0.0.1", Run: 2, Spec: "spec", DeadlineMillis: 5, FencingToken: 7, Checkpoint: "c", Ticket: "t",
 	}
 	again := worker.Start{Task: "j.0.0.2", Run: 1, Spec: "spec", DeadlineMillis: 5, FencingToken: 7}
+	to := address(1)
+	to.Incarnation = 1_700_000_000_123
 	for _, s := range []worker.Start{want, again} {
-		_, err := c.Start(t.Context(), address(1), s)
+		_, err := c.Start(t.Context(), to, s)
 		is.NoErr(err)
 	}
 	is.Equal(workers.starts, []worker.Start{want, again}) // the second start omits the spec; the delegate adds it
@@ -163,8 +167,14 @@
 	_, err := c.Hold(t.Context(), address(1), hold)
 	is.NoErr(err)
 	is.Equal(workers.holds, []worker.Hold{hold})
-	is.NoErr(c.Stop(t.Context(), address(1), "j.0.0.1", 2, 7))
-	is.NoErr(c.SetPace(t.Context(), address(1), "j.0.0.1", 2, 40, 7))
+	is.NoErr(c.Stop(t.Context(), to, "j.0.0.1", 2, 7))
+	is.NoErr(c.SetPace(t.Context(), to, "j.0.0.1", 2, 40, 7))
+	is.Equal(len(workers.orders), 4)
+	for _, order := range workers.orders {
+		is.Equal(order.ID, to.ID)
+		is.Equal(order.Address, to.Address)
+		is.Equal(order.Incarnation, to.Incarnation)
+	}
 	is.Equal(workers.stops, []string{"j.0.0.1"})
 	is.Equal(workers.paces, []int{40})
 }
