--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -234,6 +234,7 @@
 			if listed {
 				is.Equal(len(a.runs), 1)
 				is.Equal(run.Phase, workload.RunActive)
+				is.Equal(run.Incarnation, int64(2))
 				return
 			}
 			is.Equal(len(run.Task.Runs), 0)
