--- a/internal/dispatch/entries_test.go
+++ b/internal/dispatch/entries_test.go
@@ -322,8 +322,8 @@
 	is.True(log.Len() < maxLoggedEntries*2*maxReasonBytes)
 }
 
-// TestNothingIsAssignedToAWorkerWhoseAddressIsTaken guards against runs that are assigned to a worker right after another
-// one has answered at its address.
+// TestNothingIsAssignedToAWorkerWhoseAddressIsTaken guards against runs that are assigned to a worker right after
+// another one has answered at its address.
 func TestNothingIsAssignedToAWorkerWhoseAddressIsTaken(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(1)
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -243,8 +243,8 @@
 	}
 }
 
-// TestRunOfTheFormerLifeWaitsForAllEnds guards against a run that is lost, or sent again, because the first report of its
-// worker's next life does not list all ends yet.
+// TestRunOfTheFormerLifeWaitsForAllEnds guards against a run that is lost, or sent again, because the first report of
+// its worker's next life does not list all ends yet.
 func TestRunOfTheFormerLifeWaitsForAllEnds(t *testing.T) {
 	is := is.New(t)
 	workers := &liveWorkers{order: func(int) error { return worker.ErrUnknown }}
@@ -316,8 +316,8 @@
 	is.True(!run.StopAckedAt.IsZero())
 }
 
-// TestOrderForTheFormerLifeIsNotRepeated guards against an order that is prepared again and again for a former life of its
-// worker, or that settles an earlier attempt although that one may have been carried out.
+// TestOrderForTheFormerLifeIsNotRepeated guards against an order that is prepared again and again for a former life of
+// its worker, or that settles an earlier attempt although that one may have been carried out.
 func TestOrderForTheFormerLifeIsNotRepeated(t *testing.T) {
 	for name, answered := range map[string]bool{"first attempt": true, "after an attempt without an answer": false} {
 		t.Run(name, func(t *testing.T) {
@@ -372,8 +372,8 @@
 	is.Equal(a.silentSince, time.Duration(0))
 }
 
-// TestRenewalIsGivenUpWhenTheLifeIsOver guards against a restart that is noticed only once the renewal of the former life
-// has timed out.
+// TestRenewalIsGivenUpWhenTheLifeIsOver guards against a restart that is noticed only once the renewal of the former
+// life has timed out.
 func TestRenewalIsGivenUpWhenTheLifeIsOver(t *testing.T) {
 	is := is.New(t)
 	asked := make(chan time.Duration, 10)
