--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -70,7 +70,8 @@
 }
 
 // TestTicketOfTheFormerLifeIsNotUsed guards against starts that a worker refuses because their ticket was issued for
-// its former life: it was kept for other tasks of the step, was under way, or belonged to a run that waited for the store.
+// its former life: it was kept for other tasks of the step, was under way, or belonged to a run that waited for the
+// store.
 func TestTicketOfTheFormerLifeIsNotUsed(t *testing.T) {
 	for _, name := range []string{"kept", "under way", "waiting", "forgotten worker"} {
 		t.Run(name, func(t *testing.T) {
