Forget the pace of a former incarnation of a worker

Filler work on a restarted worker was slowed down at once because of the serving tasks of the former incarnation. TestPaceOfTheFormerLifeIsForgotten failed before and passes.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -262,6 +262,7 @@
 	a.restarts++
 	a.restartedAt = bootclock.Now()
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
+	a.pace, a.pacedAt = fullPace, time.Time{}
 	clear(a.unclaimedEnds)
 	clear(a.unclaimedRuns)
 	d.forgetAdvice(a)
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -46,3 +46,14 @@
 	}}, bootclock.Now())
 	is.Equal(<-workers.percent, 10)
 }
+
+// TestPaceOfTheFormerLifeIsForgotten guards against filler work that is slowed down on a restarted worker because of
+// what the serving tasks of its former life needed.
+func TestPaceOfTheFormerLifeIsForgotten(t *testing.T) {
+	is := is.New(t)
+	d, a, _ := newLiveFixture(t, &liveWorkers{})
+	a.pace, a.pacedAt = 10, d.now()
+	d.restart(a)
+	is.Equal(a.pace, fullPace)
+	is.True(a.pacedAt.IsZero())
+}
