Take no clock from a refusal of a former incarnation of a worker

A refusal (late) of the former incarnation that arrived after the restart was known set the estimate of the worker's clock. The next deadline was then on the former clock, for which a worker grants its longest lease while the leader counts 4 s.

Result: TestClockOfTheFormerLifeIsNotUsed failed before and passes.

--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -196,7 +196,9 @@
 	case worker.RefusedTicket:
 		delete(d.advice, stepName(r.Task.Step))
 	case worker.RefusedLate:
-		a.clock, a.clockAt = refused.ClockMillis, bootclock.Now()
+		if r.Incarnation == a.incarnation {
+			a.clock, a.clockAt = refused.ClockMillis, bootclock.Now()
+		}
 	}
 }
 
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -397,3 +397,21 @@
 	<-ctx.Done()
 	return worker.Report{}, worker.ErrUnknown
 }
+
+// TestClockOfTheFormerLifeIsNotUsed guards against lease deadlines on the clock of a worker's former life, of which a
+// refusal arrives after the restart is known. The next life may then hold a longer lease than the leader counts.
+func TestClockOfTheFormerLifeIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	workers := &liveWorkers{}
+	d, a, run := newLiveFixture(t, workers)
+	workers.order = func(int) error {
+		d.restart(a)
+		return &worker.RefusedError{Reason: worker.RefusedLate, ClockMillis: 500_000}
+	}
+	d.mu.Lock()
+	d.sendStart(run)
+	d.mu.Unlock()
+	await(t, d, func() bool { return len(d.ordersInFlight) == 0 })
+	is.Equal(a.incarnation, int64(2))
+	is.Equal(a.clock, int64(1))
+}
