--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -64,8 +64,16 @@
 	entryAt time.Duration
 	// firstSeen is the boot clock at which the worker was first seen.
 	firstSeen time.Duration
-	runs      map[runKey]*workload.Run
-	used      fleet.Resources
+	// instance is the one with which a list last showed the worker; "" if none did.
+	instance string
+	// missingAt is the boot clock of the last evidence that the worker's known incarnation is over; 0 if there is none.
+	missingAt time.Duration
+	// interrupt ends the wait for the answer to the present renewal; nil if none is open.
+	interrupt context.CancelFunc
+	// askedAt is the boot clock at which the last renewal was sent that the worker has answered.
+	askedAt time.Duration
+	runs    map[runKey]*workload.Run
+	used    fleet.Resources
 	// fillers and servers are the numbers of filler runs and of serving runs.
 	fillers, servers int
 	// pace is the pace of filler runs in percent, last changed at pacedAt.
@@ -244,8 +252,8 @@
 }
 
 // noteRestart handles the first report of a restarted worker: its clock, its lease and its numbers of ends have begun
-// anew. The runs stay attached until the report has been compared with them: a start may have arrived, or may still
-// arrive, after the restart. Callers hold mu.
+// anew. The runs stay attached until the report has been compared with them: a run that it lists goes on. Callers hold
+// mu.
 func (d *Dispatcher) noteRestart(a *agent, incarnation int64) {
 	d.Log.Info().Str("event", "worker_restarted").Str("worker", a.id).Int64("former_incarnation", a.incarnation).
 		Int64("incarnation", incarnation).Int("runs", len(a.runs)).Int("starts_in_flight", d.startsInFlight(a)).
@@ -254,12 +262,15 @@
 	a.restarts++
 	a.restartedAt = bootclock.Now()
 	a.seenEnd, a.storedEnd, a.deadline = 0, 0, 0
+	a.pace, a.pacedAt = fullPace, time.Time{}
 	clear(a.unclaimedEnds)
 	clear(a.unclaimedRuns)
+	d.forgetAdvice(a)
 	a.clockAt, a.contacted, a.moreEnds = 0, false, false
 }
 
-// startsInFlight returns the number of the worker's runs of which a start may not have been answered yet. Callers hold mu.
+// startsInFlight returns the number of the worker's runs of which a start may not have been answered yet. Callers hold
+// mu.
 func (d *Dispatcher) startsInFlight(a *agent) int {
 	n := 0
 	for _, r := range a.runs {
@@ -328,6 +339,7 @@
 		}
 		if len(a.runs) == 0 {
 			if a.entry == nil && !a.renewing && !a.unchecked && len(a.unclaimedRuns) == 0 && a.seenEnd == a.storedEnd {
+				d.forgetAdvice(a)
 				delete(d.agents, id)
 			}
 			continue
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -56,9 +56,7 @@
 		if d.ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, worker.ErrOtherWorker) {
-			d.applyOtherWorker(a, to.Address, sent)
-		}
+		d.applyMismatch(a, to, err, sent)
 		if err != nil && !errors.Is(err, worker.ErrUnknown) || err == nil || try == maxStartAttempts {
 			d.applyStartOutcome(a, r, err, unknown)
 			return
@@ -112,19 +110,33 @@
 	if r.Phase != workload.RunAssigned || !d.attached(r) {
 		return worker.Address{}, worker.Start{}, false
 	}
-	deadline := d.lease(a)
-	if a.entry == nil || deadline == 0 || t.Step.Job.State.Ended() || t.Step.Spec.Gang && !r.GangComplete() {
-		// Without an address or a lease the start cannot be sent, and a member of a gang waits in vain if another one has
+	if r.Incarnation != 0 && r.Incarnation != a.incarnation {
+		return worker.Address{}, worker.Start{}, false // a start is meant for one incarnation; the next report settles it
+	}
+	deadline := int64(0)
+	if d.mayStartOn(a) {
+		deadline = d.lease(a)
+	}
+	if deadline == 0 || t.Step.Job.State.Ended() || t.Step.Spec.Gang && !r.GangComplete() {
+		// Without a lease the start cannot be sent, and a member of a gang waits in vain if another one has
 		// ended. An earlier attempt may still be carried out.
 		d.withdraw(a, r, r.Inherited || tried)
 		return worker.Address{}, worker.Start{}, false
 	}
+	r.Incarnation = a.incarnation
 	return a.address(), worker.Start{
 		Task: t.Name(), Run: r.Number, Spec: t.Step.Job.Spec.Spec, DeadlineMillis: deadline, FencingToken: d.Token,
 		Checkpoint: t.ResumeFrom(), Ticket: r.Ticket,
 	}, true
 }
 
+// mayStartOn reports whether starts may be sent to the worker's present incarnation. Its kind has to be known, and the
+// store must have accepted an append since its first report: if another leader had begun by then, it would have started
+// the task elsewhere, and an incarnation that it has not reached does not know its fencing token. Callers hold mu.
+func (d *Dispatcher) mayStartOn(a *agent) bool {
+	return a.entry != nil && a.kindKnown() && d.lastStored >= a.incarnationAt
+}
+
 // applyStartOutcome applies the outcome of a start. unknown means that an earlier attempt may still be carried out.
 func (d *Dispatcher) applyStartOutcome(a *agent, r *workload.Run, err error, unknown bool) {
 	d.mu.Lock()
@@ -155,6 +167,8 @@
 		if !d.attached(r) {
 			return // dropped with the worker's other runs
 		}
+	case errors.Is(err, worker.ErrOtherIncarnation):
+		// Nothing was sent, but an earlier attempt may have been carried out.
 	case errors.Is(err, worker.ErrNotSent), errors.Is(err, worker.ErrUnhealthy):
 		a.health.backOff(now, unreachableBackoff)
 	default:
@@ -182,7 +196,9 @@
 	case worker.RefusedTicket:
 		delete(d.advice, stepName(r.Task.Step))
 	case worker.RefusedLate:
-		a.clock, a.clockAt = refused.ClockMillis, bootclock.Now()
+		if r.Incarnation == a.incarnation {
+			a.clock, a.clockAt = refused.ClockMillis, bootclock.Now()
+		}
 	}
 }
 
@@ -254,13 +270,13 @@
 	sent := bootclock.Now()
 	err := d.Workers.Stop(ctx, to, name, r.Number, d.Token)
 	cancel()
-	if errors.Is(err, worker.ErrOtherWorker) {
-		d.applyOtherWorker(a, to.Address, sent)
-	}
+	d.applyMismatch(a, to, err, sent)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var refused *worker.RefusedError
 	switch {
+	case err == nil && to.Incarnation != a.incarnation:
+		return false // a former incarnation has acknowledged it
 	case err == nil:
 		r.StopAckedAt = d.now()
 		a.wakeRenewal()
@@ -286,7 +302,9 @@
 	go func() {
 		ctx, cancel := callContext(d.ctx, now, d.lag.timeout(orderTimeout))
 		defer cancel()
+		sent := bootclock.Now()
 		if err := d.Workers.Stop(ctx, to, key.task, key.number, d.Token); err != nil {
+			d.applyMismatch(a, to, err, sent)
 			d.Log.Info().Str("event", "stop_failed").Str("task", key.task).Str("worker", a.id).Err(err).
 				Msg("stop of an unassigned run failed")
 		}
