Let a delegate report another incarnation before that nothing was sent

An error may wrap both ErrNotSent and ErrOtherIncarnation; the leader would have learned only that nothing was sent, and not that the worker has started again.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -207,14 +207,13 @@
 	failureOtherIncarnation failure = "other_incarnation"
 )
 
-// sentinels are the errors that carry no data besides their kind.
+// sentinels are the errors that carry no data besides their kind. The first one that matches is sent.
 var sentinels = []struct {
 	kind failure
 	err  error
 }{
-	{failureNotSent, worker.ErrNotSent}, {failureUnknown, worker.ErrUnknown}, {failureOtherWorker, worker.ErrOtherWorker},
+	{failureOtherIncarnation, worker.ErrOtherIncarnation}, {failureNotSent, worker.ErrNotSent}, {failureUnknown, worker.ErrUnknown}, {failureOtherWorker, worker.ErrOtherWorker},
 	{failureUnhealthy, worker.ErrUnhealthy}, {failureInvalid, worker.ErrInvalid},
-	{failureOtherIncarnation, worker.ErrOtherIncarnation},
 }
 
 // encodeError stores the error of a call in its answer.
