--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -212,7 +212,8 @@
 	kind failure
 	err  error
 }{
-	{failureOtherIncarnation, worker.ErrOtherIncarnation}, {failureNotSent, worker.ErrNotSent}, {failureUnknown, worker.ErrUnknown}, {failureOtherWorker, worker.ErrOtherWorker},
+	{failureOtherIncarnation, worker.ErrOtherIncarnation}, {failureNotSent, worker.ErrNotSent},
+	{failureUnknown, worker.ErrUnknown}, {failureOtherWorker, worker.ErrOtherWorker},
 	{failureUnhealthy, worker.ErrUnhealthy}, {failureInvalid, worker.ErrInvalid},
 }
 
