Liveness check: workers come back under their IDs while calls are under way, and the list of instances lags

It now has both (event "return"). An order whose address names another incarnation than the one that answers fails with ErrOtherIncarnation, as the adapter is to do; a renewal reaches any life, as worker.Address says; late calls die with their life. Ends are acknowledged only to the incarnation that listed them, as in the adapter, and a renewal that waits ends with the life that it reached: both were wrong in the model when a worker restarted. The models' state is now guarded by the lock where the race detector found it was not (counts of shapes; violations).

The list shows a worker as down after its return, and the leader drops the runs of the life that has answered it.

--- a/internal/dispatch/livenesstest/liveness_test.go
+++ b/internal/dispatch/livenesstest/liveness_test.go
@@ -26,6 +26,8 @@
 var (
 	logLeader  = flag.Bool("liveness.log", false, "write the log of the leaders")
 	showCounts = flag.Bool("liveness.counts", false, "write how often each shape and event was met")
+	nextLife   = flag.Bool("liveness.next-life", false,
+		"let the next life of a worker carry out the orders for the former one, a fault that the check has to find")
 )
 
 var dispatchNotLoaded = dispatch.ErrNotLoaded
@@ -35,6 +37,12 @@
 
 func (c counts) add(what string) { c[what]++ }
 
+func (c counts) write() {
+	for _, what := range slices.Sorted(maps.Keys(c)) {
+		fmt.Printf("%-40s %d\n", what, c[what])
+	}
+}
+
 // scenario is one random case. Its fields are exported so that a failure is printed as a whole.
 type scenario struct {
 	Seed        int
@@ -69,11 +77,13 @@
 	For    time.Duration
 	Queue  string
 	Pool   string
+	// Lag is the time after which the list of instances shows a return.
+	Lag time.Duration
 }
 
 var eventKinds = []string{
 	"crash", "restart", "drain", "silent", "unhealthy", "lossy", "late", "store busy", "store lossy", "leader killed",
-	"leader overlaps", "queue moves",
+	"leader overlaps", "queue moves", "return", "return",
 }
 
 func (s scenario) log() zerolog.Logger {
@@ -154,6 +164,7 @@
 			Worker: rapid.IntRange(0, len(s.Workers)-1).Draw(t, "worker"), For: millisBetween(t, 100, 6500, "for"),
 			Queue: rapid.SampledFrom([]string{"q0", "q1"}).Draw(t, "moved queue"),
 			Pool:  rapid.SampledFrom([]string{"p0", "p1"}).Draw(t, "new pool"),
+			Lag:   millisBetween(t, 0, 1000, "lag"),
 		})
 	}
 	slices.SortStableFunc(s.Events, func(a, b event) int { return int(a.At - b.At) })
@@ -184,22 +195,24 @@
 			t.Fatal(err)
 		}
 	}
-	total := counts{}
+	total, violated := counts{}, false
+	if *showCounts {
+		t.Cleanup(func() { total.write() })
+	}
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawScenario(rt)
 		x := play(t, s)
-		for what, n := range x.counts {
-			total[what] += n
+		if !violated { // the cases after that are smaller ones of the same fault
+			total.add("cases")
+			for what, n := range x.counts {
+				total[what] += n
+			}
 		}
 		if len(x.violations) > 0 {
+			violated = true
 			rt.Fatalf("%s\n%+v", strings.Join(x.violations, "\n"), s)
 		}
 	})
-	if *showCounts {
-		for _, what := range slices.Sorted(maps.Keys(total)) {
-			fmt.Printf("%-28s %d\n", what, total[what])
-		}
-	}
 }
 
 // play plays a scenario on a virtual clock.
@@ -238,11 +251,11 @@
 	x.publish()
 	go x.follower.Run(ctx)
 	x.lead(ctx)
+	actions := x.actions(ctx)
 	x.mu.Unlock()
 
-	actions := x.actions(ctx)
 	lastBeat, lastObserved := began, began
-	for now := time.Now(); now.Sub(began) < maxScenario && len(x.violations) == 0; now = time.Now() {
+	for now := time.Now(); now.Sub(began) < maxScenario; now = time.Now() {
 		x.mu.Lock()
 		for len(actions) > 0 && now.Sub(began) >= actions[0].at {
 			actions[0].do(x, now)
@@ -257,7 +270,7 @@
 		if now.Sub(lastBeat) >= heartbeat {
 			lastBeat = now
 		}
-		over := len(actions) == 0 && x.finished(now)
+		over := len(x.violations) > 0 || len(actions) == 0 && x.finished(now)
 		x.mu.Unlock()
 		if over {
 			break
@@ -269,12 +282,17 @@
 		time.Sleep(stepTime)
 	}
 	stop()
+	x.mu.Lock()
+	for _, w := range x.workers {
+		x.endDark(w)
+	}
+	x.mu.Unlock()
 	x.leaders.Wait()
 	time.Sleep(endTime)
 	synctest.Wait()
 }
 
-// actions returns the submissions, cancellations and disruptions in the order of their times.
+// actions returns the submissions, cancellations and disruptions in the order of their times. Callers hold mu.
 func (x *world) actions(ctx context.Context) []action {
 	var list []action
 	add := func(at time.Duration, do func(x *world, now time.Time)) { list = append(list, action{at, do}) }
@@ -313,8 +331,11 @@
 			add(e.At+3*heartbeat, func(x *world, _ time.Time) {
 				x.store.put(topicWorkers, 0, x.workerID(e), nil)
 			})
+		case "return":
+			add(e.At+darkTime(e), func(x *world, now time.Time) { x.comeBack(x.workers[x.workerID(e)], e, now) })
 		case "drain":
 			add(e.At+e.For, func(x *world, now time.Time) {
+				x.endDark(x.workers[x.workerID(e)])
 				x.crash(x.workers[x.workerID(e)], now)
 				x.store.put(topicWorkers, 0, x.workerID(e), nil)
 			})
@@ -361,13 +382,60 @@
 	x.notify()
 }
 
+// maxDark bounds the time between the end of a worker's life and its return.
+const maxDark = 2 * time.Second
+
+// darkTime returns the time for which a worker is dark in an event of the kind "return".
+func darkTime(e event) time.Duration { return min(e.For/2, maxDark) }
+
+// goDark ends a worker until it comes back under its ID. Calls wait meanwhile. Callers hold mu.
+func (x *world) goDark(w *workerModel, e event, now time.Time) {
+	if !w.up {
+		return
+	}
+	x.counts.add("return: worker dark")
+	w.listed, w.listedUntil = x.instance(w, now), now.Add(e.Lag)
+	x.crash(w, now)
+	w.dark = make(chan struct{})
+}
+
+// comeBack begins the next life of a worker that is dark. In half of the cases its answers are lost for the rest of the
+// event. Callers hold mu.
+func (x *world) comeBack(w *workerModel, e event, now time.Time) {
+	if w.dark == nil {
+		return
+	}
+	x.counts.add("return: worker back")
+	w.listed, w.listedUntil = x.instance(w, now), now.Add(e.Lag)
+	x.endDark(w)
+	w.reset(now)
+	w.up, w.draining = true, false
+	if e.For/time.Millisecond%2 == 0 {
+		x.counts.add("return: cut off at once")
+		w.lossyUntil = now.Add(e.For - darkTime(e))
+	}
+	x.writeEntry(w)
+}
+
+// endDark lets the calls that wait for the worker go on. Callers hold mu.
+func (x *world) endDark(w *workerModel) {
+	if w.dark != nil {
+		close(w.dark)
+		w.dark = nil
+	}
+}
+
 // disrupt begins a disruption. Callers hold mu.
 func (x *world) disrupt(ctx context.Context, e event, now time.Time) {
 	w, until := x.workers[x.workerID(e)], now.Add(e.For)
 	switch e.Kind {
 	case "crash":
+		x.endDark(w)
 		x.crash(w, now)
+	case "return":
+		x.goDark(w, e, now)
 	case "restart":
+		x.endDark(w)
 		x.crash(w, now)
 		w.reset(now)
 		w.up, w.draining = true, false
--- a/internal/dispatch/livenesstest/worker_test.go
+++ b/internal/dispatch/livenesstest/worker_test.go
@@ -30,6 +30,11 @@
 	sequence    int64
 	up          bool
 	draining    bool
+	// dark is closed when the worker comes back under its ID; nil unless it is down until then.
+	dark chan struct{}
+	// listed is what the list of instances shows until listedUntil.
+	listed      fleet.Instance
+	listedUntil time.Time
 	// silentUntil, unhealthyUntil and lossyUntil are the ends of the times in which no call is answered, starts are
 	// refused, and answers are lost after the call was carried out. Until lateUntil, calls are carried out late and not
 	// answered.
@@ -87,23 +92,87 @@
 // Client calls the workers of the world. It implements worker.Client.
 type client struct{ x *world }
 
-// reach returns the worker of a call, or the error of a call that does not reach it. Callers hold mu.
-func (c client) reach(ctx context.Context, to worker.Address) (*workerModel, error) {
+// reach returns the worker of a call, or the error of a call that does not reach it. A call to a worker that is dark
+// may wait for its return. Callers hold mu.
+func (c client) reach(ctx context.Context, to worker.Address, o outgoing) (*workerModel, error) {
 	w := c.x.workers[to.ID]
+	if w != nil && w.dark != nil {
+		if err := c.awaitReturn(ctx, w, o); err != nil {
+			return nil, err
+		}
+	}
 	if w == nil || !w.up {
 		return nil, worker.ErrNotSent
 	}
 	if err := worker.MaySend(ctx); err != nil {
 		return nil, worker.ErrNotSent
 	}
+	if o.order && to.Incarnation != 0 && to.Incarnation != w.incarnation {
+		c.x.counts.add("return: " + o.what + " of before")
+		if !*nextLife {
+			return nil, worker.ErrOtherIncarnation
+		}
+	}
 	return w, nil
 }
 
+// outgoing is a call on its way.
+type outgoing struct {
+	what string
+	// order reports that the call is for one incarnation. A renewal reaches any.
+	order bool
+	do    func(w *workerModel, now time.Time) error
+}
+
+// awaitReturn lets a call wait while its worker is dark. Every other call is sent on a connection of the life that has
+// ended, and gets no answer. The others open a connection, on which the next life accepts the call. Callers hold mu,
+// which is released meanwhile.
+func (c client) awaitReturn(ctx context.Context, w *workerModel, o outgoing) error {
+	back := w.dark
+	c.x.darkCalls++
+	lost := c.x.darkCalls%2 == 0
+	c.x.counts.add("return: " + o.what + " to a dark worker")
+	c.x.mu.Unlock()
+	defer c.x.mu.Lock()
+	select {
+	case <-back:
+		if lost {
+			return worker.ErrUnknown
+		}
+		return nil
+	case <-ctx.Done():
+	}
+	if !lost && *nextLife {
+		c.x.carryOutAfter(back, w, o)
+	}
+	return worker.ErrUnknown
+}
+
+// carryOutAfter carries out a call that nobody waits for any more when its worker comes back.
+func (x *world) carryOutAfter(back chan struct{}, w *workerModel, o outgoing) {
+	go func() {
+		<-back
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if w.up {
+			x.counts.add("return: " + o.what + " of before")
+			_ = o.do(w, time.Now())
+		}
+	}()
+}
+
 // call carries out one call after the time that it takes on the way.
-func (c client) call(ctx context.Context, to worker.Address, do func(w *workerModel, now time.Time) error) error {
+func (c client) call(ctx context.Context, to worker.Address, o outgoing) error {
+	c.x.mu.Lock()
+	sentTo := c.x.life(to.ID)
+	c.x.mu.Unlock()
 	time.Sleep(2 * time.Millisecond)
 	c.x.mu.Lock()
-	w, err := c.reach(ctx, to)
+	if sentTo != c.x.life(to.ID) {
+		c.x.counts.add("return: " + o.what + " on the way")
+	}
+	do := o.do
+	w, err := c.reach(ctx, to, o)
 	now := time.Now()
 	silent := err == nil && now.Before(w.silentUntil)
 	if err == nil && !silent && now.Before(w.lateUntil) {
@@ -131,14 +200,19 @@
 	time.AfterFunc(lateTime, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		if w.up && w.incarnation == incarnation {
+		if w.up && w.incarnation != incarnation {
+			x.counts.add("return: late call of before")
+		}
+		if w.up && (w.incarnation == incarnation || *nextLife) {
 			_ = do(w, time.Now()) // nobody waits for the answer
 		}
 	})
 }
 
 func (c client) Start(ctx context.Context, to worker.Address, s worker.Start) (int64, error) {
-	return 0, c.call(ctx, to, func(w *workerModel, now time.Time) error { return c.x.start(w, s, now) })
+	return 0, c.call(ctx, to, outgoing{"start", true, func(w *workerModel, now time.Time) error {
+		return c.x.start(w, s, now)
+	}})
 }
 
 func refused(reason worker.Refusal, clock int64) error {
@@ -199,7 +273,7 @@
 }
 
 func (c client) Stop(ctx context.Context, to worker.Address, task string, run int, token int64) error {
-	return c.call(ctx, to, func(w *workerModel, now time.Time) error {
+	return c.call(ctx, to, outgoing{"stop", true, func(w *workerModel, now time.Time) error {
 		if token < w.token {
 			return refused(worker.RefusedFence, w.clock(now))
 		}
@@ -209,17 +283,17 @@
 			c.x.end(w, r, worker.EndStopped)
 		}
 		return nil
-	})
+	}})
 }
 
 func (c client) SetPace(ctx context.Context, to worker.Address, _ string, _, _ int, _ int64) error {
-	return c.call(ctx, to, func(*workerModel, time.Time) error { return nil })
+	return c.call(ctx, to, outgoing{"pace", true, func(*workerModel, time.Time) error { return nil }})
 }
 
 func (c client) Hold(ctx context.Context, to worker.Address, h worker.Hold) (worker.Report, error) {
-	var seen int64
+	var seen, incarnation int64
 	var changed chan struct{}
-	err := c.call(ctx, to, func(w *workerModel, now time.Time) error {
+	err := c.call(ctx, to, outgoing{"renewal", false, func(w *workerModel, now time.Time) error {
 		if h.FencingToken < w.token {
 			return refused(worker.RefusedFence, w.clock(now))
 		}
@@ -227,13 +301,14 @@
 		if h.DeadlineMillis > 0 {
 			w.deadline = max(w.deadline, min(h.DeadlineMillis, w.clock(now)+maxLease.Milliseconds()))
 		}
-		for len(w.ends) > 0 && w.ends[0].Number <= h.Acknowledged {
+		// The adapter acknowledges ends only to the life that has listed them.
+		for h.Incarnation == w.incarnation && len(w.ends) > 0 && w.ends[0].Number <= h.Acknowledged {
 			c.x.acknowledged(w.ends[0])
 			w.ends = w.ends[1:]
 		}
-		seen, changed = w.endCount, c.x.changed
+		seen, incarnation, changed = w.endCount, w.incarnation, c.x.changed
 		return nil
-	})
+	}})
 	if err != nil {
 		return worker.Report{}, err
 	}
@@ -249,13 +324,14 @@
 		}
 		c.x.mu.Lock()
 		w := c.x.workers[to.ID]
-		waiting, changed = waiting && w.up && w.endCount == seen, c.x.changed
+		waiting, changed = waiting && w.up && w.incarnation == incarnation && w.endCount == seen, c.x.changed
 		c.x.mu.Unlock()
 	}
 	c.x.mu.Lock()
 	defer c.x.mu.Unlock()
 	w := c.x.workers[to.ID]
-	if !w.up {
+	if !w.up || w.incarnation != incarnation { // the connection has ended with the life that the renewal reached
+		c.x.counts.add("return: renewal waits at the former life")
 		return worker.Report{}, worker.ErrUnknown
 	}
 	return w.report(time.Now()), nil
--- a/internal/dispatch/livenesstest/world_test.go
+++ b/internal/dispatch/livenesstest/world_test.go
@@ -40,6 +40,7 @@
 
 	mu         sync.Mutex // guards the fields below
 	workers    map[string]*workerModel
+	darkCalls  int // calls to workers that are dark
 	jobs       map[string]*jobModel
 	violations []string
 	changed    chan struct{} // closed and replaced when a run ends
@@ -189,9 +190,11 @@
 func (x *world) lead(ctx context.Context) {
 	x.token++
 	d := dispatch.New(dispatch.Options{
-		Store: x.store, Workers: client{x}, Follower: x.follower, JobTopic: topicJobs, JobPartitions: partitions,
+		Store: x.store, Workers: client{x}, Instances: instancesModel{x}, Follower: x.follower, JobTopic: topicJobs, JobPartitions: partitions,
 		ProgressTopic: topicProgress, WorkerTopic: topicWorkers, StatusTopic: "status", DecodeEntry: decodeEntry,
-		StoreLimits: modelLimits, Token: x.token, Log: x.scenario.log(),
+		// The term is never confirmed, so that no instance is moved or maintained.
+		LastConfirmed: func() time.Duration { return 0 },
+		StoreLimits:   modelLimits, Token: x.token, Log: x.scenario.log(),
 		Bounds: fleet.Bounds{
 			MaxLease: maxLease, MaxStopTime: 400 * time.Millisecond, StatusRetention: 2 * time.Minute,
 			EarlyStart: 250 * time.Millisecond, Heartbeat: heartbeat,
