--- a/internal/dispatch/livenesstest/regressions_test.go
+++ b/internal/dispatch/livenesstest/regressions_test.go
@@ -69,6 +69,27 @@
 	},
 }
 
+// TestListBehindAReturnKeepsRuns guards against a list of instances that shows a worker as down after it has come back
+// under its ID. The leader had reports of the new life, dropped the runs of it and started their tasks elsewhere. On the
+// code of f12bb51, 15 of 20 plays found that.
+func TestListBehindAReturnKeepsRuns(t *testing.T) {
+	const plays = 10
+	s := scenario{
+		Workers: []workerSpec{
+			{Pool: "p0", Label: "a", Rack: "r0", CPU: 8000}, {Pool: "p0", Label: "a", Rack: "r0", CPU: 8000},
+			{Pool: "p0", Label: "a", Rack: "r0", CPU: 8000},
+		},
+		Queues: map[string]string{"q0": "p0"},
+		Jobs:   []jobSpec{oneStep(0, "q0", fleet.Step{Count: 12, Need: milli(1000)}, 8*time.Second)},
+		Events: []event{{At: 3 * time.Second, Kind: "return", Worker: 0, For: 2001 * time.Millisecond, Lag: time.Second}},
+	}
+	for range plays {
+		if x := play(t, s); len(x.violations) > 0 {
+			t.Fatal(strings.Join(x.violations, "\n"))
+		}
+	}
+}
+
 func milli(cpu int64) fleet.Resources { return fleet.Resources{CPUMilli: cpu, MemoryMB: 10} }
 
 func oneStep(at time.Duration, queue string, step fleet.Step, duration time.Duration) jobSpec {
