End the wait for a renewal through a delegate when it is given up

Callers see: with delegates (from 16 entry instances on), the restart of a worker under its ID is noticed up to 2.7 s late (2 s of wait, 0.4 s for the answer, 0.3 s for the delegate). Until then the worker gets nothing, and the stops for its former incarnation are repeated every 150 ms.

Cause: treatAsSilent cancels the context of the open renewal, but Client.call waited on the context of the term only.

Evidence: TestCancelledRenewalEnds returned after 3.3 s without the change.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -135,7 +136,7 @@
 }
 
 // call sends a call through a session. The delegate may use all the time that ctx leaves for the call; the leader waits
-// up to maxRelayDelay longer.
+// up to maxRelayDelay longer, unless ctx is cancelled.
 func (c *Client) call(ctx context.Context, s *session, to worker.Address, x call) callResult {
 	// The delegate counts the time left from here, so a call that was prepared before a pause must not get that far.
 	if err := cmp.Or(ctx.Err(), worker.MaySend(ctx)); err != nil {
@@ -146,7 +147,15 @@
 		timeout = time.Until(deadline)
 	}
 	x.Worker, x.Address, x.Incarnation = to.ID, to.Address, to.Incarnation
-	return s.call(c.ctx, x, max(timeout, time.Millisecond))
+	wait, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	stopWatching := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel()
+		}
+	})
+	defer stopWatching()
+	return s.call(wait, x, max(timeout, time.Millisecond))
 }
 
 // sessionFor returns the session with the delegate of a worker, or nil if the worker has to be called directly.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -258,6 +258,37 @@
 	is.Equal(len(second.holds), 1)
 }
 
+// TestCancelledRenewalEnds guards against a leader that still waits for the answer to a renewal through a delegate after
+// it has given the renewal up, because the worker's known incarnation is over. It noticed the restart seconds later.
+func TestCancelledRenewalEnds(t *testing.T) {
+	is := is.New(t)
+	held, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	workers := &fakeWorkers{hold: func(_ worker.Address, h worker.Hold) (worker.Report, error) {
+		if h.Wait > 0 {
+			close(held)
+			<-release
+		}
+		return worker.Report{ClockMillis: 3}, nil
+	}}
+	_, at := startDelegate(t, workers)
+	c := newTestClient(t, nil, at)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	go func() {
+		<-held
+		cancel()
+	}()
+	began := time.Now()
+	_, err := c.Hold(ctx, address(1), worker.Hold{Wait: 2 * time.Second})
+	is.True(errors.Is(err, worker.ErrUnknown))
+	is.True(errors.Is(err, ErrDelegate))
+	is.True(time.Since(began) < time.Second)
+	r, err := c.Hold(t.Context(), address(1), worker.Hold{})
+	is.NoErr(err) // the session goes on
+	is.Equal(r.ClockMillis, int64(3))
+}
+
 // TestSilentDelegateIsReplaced guards against a delegate that is frozen or whose connection carries no data, and
 // against a start that is sent twice in consequence: the first call is unanswered, and the caller repeats the same run.
 func TestSilentDelegateIsReplaced(t *testing.T) {
