Stop the gang of a start that was lost with the former life of its worker

Callers see: a gang of which one worker restarts or crashes while the start of its member is under way keeps its other members waiting, with their room and their team's share, until they end alone after gang_timeout_ms.

Cause: dropFormerRun and dropRuns drop the member without stopping the others, as withdraw does. Before incarnations were compared, a restarted worker was sent the same start again.

Evidence: TestGangOfALostStartIsStopped, both cases fail without the change.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -314,8 +314,11 @@
 }
 
 // dropLostRun drops a run whose worker has not listed an end of it, but which cannot be running any more unless another
-// leader has begun. Callers hold mu.
+// leader has begun. If it may never have started, the other members of its gang would wait for it. Callers hold mu.
 func (d *Dispatcher) dropLostRun(a *agent, r *workload.Run) {
+	if r.Task.Step.Spec.Gang && r.Phase == workload.RunAssigned {
+		defer d.stopGang(r.GangRuns())
+	}
 	r.Task.LostAt = d.now()
 	d.dropRun(a, r)
 }
--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -127,3 +127,34 @@
 		is.True(r.Released)
 	}
 }
+
+// TestGangOfALostStartIsStopped guards against members of a gang that hold their room and then end alone, because the
+// start of one was lost with the former life of its worker.
+func TestGangOfALostStartIsStopped(t *testing.T) {
+	for _, name := range []string{"worker restarted", "worker crashed"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, runs := newGangFixture(t)
+			a := d.agent(runs[0].Worker)
+			a.incarnation, a.entry.Incarnation = 1, 1
+			for _, r := range runs {
+				r.Stored, r.Released, r.Phase = true, true, workload.RunActive
+			}
+			runs[0].Phase, runs[0].Incarnation = workload.RunAssigned, 1
+			d.ordersInFlight[runs[0]] = true
+			if name == "worker restarted" {
+				d.restart(a)
+			} else {
+				d.mu.Lock()
+				d.applyMissing(a, bootclock.Now(), "its instance is down")
+				d.mu.Unlock()
+			}
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			is.Equal(len(runs[0].Task.Runs), 0)
+			for _, r := range runs[1:] {
+				is.Equal(r.Phase, workload.RunStopping)
+			}
+		})
+	}
+}
