Wait for a crashed worker whose pool the former leader had not stored

Callers see: a task may run twice after a worker that joined less than a second before (workerSetInterval) crashes, comes back under its ID, starts a stored run, and the leader changes while the list of instances still shows the crash.

Cause: listVerdict looks for a crashed instance in the stored pool of the worker. A worker that is not in the stored set has none, so two lists that show the crash ended its ID, whatever their age.

Evidence: TestNewLeaderWaitsForACrashedWorkerOfUnknownPool fails without the change.

--- a/internal/dispatch/instances_test.go
+++ b/internal/dispatch/instances_test.go
@@ -149,6 +149,30 @@
 	}
 }
 
+// TestNewLeaderWaitsForACrashedWorkerOfUnknownPool guards against a new leader that gives a worker up by two lists on
+// which its instance is down, because the set of workers was stored before the worker joined. The worker may be back
+// under its ID and run what the former leader stored and started.
+func TestNewLeaderWaitsForACrashedWorkerOfUnknownPool(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	a := d.agent("w0")
+	a.contacted, a.clockAt = false, 0
+	is.Equal(d.storedWorkers["w0"], "")
+	run := d.addJob(unreadJob, oneTask).Task(0, 0, 0).Assign("w0", 1, d.now())
+	run.Stored, run.Released, run.Inherited = true, true, true
+	d.attach(run)
+	w := newInstanceDriver(d)
+	for range 2 {
+		w.list(t, fleet.Instance{ID: "m0", Pool: "pool", Phase: fleet.InstanceDown})
+		is.Equal(len(a.runs), 1)
+	}
+	a.firstSeen -= maxListLag
+	w.list(t, fleet.Instance{ID: "m0", Pool: "pool", Phase: fleet.InstanceDown})
+	is.Equal(len(a.runs), 0)
+}
+
 // TestNothingIsAssignedToAWorkerListedAsDown guards against runs that are assigned to a worker right after a list has
 // shown its crash. The list after it dropped them, and the next life of the worker carried out their starts.
 func TestNothingIsAssignedToAWorkerListedAsDown(t *testing.T) {
--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -59,7 +59,8 @@
 	id string
 	// instance is the one with which a list last showed the worker; "" if none did.
 	instance string
-	// pool is the stored pool of a worker that has not answered in this term.
+	// pool is the stored pool of a worker that has not answered in this term; "" if it joined after the set of workers was
+	// stored.
 	pool string
 	// answered means that the worker has answered in this term.
 	answered bool
@@ -84,7 +85,7 @@
 		return listShowsEnd // the instance was removed
 	case k.instance != "" && !l.mayReturn(x):
 		return listShowsEnd // the instance has another worker, is on its way, or is switched off
-	case k.instance == "" && !k.answered && !l.crashed[k.pool]:
+	case k.instance == "" && !k.answered && !l.hasCrashedIn(k.pool):
 		return listShowsEnd // no instance from which the worker could come back
 	case mayBeOlder:
 		return listShowsNothing
@@ -92,6 +93,11 @@
 	return listShowsCrash
 }
 
+// hasCrashedIn reports whether the list shows an instance of the pool, or of any pool for "", whose worker may come back.
+func (l *instanceList) hasCrashedIn(pool string) bool {
+	return l.crashed[pool] || pool == "" && len(l.crashed) > 0
+}
+
 // mayReturn reports whether the worker of a listed instance may come back under its ID. An instance without a worker
 // has crashed, unless it was ordered away or is switched off. Callers hold the dispatcher's mu.
 func (w *instanceDriver) mayReturn(x fleet.Instance) bool {
