Keep a worker silent when older evidence against it is applied later

Callers see: runs are assigned to a worker that has started again, from an answer of its former life; their starts find the other incarnation and are withdrawn.

Cause: treatAsSilent set missingAt back when a list that was requested before the last evidence was applied after it.

Evidence: TestOlderEvidenceKeepsAWorkerSilent fails without the change.

--- a/internal/dispatch/renew.go
+++ b/internal/dispatch/renew.go
@@ -77,7 +77,7 @@
 // assigned to the worker until it has answered a renewal that was sent after that. An open renewal is given up, because
 // only a new one reaches the next incarnation. Callers hold mu.
 func (a *agent) treatAsSilent(at time.Duration) {
-	a.missingAt = at
+	a.missingAt = max(a.missingAt, at)
 	if a.silentSince != 0 {
 		return // the next renewal does not wait
 	}
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -372,6 +372,24 @@
 	is.Equal(a.silentSince, time.Duration(0))
 }
 
+// TestOlderEvidenceKeepsAWorkerSilent guards against an answer of the former life of a worker, sent before an order found
+// the next one, that counts because a list that was requested earlier is applied later.
+func TestOlderEvidenceKeepsAWorkerSilent(t *testing.T) {
+	is := is.New(t)
+	d, a, _ := newLiveFixture(t, &liveWorkers{})
+	listed := bootclock.Now()
+	asked := listed + 1
+	time.Sleep(time.Millisecond)
+	d.applyMismatch(a, a.address(), worker.ErrOtherIncarnation, bootclock.Now())
+	d.mu.Lock()
+	d.applyMissing(a, listed, "its instance is down")
+	d.mu.Unlock()
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1}, asked)
+	is.True(a.silentSince != 0)
+	d.restart(a)
+	is.Equal(a.silentSince, time.Duration(0))
+}
+
 // TestRenewalIsGivenUpWhenTheLifeIsOver guards against a restart that is noticed only once the renewal of the former
 // life has timed out.
 func TestRenewalIsGivenUpWhenTheLifeIsOver(t *testing.T) {
