Count a start as late only if its run was given up

Callers see: late_start warnings and starts_answered_too_late_total for short runs whose end is listed before the answer to their start has been read. OPERATIONS.md takes these for signs of a task that ran again.

Cause: a run whose end was applied is not attached any more, as one that was given up.

Evidence: TestStartAnsweredAfterItsEndIsNotLate, case ended, fails without the change.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -325,6 +325,7 @@
 
 // dropRun drops a run that is known not to be running. Callers hold mu.
 func (d *Dispatcher) dropRun(a *agent, r *workload.Run) {
+	r.GivenUp = true
 	d.detach(a, r)
 	r.Task.Remove(r)
 	if j := d.jobs[r.Task.Step.Job.ID]; j != nil {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -145,7 +145,7 @@
 	if err == nil {
 		d.counters.starts.Add(1)
 		d.noteStarted(r.Task.Step.Job)
-		if !d.attached(r) {
+		if r.GivenUp {
 			d.noteLateStart(a, r)
 		}
 		if r.Phase == workload.RunAssigned {
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -375,3 +375,26 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestStartAnsweredAfterItsEndIsNotLate guards against a warning, and a count, of a start that was given up for a short
+// run whose end is listed before the answer to its start has arrived.
+func TestStartAnsweredAfterItsEndIsNotLate(t *testing.T) {
+	for name, late := range map[string]bool{"ended": false, "given up": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, a, run := newLiveFixture(t, &liveWorkers{})
+			run.Released = true
+			if late {
+				d.mu.Lock()
+				d.dropLostRun(a, run)
+				d.mu.Unlock()
+			} else {
+				d.applyReport(a, worker.Report{
+					ClockMillis: 1, Incarnation: 1, Ended: doneEnd(1, run.Task.Name()),
+				}, bootclock.Now())
+			}
+			d.applyStartOutcome(a, run, nil, false)
+			is.Equal(d.counters.lateStarts.Value() > 0, late)
+		})
+	}
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -158,6 +158,8 @@
 	Stored bool
 	// Released means that the start request may have been sent.
 	Released bool
+	// GivenUp means that the run was removed without a report of its end.
+	GivenUp bool
 	// Incarnation is the incarnation of the worker to which the start was last sent, or which last listed the run; 0 if
 	// this leader knows of none. It is not stored.
 	Incarnation int64
