--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -93,7 +93,8 @@
 	return listShowsCrash
 }
 
-// hasCrashedIn reports whether the list shows an instance of the pool, or of any pool for "", whose worker may come back.
+// hasCrashedIn reports whether the list shows an instance of the pool, or of any pool for "", whose worker may come
+// back.
 func (l *instanceList) hasCrashedIn(pool string) bool {
 	return l.crashed[pool] || pool == "" && len(l.crashed) > 0
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -258,8 +258,8 @@
 	is.Equal(len(second.holds), 1)
 }
 
-// TestCancelledRenewalEnds guards against a leader that still waits for the answer to a renewal through a delegate after
-// it has given the renewal up, because the worker's known incarnation is over. It noticed the restart seconds later.
+// TestCancelledRenewalEnds guards against a leader that still waits for the answer to a renewal through a delegate
+// after it has given the renewal up, because the worker's known incarnation is over. It noticed the restart seconds later.
 func TestCancelledRenewalEnds(t *testing.T) {
 	is := is.New(t)
 	held, release := make(chan struct{}), make(chan struct{})
