Judge the present worker of an instance before its maintenance

What callers would see: tasks that end without cause on a worker that no wave had cordoned.

Cause: a wave drained the worker that the instance had when it was selected. If that worker crashed and the instance got one with another ID, the former had no runs, and the order went out. The order names the instance, so it ended the tasks of the present worker. The same could happen during the append that stores the instance as ordered, which takes seconds on a slow store.

Change: a draining instance that the list shows with another worker is given that one: it is cordoned, and judged in the next step. An instance without a worker waits, unless it is switched off. The check is repeated after the append; an instance that fails it is drained again.

An instance that is down is no longer sent an order that it refuses.

--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -18,7 +18,7 @@
 	for id, i := range x.instances {
 		switch i.phase {
 		case scheduling.MaintenanceDraining:
-			if w.drainInstance(i) && w.mayOrder(id) {
+			if w.isDrained(id, i) && w.mayOrder(id) {
 				ready = append(ready, id)
 			}
 		case scheduling.MaintenanceOrdered:
@@ -64,6 +64,34 @@
 	w.d.agent(i.worker).cordoned = true
 }
 
+// isDrained stops the runs of a draining instance that may be stopped, and reports whether the order to maintain the
+// instance ends no tasks.
+func (w *instanceDriver) isDrained(id string, i *waveInstance) bool {
+	return w.keepsWorker(id, i) && w.drainInstance(i)
+}
+
+// keepsWorker reports whether the list shows the draining instance with the worker that is being drained. The order
+// names the instance and ends whichever worker it has, so another worker has to be drained, too: it is cordoned, and
+// the next step judges its runs. An instance without a worker may get one, unless it is switched off.
+func (w *instanceDriver) keepsWorker(id string, i *waveInstance) bool {
+	listed := w.listed[id]
+	if listed.Worker == i.worker {
+		return true
+	}
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	if listed.Worker == "" && !w.switchedOff(listed) {
+		return false
+	}
+	w.d.Log.Info().Str("event", "drained_worker_replaced").Str("instance", id).Str("worker", listed.Worker).
+		Str("worker_before", i.worker).Msg("instance of a wave has another worker, which is drained instead")
+	i.worker = listed.Worker
+	if i.worker != "" {
+		w.d.agent(i.worker).cordoned = true
+	}
+	return false
+}
+
 // drainInstance stops the runs of a draining instance that may be stopped, and reports whether nothing runs there and
 // no end is lost with its worker.
 func (w *instanceDriver) drainInstance(i *waveInstance) bool {
@@ -105,6 +133,7 @@
 		w.setPhases(x, ids, scheduling.MaintenanceDraining)
 		return
 	}
+	ids = w.stillDrained(x, ids)
 	outcomes := make([]error, len(ids))
 	var sending sync.WaitGroup
 	for n, id := range ids {
@@ -117,6 +146,20 @@
 	}
 }
 
+// stillDrained returns the instances that may still be ordered after the append that stored them as ordered, and puts
+// the others back into the draining phase. An instance may have got another worker during the append.
+func (w *instanceDriver) stillDrained(x *wave, ids []string) []string {
+	var drained []string
+	for _, id := range ids {
+		if w.isDrained(id, x.instances[id]) {
+			drained = append(drained, id)
+		} else {
+			w.setPhases(x, []string{id}, scheduling.MaintenanceDraining)
+		}
+	}
+	return drained
+}
+
 // setPhases sets the phase of some instances of a wave.
 func (w *instanceDriver) setPhases(x *wave, ids []string, phase scheduling.MaintenancePhase) {
 	for _, id := range ids {
