Lift the cordon after the repeated order for a maintained instance

What callers would see: a sound worker that gets no task for the rest of a leader's term.

Cause: after a change of leader an instance that is stored as ordered is drained again, and its present worker is cordoned. If the maintenance had been done before, the repeated order is answered 200 and ends nothing. The instance then counted as done, and nothing lifted the cordon. The same holds for a worker that comes back from its maintenance under its ID.

Evidence: TestRepeatedOrderLiftsTheCordon; the worker was still cordoned when the instance was done.

Change: when an instance is back, its listed worker gets tasks again and its pool is decided on at once, unless a move or another wave has the instance.

--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -208,3 +208,27 @@
 	}
 	w.d.Log.Info().Str("event", "instance_gone").Str("instance", id).Msg("instance of the wave was removed")
 }
+
+// uncordonMaintained lets tasks start again at the listed worker of an instance that is back from its maintenance. The
+// worker is cordoned if the maintenance had been done before the order, or if it is back under its ID.
+func (w *instanceDriver) uncordonMaintained(id string) {
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	if _, moving := w.arrivals[id]; !moving {
+		w.uncordonListed(id, "its maintenance is done")
+	}
+}
+
+// uncordonListed lets tasks start again at the listed worker of an instance, unless a wave drains or maintains the
+// instance. Callers hold the dispatcher's mu.
+func (w *instanceDriver) uncordonListed(id, why string) {
+	a := w.d.agents[w.listed[id].Worker]
+	if a == nil || !a.cordoned || !w.notInWave(id) {
+		return
+	}
+	a.cordoned = false
+	w.d.Log.Info().Str("event", "worker_uncordoned").Str("instance", id).Str("worker", a.id).Str("why", why).
+		Msg("worker of an instance gets tasks again")
+	w.d.markDirty(a)
+	w.d.signal()
+}
--- a/internal/dispatch/replaced_test.go
+++ b/internal/dispatch/replaced_test.go
@@ -103,3 +103,35 @@
 	is.Equal(x.instances["m0"].phase, scheduling.MaintenanceDraining)
 	is.Equal(x.instances["m0"].worker, "w1")
 }
+
+// TestRepeatedOrderLiftsTheCordon guards against a worker that gets no task for the rest of a term. A new leader has
+// cordoned it before it repeated an order that its predecessor had sent, and the answer is that the maintenance is done.
+func TestRepeatedOrderLiftsTheCordon(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	defer d.stop()
+	w, x := drainingWave(d, &slowInstances{})
+	i := x.instances["m0"]
+	i.phase, i.worker = scheduling.MaintenanceOrdered, "former" // as restored from the store
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drainAgain("m0", i)
+	w.drain(t.Context(), x)
+	is.True(i.confirmed)
+	w.listedAt = bootclock.Now()
+	w.observe(x)
+	is.Equal(i.phase, scheduling.MaintenanceOrdered) // the maintenance may have begun only now
+	is.True(d.agent("w0").cordoned)
+	w.listedAt += d.Bounds.Maintenance + 2*orderRetryDelay
+	clear(d.dirty)
+	w.waves[2] = &wave{instances: map[string]*waveInstance{"m0": {phase: scheduling.MaintenanceDraining}}}
+	w.observe(x)
+	is.Equal(i.phase, scheduling.MaintenanceDone)
+	is.True(d.agent("w0").cordoned) // another wave drains the instance
+
+	delete(w.waves, 2)
+	i.phase = scheduling.MaintenanceOrdered
+	w.observe(x)
+	is.True(!d.agent("w0").cordoned)
+	is.True(d.dirty["pool"]) // waiting tasks are placed without a further event
+}
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -157,6 +157,7 @@
 		if i.phase == scheduling.MaintenanceOrdered && w.isBack(i, listed) {
 			i.phase = scheduling.MaintenanceDone
 			changed = true
+			w.uncordonMaintained(id)
 		}
 	}
 	return changed
