Lift the cordon of a worker that is back from a move under its ID

What callers would see: a sound worker that gets no task for the rest of a leader's term.

Cause: a worker is cordoned before its instance is moved, and stays cordoned when it starts again under its ID. Only a move that the list shows as not carried out lifted the cordon.

Evidence: TestWorkerBackFromAMoveGetsTasksAgain, cases "moved" and "moved late"; the worker stayed cordoned. The other cases passed before: a worker stays cordoned if it starts again before the move, if the list is too old to show the move, or if a wave has selected the instance.

Change: the restart itself still does not lift the cordon, because it does not show whether the order has been carried out. The cordon of a listed worker is lifted when its instance has no move in flight and no wave drains or maintains it. The worker's entry has to be of the pool in which the list shows the instance, so a worker whose restart is not known yet gets nothing.

A worker that is back from its maintenance under its ID gets tasks when the wave counts its instance as done, up to orderRetryDelay and one list later than it could.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -203,7 +203,13 @@
 		p.Size++ // its worker has just started, or this term has
 		return
 	}
-	if a.entry.Draining || a.entry.Pool != p.Name || a.silentSince != 0 || a.cordoned {
+	if a.entry.Draining || a.entry.Pool != p.Name || a.silentSince != 0 {
+		return
+	}
+	if _, moving := w.arrivals[id]; a.cordoned && !moving {
+		w.uncordonListed(id, "its instance is not ordered away")
+	}
+	if a.cordoned {
 		return
 	}
 	p.Size++
--- a/internal/dispatch/replaced_test.go
+++ b/internal/dispatch/replaced_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -10,6 +11,7 @@
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/scheduling"
 	"pollenlead/internal/store"
+	"pollenlead/internal/worker"
 )
 
 // drainingWave returns a driver with a wave that drains the instance m0 of the worker w0.
@@ -105,7 +107,7 @@
 }
 
 // TestRepeatedOrderLiftsTheCordon guards against a worker that gets no task for the rest of a term. A new leader has
-// cordoned it before it repeated an order that its predecessor had sent, and the answer is that the maintenance is done.
+// cordoned it before it repeated an order of its predecessor, and the answer is that the maintenance is done.
 func TestRepeatedOrderLiftsTheCordon(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(2)
@@ -135,3 +137,70 @@
 	is.True(!d.agent("w0").cordoned)
 	is.True(d.dirty["pool"]) // waiting tasks are placed without a further event
 }
+
+// restartInPool makes the worker of the agent start again under its ID, in the given pool.
+func restartInPool(d *Dispatcher, a *agent, pool string) {
+	d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: a.incarnation + 1}, bootclock.Now())
+	entry := *a.entry
+	entry.Pool, entry.Incarnation = pool, a.incarnation
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.updateEntry(&entry)
+}
+
+// TestWorkerBackFromAMoveGetsTasksAgain guards against a worker that is back from a move under its ID and gets no task
+// for the rest of a term, and against tasks that start on an instance that is still to be moved or maintained because
+// its worker has started again.
+func TestWorkerBackFromAMoveGetsTasksAgain(t *testing.T) {
+	moved := upInstance("w0")
+	moved.Pool = "other"
+	moving := moved
+	moving.Phase, moving.Worker = fleet.InstanceMoving, ""
+	inWave := map[int64]*wave{1: {instances: map[string]*waveInstance{
+		"m0": {phase: scheduling.MaintenanceDraining, worker: "w0"},
+	}}}
+	for name, x := range map[string]struct {
+		lists    []fleet.Instance
+		waits    time.Duration // for the arrival after the list
+		waves    map[int64]*wave
+		pool     string // of the entry after the restart
+		listAge  time.Duration
+		cordoned bool
+	}{
+		"moved":           {lists: []fleet.Instance{moved}, waits: time.Minute, pool: "other"},
+		"moved late":      {lists: []fleet.Instance{moving, moved}, waits: -time.Minute, pool: "other"},
+		"entry not known": {lists: []fleet.Instance{moved}, waits: time.Minute, pool: "pool", cordoned: true},
+		"restart before the move": {
+			lists: []fleet.Instance{upInstance("w0")}, waits: time.Minute, pool: "pool", cordoned: true,
+		},
+		"listed before the move may have been carried out": {
+			lists: []fleet.Instance{upInstance("w0")}, waits: -time.Minute, listAge: time.Hour, pool: "pool", cordoned: true,
+		},
+		"in a wave": {
+			lists: []fleet.Instance{moved}, waits: time.Minute, pool: "other", waves: inWave, cordoned: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newFixture(1)
+			defer d.stop()
+			d.Follower = followConfig(t, &fleet.Config{Version: 1, Pools: []fleet.Pool{{Name: "pool"}, {Name: "other"}}})
+			a := d.agent("w0")
+			restartInPool(d, a, "pool")
+			w := newInstanceDriver(d)
+			w.cordon("w0")
+			w.arrivals["m0"] = arrival{to: "other", worker: "w0", until: bootclock.Now() + x.waits}
+			restartInPool(d, a, x.pool)
+			is.True(a.cordoned) // the restart alone does not show why the worker has started again
+			clear(d.dirty)
+			w.waves = x.waves
+			for _, listed := range x.lists {
+				w.listed, w.listedAt = map[string]fleet.Instance{"m0": listed}, bootclock.Now()-x.listAge
+				w.balancePools()
+				w.balancePools()
+			}
+			is.Equal(a.cordoned, x.cordoned)
+			is.Equal(d.dirty["other"], !x.cordoned)
+		})
+	}
+}
