--- a/internal/dispatch/replaced_test.go
+++ b/internal/dispatch/replaced_test.go
@@ -204,3 +204,39 @@
 		})
 	}
 }
+
+// orderHook is an instances service that calls a function while a move is carried out.
+type orderHook struct {
+	slowInstances
+	moving func()
+}
+
+func (s *orderHook) Move(context.Context, string, string, int64) error {
+	s.moving()
+	return nil
+}
+
+// TestAnswerToAMoveKeepsTheNextLife guards against a move that is answered after its worker has started again under its
+// ID. The runs of the next life were dropped, and their tasks started elsewhere while they ran.
+func TestAnswerToAMoveKeepsTheNextLife(t *testing.T) {
+	for name, restarts := range map[string]bool{"restarted": true, "not restarted": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newFixture(1)
+			d.Workers = &unresponsiveWorkers{}
+			defer d.stop()
+			a := d.agent("w0")
+			d.applyReport(a, worker.Report{ClockMillis: 1, Incarnation: 1}, bootclock.Now())
+			task := d.addJob(unreadJob, oneTask).Task(0, 0, 0)
+			report := worker.Report{ClockMillis: 1, Incarnation: 1, Running: []worker.Running{{Task: task.Name(), Run: 1}}}
+			if restarts {
+				report.Incarnation = 2
+			}
+			d.Instances = &orderHook{moving: func() { d.applyReport(a, report, bootclock.Now()) }}
+			w := newInstanceDriver(d)
+			w.cordon("w0")
+			w.move(t.Context(), scheduling.Move{Instance: "m0", From: "pool", To: "other"}, "w0")
+			is.Equal(len(task.Runs) == 1, restarts)
+		})
+	}
+}
