--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -40,7 +40,7 @@
 // waveInstance is the progress of one instance.
 type waveInstance struct {
 	phase scheduling.MaintenancePhase
-	// worker is the instance's worker at the time when it was drained; "" if it was switched off.
+	// worker is the instance's worker that is drained or was drained last; "" if the instance was switched off.
 	worker string
 	// refusedOff means that the order was refused while the instance was switched off. The order then waits until the
 	// instance has a worker.
@@ -157,6 +157,7 @@
 		if i.phase == scheduling.MaintenanceOrdered && w.isBack(i, listed) {
 			i.phase = scheduling.MaintenanceDone
 			changed = true
+			w.uncordonMaintained(id)
 		}
 	}
 	return changed
@@ -239,9 +240,7 @@
 			pools[listed.Pool] = p
 		}
 		i := disruption.Instance{ID: id, Live: listed.Phase == fleet.InstanceUp, Moving: listed.Phase == fleet.InstanceMoving}
-		if n := len(listed.Labels); n > 0 {
-			i.Rack = listed.Labels[n-1]
-		}
+		i.Rack = rackOf(listed)
 		if m := x.instances[id]; m != nil {
 			i.Down = m.phase == scheduling.MaintenanceDraining || m.phase == scheduling.MaintenanceOrdered
 		}
