--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -99,7 +99,7 @@
 func (w *instanceDriver) move(ctx context.Context, m scheduling.Move, worker string) {
 	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
 	defer cancel()
-	err := errUnconfirmed
+	err, incarnation := errUnconfirmed, w.d.incarnationOf(worker)
 	if w.termConfirmed() {
 		err = w.d.Instances.Move(ctx, m.Instance, m.To, w.d.Token)
 	}
@@ -124,7 +124,19 @@
 		a.cordoned = false
 		return
 	}
-	w.d.dropRuns(a, "its instance was moved")
+	if a.incarnation == incarnation { // the order has not ended the runs of a later incarnation
+		w.d.dropRuns(a, "its instance was moved")
+	}
+}
+
+// incarnationOf returns the last incarnation that a worker reported; 0 if it reported none.
+func (d *Dispatcher) incarnationOf(worker string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a := d.agents[worker]; a != nil {
+		return a.incarnation
+	}
+	return 0
 }
 
 // balancePools returns the state of the pools, and the worker of each instance that may be moved.
@@ -147,6 +159,7 @@
 		pools = append(pools, p)
 	}
 	workers, labelled := map[string]string{}, w.lastWithLabel()
+	w.noteUnlisted()
 	for id, x := range w.listed {
 		p := byName[x.Pool]
 		if _, ordered := w.arrivals[id]; p != nil && !p.Standby && !ordered &&
@@ -203,12 +216,18 @@
 		p.Size++ // its worker has just started, or this term has
 		return
 	}
-	if a.entry.Draining || a.entry.Pool != p.Name || a.silentSince != 0 || a.cordoned {
+	if a.entry.Draining || a.entry.Pool != p.Name || a.silentSince != 0 {
+		return
+	}
+	if _, moving := w.arrivals[id]; a.cordoned && !moving {
+		w.uncordonListed(id, "its instance is not ordered away")
+	}
+	if a.cordoned {
 		return
 	}
 	p.Size++
 	p.Used += a.used.CPUMilli
-	if a.vacant() && w.notInWave(id) && w.orderable(x) && w.d.usable(a, now, boot) {
+	if a.vacant() && w.notInWave(id) && w.orderable(x) && w.d.usable(a, now, boot) && !w.mayHaveUnlistedWorker(x) {
 		workers[id] = x.Worker
 		p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind, IdleFor: now.Sub(a.idleSince)})
 	}
