Let a new leader judge a crashed worker by the age of its entry

Cause: since the list of instances may be older than the present incarnation of a worker, a new leader waited for maxListLag for each stored worker that was missing from a pool with a crashed instance. An earlier leader starts tasks only on an incarnation whose entry it has read, so the entry shows whether that incarnation may be younger than the list; without an entry, it is as old as an entry takes to expire. An entry that was read and not used shows nothing.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -139,6 +139,8 @@
 	unpublished map[*job]bool
 	// spareEnds holds the ends of jobs, by ID, that spare partitions may hold.
 	spareEnds map[string]*spareEnd
+	// entriesRead means that all entries of workers have been read once.
+	entriesRead bool
 	// spareEndsRead means that the ends in all spare partitions are restored. Nothing is started before.
 	spareEndsRead bool
 	// withheld holds the inherited runs that their workers do not list. They are started after the other workers of
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -32,6 +32,7 @@
 		c := d.Follower.Config()
 		if c == nil {
 			d.counters.badEntries.Add(1)
+			d.entryLog.note(r.Key)
 			return // the entry is read again with the worker's next heartbeat
 		}
 		if c.Pool(e.Pool) == nil {
@@ -49,6 +50,7 @@
 // worker's answers show whether it is there. Callers hold mu.
 func (d *Dispatcher) rejectEntry(r store.Record, err error) {
 	d.counters.badEntries.Add(1)
+	d.entryLog.note(r.Key)
 	reason := err.Error()
 	reason = reason[:min(len(reason), maxReasonBytes)] // the error of a number contains all its digits
 	if d.entryLog.first(r.Key, reason) {
@@ -61,6 +63,7 @@
 func (d *Dispatcher) removeMissingEntries(keys map[string]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.entriesRead = true
 	for id, a := range d.agents {
 		if a.entry != nil && !keys[id] {
 			d.removeEntry(id)
@@ -189,7 +192,26 @@
 
 // entryLog selects the entries to log: one for each worker ID and reason, because entries are repeated with each
 // heartbeat.
-type entryLog struct{ seen map[[2]string]bool }
+type entryLog struct {
+	seen map[[2]string]bool
+	// unused holds the IDs of workers of which an entry was not used, up to maxLoggedEntries.
+	unused map[string]bool
+}
+
+// note records that an entry of a worker was not used.
+func (l *entryLog) note(id string) {
+	if l.unused == nil {
+		l.unused = map[string]bool{}
+	}
+	if len(l.unused) < maxLoggedEntries {
+		l.unused[id] = true
+	}
+}
+
+// mayBeUnused reports whether an entry of the worker may have been read and not used.
+func (l *entryLog) mayBeUnused(id string) bool {
+	return l.unused[id] || len(l.unused) >= maxLoggedEntries
+}
 
 // first reports whether an entry is the first one of its worker that is not used for that reason. It also reports false
 // once maxLoggedEntries have been logged.
--- a/internal/dispatch/instances_test.go
+++ b/internal/dispatch/instances_test.go
@@ -124,13 +124,24 @@
 	other.Pool = "other"
 	moving.Phase = fleet.InstanceMoving
 	off.Pool = "spare"
+	entryOf := func(age time.Duration) *fleet.WorkerEntry {
+		return &fleet.WorkerEntry{ID: "w0", Pool: "pool", Incarnation: time.Now().Add(-age).UnixMilli()}
+	}
 	for name, x := range map[string]struct {
-		listed fleet.Instance
-		known  time.Duration
-		waits  bool
+		listed   fleet.Instance
+		known    time.Duration
+		entry    *fleet.WorkerEntry
+		noEntry  bool
+		rejected bool
+		waits    bool
 	}{
 		"down": {listed: down, waits: true}, "down for long": {listed: down, known: 3 * time.Second},
-		"down in another pool": {listed: other}, "ordered away": {listed: moving}, "standby": {listed: off},
+		"down, and its entry is old":      {listed: down, entry: entryOf(time.Minute)},
+		"down, and its entry is young":    {listed: down, entry: entryOf(2 * time.Second), waits: true},
+		"down, and clocks may differ":     {listed: down, entry: entryOf(7 * time.Second), waits: true},
+		"down, and its entry has expired": {listed: down, noEntry: true},
+		"down, and its entry is odd":      {listed: down, noEntry: true, rejected: true, waits: true},
+		"down in another pool":            {listed: other}, "ordered away": {listed: moving}, "standby": {listed: off},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -139,6 +150,13 @@
 			a := d.agent("w0")
 			a.unchecked, a.contacted, a.clockAt = true, false, 0
 			a.firstSeen -= x.known
+			d.Bounds.Heartbeat, d.entriesRead = 1500*time.Millisecond, true
+			if x.entry != nil || x.noEntry {
+				a.entry = x.entry
+			}
+			if x.rejected {
+				d.entryLog.note("w0")
+			}
 			d.storedWorkers["w0"] = "pool"
 			w := newInstanceDriver(d)
 			w.list(t, x.listed)
--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
 )
 
@@ -13,6 +14,14 @@
 // behind.
 const maxListLag = 3 * time.Second
 
+const (
+	// maxClockJump bounds how far the wall clocks of a worker and of this process may be apart when one of them has been
+	// set.
+	maxClockJump = 5 * time.Second
+	// expiredEntryIntervals is the number of heartbeat intervals after which the entry of a silent worker expires.
+	expiredEntryIntervals = 3
+)
+
 // listVerdict is what a list of instances says of a worker.
 type listVerdict int
 
@@ -64,8 +73,8 @@
 	pool string
 	// answered means that the worker has answered in this term.
 	answered bool
-	// firstSeen is when the worker became known, lifeSince when its present life did, and askedAt when the last renewal
-	// was sent that it has answered.
+	// firstSeen is when the worker became known, lifeSince is after the start of its present life, and askedAt is when the
+	// last renewal was sent that it has answered.
 	firstSeen, lifeSince, askedAt time.Duration
 }
 
@@ -146,14 +155,26 @@
 
 // knownWorker returns what is known of a worker apart from a list. Callers hold mu.
 func (d *Dispatcher) knownWorker(a *agent) knownWorker {
-	k := knownWorker{
+	return knownWorker{
 		id: a.id, instance: a.instance, pool: d.storedWorkers[a.id], answered: a.contacted,
-		firstSeen: a.firstSeen, lifeSince: a.firstSeen, askedAt: a.askedAt,
+		firstSeen: a.firstSeen, lifeSince: d.lifeSince(a), askedAt: a.askedAt,
 	}
-	if a.incarnation != 0 {
-		k.lifeSince = a.incarnationAt
+}
+
+// lifeSince returns a boot clock after the start of the worker's present life. An earlier leader has started tasks only
+// on a life whose entry it had read, so the entry tells the life of a worker that has not answered in this term. Without
+// an entry, the life is as old as an entry takes to expire. Callers hold mu.
+func (d *Dispatcher) lifeSince(a *agent) time.Duration {
+	now := bootclock.Now()
+	switch {
+	case a.incarnation != 0:
+		return a.incarnationAt
+	case a.entry != nil && a.entry.Incarnation != 0:
+		return min(a.firstSeen, now-time.Since(time.UnixMilli(a.entry.Incarnation))+maxClockJump)
+	case a.entry == nil && d.entriesRead && !d.entryLog.mayBeUnused(a.id):
+		return min(a.firstSeen, now-expiredEntryIntervals*d.Bounds.Heartbeat)
 	}
-	return k
+	return a.firstSeen
 }
 
 // applyMissing drops the runs of a worker that is over according to a list that was requested at the boot clock sent.
