--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -12,15 +12,10 @@
 
 // maxListLag bounds the age of the state that a list of instances shows. On the days played, lists were 0.3 to 0.8 s
 // behind.
-const maxListLag = 3 * time.Second
+const maxListLag = 2 * time.Second
 
-const (
-	// maxClockJump bounds how far the wall clocks of a worker and of this process may be apart when one of them has been
-	// set.
-	maxClockJump = 5 * time.Second
-	// expiredEntryIntervals is the number of heartbeat intervals after which the entry of a silent worker expires.
-	expiredEntryIntervals = 3
-)
+// expiredEntryIntervals is the number of heartbeat intervals after which the entry of a silent worker expires.
+const expiredEntryIntervals = 3
 
 // listVerdict is what a list of instances says of a worker.
 type listVerdict int
@@ -170,7 +165,7 @@
 	case a.incarnation != 0:
 		return a.incarnationAt
 	case a.entry != nil && a.entry.Incarnation != 0:
-		return min(a.firstSeen, now-time.Since(time.UnixMilli(a.entry.Incarnation))+maxClockJump)
+		return min(a.firstSeen, now-time.Since(time.UnixMilli(a.entry.Incarnation))+maxClockSkew)
 	case a.entry == nil && d.entriesRead && !d.entryLog.mayBeUnused(a.id):
 		return min(a.firstSeen, now-expiredEntryIntervals*d.Bounds.Heartbeat)
 	}
