Revert "Send no order to an instance whose new worker is not listed yet"

The rule holds an order back while any busy worker of the pool and rack is in no list yet, and a wave by racks has such workers all the time. That an instance's new worker is not listed yet when an order ends it is open again: docs/failures.md.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -159,7 +159,6 @@
 		pools = append(pools, p)
 	}
 	workers, labelled := map[string]string{}, w.lastWithLabel()
-	w.noteUnlisted()
 	for id, x := range w.listed {
 		p := byName[x.Pool]
 		if _, ordered := w.arrivals[id]; p != nil && !p.Standby && !ordered &&
@@ -227,7 +226,7 @@
 	}
 	p.Size++
 	p.Used += a.used.CPUMilli
-	if a.vacant() && w.notInWave(id) && w.orderable(x) && w.d.usable(a, now, boot) && !w.mayHaveUnlistedWorker(x) {
+	if a.vacant() && w.notInWave(id) && w.orderable(x) && w.d.usable(a, now, boot) {
 		workers[id] = x.Worker
 		p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind, IdleFor: now.Sub(a.idleSince)})
 	}
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -43,8 +42,6 @@
 	listedAt time.Duration
 	// relist means that the next list decides whether a worker is gone, so it is read without delay.
 	relist bool
-	// unlisted holds the workers with runs that no list has shown yet.
-	unlisted []*agent
 	// homeSizes is the number of instances that each pool had when it was first listed.
 	homeSizes map[string]int
 	arrivals  map[string]arrival // by instance
@@ -148,35 +145,6 @@
 	return time.Since(time.UnixMilli(a.incarnation)) > w.d.Bounds.InstanceLease+maxClockSkew
 }
 
-// noteUnlisted notes the workers with runs that no list has shown yet. Callers hold the dispatcher's mu.
-func (w *instanceDriver) noteUnlisted() {
-	w.unlisted = w.unlisted[:0]
-	for _, a := range w.d.agents {
-		if a.instance == "" && a.entry != nil && !a.vacant() {
-			w.unlisted = append(w.unlisted, a)
-		}
-	}
-}
-
-// mayHaveUnlistedWorker reports whether a listed instance may have another worker than the list shows, with runs that
-// an order for the instance would end. The list is behind, so that worker is looked for among those that no list has shown
-// yet. An instance has one worker at a time: the listed one is there if it has answered a renewal that was sent after
-// the other had appeared. Callers hold the dispatcher's mu.
-func (w *instanceDriver) mayHaveUnlistedWorker(x fleet.Instance) bool {
-	a, rack := w.d.agents[x.Worker], rackOf(x)
-	return a != nil && slices.ContainsFunc(w.unlisted, func(u *agent) bool {
-		return u != a && u.entry.Pool == x.Pool && u.entry.Rack == rack && a.askedAt <= u.firstSeen
-	})
-}
-
-// rackOf returns the rack of an instance; "" if it has no labels.
-func rackOf(x fleet.Instance) string {
-	if n := len(x.Labels); n > 0 {
-		return x.Labels[n-1]
-	}
-	return ""
-}
-
 // refresh reads the list of instances and reports whether that succeeded. Callers hold mu.
 func (w *instanceDriver) refresh(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -67,13 +67,7 @@
 // isDrained stops the runs of a draining instance that may be stopped, and reports whether the order to maintain the
 // instance ends no tasks.
 func (w *instanceDriver) isDrained(id string, i *waveInstance) bool {
-	if !w.keepsWorker(id, i) || !w.drainInstance(i) {
-		return false
-	}
-	w.d.mu.Lock()
-	defer w.d.mu.Unlock()
-	w.noteUnlisted()
-	return !w.mayHaveUnlistedWorker(w.listed[id])
+	return w.keepsWorker(id, i) && w.drainInstance(i)
 }
 
 // keepsWorker reports whether the list shows the draining instance with the worker that is being drained. The order
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -240,7 +240,9 @@
 			pools[listed.Pool] = p
 		}
 		i := disruption.Instance{ID: id, Live: listed.Phase == fleet.InstanceUp, Moving: listed.Phase == fleet.InstanceMoving}
-		i.Rack = rackOf(listed)
+		if n := len(listed.Labels); n > 0 {
+			i.Rack = listed.Labels[n-1]
+		}
 		if m := x.instances[id]; m != nil {
 			i.Down = m.phase == scheduling.MaintenanceDraining || m.phase == scheduling.MaintenanceOrdered
 		}
