--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -116,8 +116,7 @@
 	// unchecked means that an earlier leader may have started runs at the worker that are not stored, and that the
 	// worker has not answered in this term.
 	unchecked bool
-	// cordoned means that the instance is to be maintained or moved, so that nothing is started there. It outlasts a
-	// restart of the worker, which does not show whether the order has been carried out: the list of instances does.
+	// cordoned means that the instance is to be maintained or moved, so that nothing is started there.
 	cordoned bool
 	// leaving means that the instance will be maintained soon, so that long-running work should be placed elsewhere.
 	leaving bool
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -40,7 +40,7 @@
 // waveInstance is the progress of one instance.
 type waveInstance struct {
 	phase scheduling.MaintenancePhase
-	// worker is the instance's worker that is drained or was drained last; "" if the instance was switched off.
+	// worker is the instance's worker at the time when it was drained; "" if it was switched off.
 	worker string
 	// refusedOff means that the order was refused while the instance was switched off. The order then waits until the
 	// instance has a worker.
@@ -157,7 +157,6 @@
 		if i.phase == scheduling.MaintenanceOrdered && w.isBack(i, listed) {
 			i.phase = scheduling.MaintenanceDone
 			changed = true
-			w.uncordonMaintained(id)
 		}
 	}
 	return changed
