--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -68,7 +68,7 @@
 	instance string
 	// missingAt is the boot clock of the last evidence that the worker's known incarnation is over; 0 if there is none.
 	missingAt time.Duration
-	// interrupt ends the wait for the answer to the present renewal; nil if none is open.
+	// interrupt ends the wait for the answer to the last renewal; nil before the first one.
 	interrupt context.CancelFunc
 	// askedAt is the boot clock at which the last renewal was sent that the worker has answered.
 	askedAt time.Duration
--- a/internal/dispatch/instances_test.go
+++ b/internal/dispatch/instances_test.go
@@ -229,13 +229,13 @@
 	phase := func(p fleet.InstancePhase, id string) fleet.Instance {
 		return fleet.Instance{ID: "m0", Pool: "pool", Phase: p, Worker: id}
 	}
-	alive := knownWorker{id: "w0", instance: "m0", answered: true, lifeSince: at - lag - 1}
+	alive := knownWorker{id: "w0", instance: "m0", answered: true, incarnationSince: at - lag - 1}
 	with := func(change func(*knownWorker)) knownWorker {
 		k := alive
 		change(&k)
 		return k
 	}
-	young := with(func(k *knownWorker) { k.lifeSince = at - lag })
+	young := with(func(k *knownWorker) { k.incarnationSince = at - lag })
 	for name, x := range map[string]struct {
 		listed fleet.Instance
 		known  knownWorker
@@ -260,8 +260,8 @@
 		},
 		"never listed, first list":    {down, knownWorker{id: "w0", firstSeen: at - 1}, listUncertain},
 		"never listed, no answer":     {down, knownWorker{id: "w0", pool: "other"}, listShowsEnd},
-		"never listed, pool crashed":  {down, knownWorker{id: "w0", pool: "pool", lifeSince: at - lag}, listShowsNothing},
-		"never listed, crashed early": {down, knownWorker{id: "w0", pool: "pool", lifeSince: at - lag - 1}, listShowsCrash},
+		"never listed, pool crashed":  {down, knownWorker{id: "w0", pool: "pool", incarnationSince: at - lag}, listShowsNothing},
+		"never listed, crashed early": {down, knownWorker{id: "w0", pool: "pool", incarnationSince: at - lag - 1}, listShowsCrash},
 	} {
 		t.Run(name, func(t *testing.T) {
 			before := map[string]fleet.Instance{"m0": phase(fleet.InstanceUp, "w0")}
--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -8,7 +8,7 @@
 )
 
 // A list of instances shows a state of the past. A worker that crashes may come back under its ID, so a list on which
-// its instance is down may speak of an earlier life of the worker than the one that has the runs.
+// its instance is down may speak of an earlier incarnation of the worker than the one that has the runs.
 
 // maxListLag bounds the age of the state that a list of instances shows. On the days played, lists were 0.3 to 0.8 s
 // behind.
@@ -21,9 +21,9 @@
 type listVerdict int
 
 const (
-	listShowsNothing listVerdict = iota // the worker is listed, or the list may be older than its present life
+	listShowsNothing listVerdict = iota // the worker is listed, or the list may be older than its present incarnation
 	listUncertain                       // the next list decides
-	listShowsCrash                      // the worker's present life is over; it may come back under its ID
+	listShowsCrash                      // the worker's present incarnation is over; it may come back under its ID
 	listShowsEnd                        // the worker is over and its ID never comes back
 )
 
@@ -68,9 +68,9 @@
 	pool string
 	// answered means that the worker has answered in this term.
 	answered bool
-	// firstSeen is when the worker became known, lifeSince is after the start of its present life, and askedAt is when the
-	// last renewal was sent that it has answered.
-	firstSeen, lifeSince, askedAt time.Duration
+	// firstSeen is when the worker became known, incarnationSince is after the start of its present incarnation, and
+	// askedAt is when the last renewal was sent that it has answered.
+	firstSeen, incarnationSince, askedAt time.Duration
 }
 
 // judge returns what the list says of a worker. The list comes in pages and may lack an instance that is there, so a
@@ -79,7 +79,7 @@
 	if l.workers[k.id] || k.firstSeen >= l.requested || k.askedAt >= l.requested {
 		return listShowsNothing
 	}
-	mayBeOlder := l.requested-k.lifeSince <= maxListLag // than the worker's present life
+	mayBeOlder := l.requested-k.incarnationSince <= maxListLag // than the worker's present incarnation
 	x, listed := l.instances[k.instance]
 	_, listedBefore := l.before[k.instance]
 	switch {
@@ -152,14 +152,14 @@
 func (d *Dispatcher) knownWorker(a *agent) knownWorker {
 	return knownWorker{
 		id: a.id, instance: a.instance, pool: d.storedWorkers[a.id], answered: a.contacted,
-		firstSeen: a.firstSeen, lifeSince: d.lifeSince(a), askedAt: a.askedAt,
+		firstSeen: a.firstSeen, incarnationSince: d.incarnationSince(a), askedAt: a.askedAt,
 	}
 }
 
-// lifeSince returns a boot clock after the start of the worker's present life. An earlier leader has started tasks only
-// on a life whose entry it had read, so the entry tells the life of a worker that has not answered in this term. Without
-// an entry, the life is as old as an entry takes to expire. Callers hold mu.
-func (d *Dispatcher) lifeSince(a *agent) time.Duration {
+// incarnationSince returns a boot clock after the start of the worker's present incarnation. An earlier leader has
+// started tasks only on an incarnation whose entry it had read, so the entry tells that of a worker that has not answered
+// in this term. Without an entry, it is as old as an entry takes to expire. Callers hold mu.
+func (d *Dispatcher) incarnationSince(a *agent) time.Duration {
 	now := bootclock.Now()
 	switch {
 	case a.incarnation != 0:
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -16,7 +16,7 @@
 	Address string
 	// Zone is the worker's availability zone.
 	Zone string
-	// Incarnation is the life of the worker that an order is meant for; 0 for any. A worker may start again under its ID
+	// Incarnation is the one of the worker that an order is meant for; 0 for any. A worker may start again under its ID
 	// at the same address, so an order is sent only on a connection on which this incarnation has answered. A renewal
 	// reaches any incarnation.
 	Incarnation int64
