--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -157,8 +157,8 @@
 }
 
 // incarnationSince returns a boot clock after the start of the worker's present incarnation. An earlier leader has
-// started tasks only on an incarnation whose entry it had read, so the entry tells that of a worker that has not answered
-// in this term. Without an entry, it is as old as an entry takes to expire. Callers hold mu.
+// started tasks only on an incarnation whose entry it had read, so the entry tells that of a worker that has not
+// answered in this term. Without an entry, it is as old as an entry takes to expire. Callers hold mu.
 func (d *Dispatcher) incarnationSince(a *agent) time.Duration {
 	now := bootclock.Now()
 	switch {
