Start no ended run again beside a later run of its task

Run 1 failed at 26.996 s, its worker crashed at 28.0 and came back under its ID, and run 2 was started at 27.468 s by a leader for which the store was away from 27.0 to 30.0, so that neither the end nor run 2 was stored. The next leader took run 2 over from its worker's report, and at 33.947 started run 1 again, which the store named and the restarted worker did not list. A stored run that its worker does not list is now dropped if a later run of the task is known. TestEndedRunIsNotStartedAgainBesideALaterOne has both orders of the reports; both failed before.

--- a/internal/dispatch/check.go
+++ b/internal/dispatch/check.go
@@ -110,7 +110,7 @@
 		}
 		delete(d.withheld, r)
 		if r.Phase == workload.RunAssigned && d.attached(r) {
-			d.sendStart(r)
+			d.startAgain(d.agent(r.Worker), r)
 		}
 	}
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -188,7 +188,7 @@
 		case run.Inherited && d.mustWithhold(run, d.uncheckedPools()):
 			d.withheld[run] = true
 		default:
-			d.sendStart(run)
+			d.startAgain(a, run)
 		}
 	case workload.RunActive:
 		if asked.After(run.ActiveSince) {
@@ -207,6 +207,17 @@
 	}
 }
 
+// startAgain sends the start of a run that its worker does not list, unless a later run of the task is known. An earlier
+// leader started that one only after the end of this run, which a worker that has started again no longer lists. Callers
+// hold mu.
+func (d *Dispatcher) startAgain(a *agent, run *workload.Run) {
+	if run.Inherited && run.Number < run.Task.LastRun {
+		d.dropLostRun(a, run)
+		return
+	}
+	d.sendStart(run)
+}
+
 // dropFormerRun drops a run that was only ever sent to a former incarnation of its worker. The present one cannot carry
 // its start out any more, because an order is sent only on a connection on which its incarnation has answered. Callers
 // hold mu.
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -433,3 +433,41 @@
 	is.Equal(a.incarnation, int64(2))
 	is.Equal(a.clock, int64(1))
 }
+
+// TestEndedRunIsNotStartedAgainBesideALaterOne guards against a stored run that a new leader starts again although a
+// later run of its task is in progress. The first one had failed, its worker then started again and no longer lists the
+// end, and the leader that had read the end started the later run before it could store either.
+func TestEndedRunIsNotStartedAgainBesideALaterOne(t *testing.T) {
+	for name, laterFirst := range map[string]bool{"later run known first": true, "withheld until it is known": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newFixture(2)
+			d.Workers = &unresponsiveWorkers{}
+			defer d.stop()
+			task := d.addJob(unreadJob, oneTask).Task(0, 0, 0)
+			run := task.Assign("w0", 1, d.now())
+			run.Stored, run.Released, run.Inherited = true, true, true
+			d.attach(run)
+			restarted, other := d.agent("w0"), d.agent("w1")
+			d.storedWorkers = map[string]string{"w0": "pool", "w1": "pool"}
+			for _, a := range []*agent{restarted, other} {
+				a.contacted, a.unchecked = false, true
+			}
+			later := worker.Report{ClockMillis: 1, Incarnation: 1, Running: []worker.Running{{Task: task.Name(), Run: 2}}}
+			if laterFirst {
+				d.applyReport(other, later, bootclock.Now())
+			}
+			d.applyReport(restarted, worker.Report{ClockMillis: 1, Incarnation: 2}, bootclock.Now())
+			if !laterFirst {
+				d.applyReport(other, later, bootclock.Now())
+			}
+			d.recordStoreContact(bootclock.Now())
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.sendWithheld(d.uncheckedPools())
+			is.Equal(len(d.ordersInFlight), 0)
+			is.Equal(len(task.Runs), 1)
+			is.Equal(task.Runs[0].Number, 2)
+		})
+	}
+}
