Keep the cordon of a worker that a wave drains, and lift it when the maintenance is over

Cause, of two things that hold a long-running task back for seconds after changes of the leader:

- A new leader drains an instance again whose order its predecessor had stored, and cordons the instance's present worker.
If that worker had no entry yet, because the store had been away, it was forgotten together with its cordon and known again without one.
Its runs were started and stopped in turn, every 0.3 s, and the instance was never drained.
- The repeated order was answered that the maintenance had been done before.
Nothing lifted the cordon then, so the worker got no task for the rest of the term.
Four workers of a pool of 31 were left cordoned, and a step with one task a worker had one worker too few.

Ruled out: a wait for an unchecked worker (no pool was unchecked any more), the team's limit, and lack of room (39% of the usable processor was in use).

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -116,7 +116,8 @@
 	// unchecked means that an earlier leader may have started runs at the worker that are not stored, and that the
 	// worker has not answered in this term.
 	unchecked bool
-	// cordoned means that the instance is to be maintained or moved, so that nothing is started there.
+	// cordoned means that the instance is to be maintained or moved, so that nothing is started there. It outlasts a
+	// restart of the worker, which does not show whether the order has been carried out: the list of instances does.
 	cordoned bool
 	// leaving means that the instance will be maintained soon, so that long-running work should be placed elsewhere.
 	leaving bool
@@ -129,6 +130,7 @@
 		a = &agent{
 			id: id, firstSeen: bootclock.Now(), pace: fullPace, runs: map[runKey]*workload.Run{}, notify: make(chan struct{}, 1),
 			orders: make(chan struct{}, maxConcurrentStarts), strayStops: map[runKey]time.Duration{},
+			cordoned:      d.waveCordons[id],
 			unclaimedEnds: map[int64]unclaimedEnd{}, unclaimedRuns: map[runKey]unclaimedRun{},
 		}
 		d.agents[id] = a
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -99,7 +99,7 @@
 func (w *instanceDriver) move(ctx context.Context, m scheduling.Move, worker string) {
 	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
 	defer cancel()
-	err := errUnconfirmed
+	err, incarnation := errUnconfirmed, w.d.incarnationOf(worker)
 	if w.termConfirmed() {
 		err = w.d.Instances.Move(ctx, m.Instance, m.To, w.d.Token)
 	}
@@ -124,7 +124,19 @@
 		a.cordoned = false
 		return
 	}
-	w.d.dropRuns(a, "its instance was moved")
+	if a.incarnation == incarnation { // the order has not ended the runs of a later incarnation
+		w.d.dropRuns(a, "its instance was moved")
+	}
+}
+
+// incarnationOf returns the last incarnation that a worker reported; 0 if it reported none.
+func (d *Dispatcher) incarnationOf(worker string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a := d.agents[worker]; a != nil {
+		return a.incarnation
+	}
+	return 0
 }
 
 // balancePools returns the state of the pools, and the worker of each instance that may be moved.
@@ -203,7 +215,13 @@
 		p.Size++ // its worker has just started, or this term has
 		return
 	}
-	if a.entry.Draining || a.entry.Pool != p.Name || a.silentSince != 0 || a.cordoned {
+	if a.entry.Draining || a.entry.Pool != p.Name || a.silentSince != 0 {
+		return
+	}
+	if _, moving := w.arrivals[id]; a.cordoned && !moving {
+		w.uncordonListed(id, "its instance is not ordered away")
+	}
+	if a.cordoned {
 		return
 	}
 	p.Size++
@@ -255,8 +273,7 @@
 // notInWave reports whether no wave drains or maintains the instance.
 func (w *instanceDriver) notInWave(id string) bool {
 	for _, x := range w.waves {
-		if i := x.instances[id]; i != nil &&
-			(i.phase == scheduling.MaintenanceDraining || i.phase == scheduling.MaintenanceOrdered) {
+		if i := x.instances[id]; i != nil && i.taken() {
 			return false
 		}
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -168,6 +168,9 @@
 	driver         *instanceDriver
 	// waveRecords holds the progress of waves as an earlier leader stored it.
 	waveRecords map[int64]*waveRecord
+	// waveCordons holds the workers of the instances that waves drain or maintain. A worker without an entry is forgotten
+	// and known again when its entry appears, and is cordoned then as well.
+	waveCordons map[string]bool
 	// homeSizes is the stored home size of each pool, its original number of instances; nil if none is stored.
 	homeSizes map[string]int
 }
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -18,7 +18,7 @@
 	for id, i := range x.instances {
 		switch i.phase {
 		case scheduling.MaintenanceDraining:
-			if w.drainInstance(i) && w.mayOrder(id) {
+			if w.isDrained(id, i) && w.mayOrder(id) {
 				ready = append(ready, id)
 			}
 		case scheduling.MaintenanceOrdered:
@@ -64,6 +64,34 @@
 	w.d.agent(i.worker).cordoned = true
 }
 
+// isDrained stops the runs of a draining instance that may be stopped, and reports whether the order to maintain the
+// instance ends no tasks.
+func (w *instanceDriver) isDrained(id string, i *waveInstance) bool {
+	return w.keepsWorker(id, i) && w.drainInstance(i)
+}
+
+// keepsWorker reports whether the list shows the draining instance with the worker that is being drained. The order
+// names the instance and ends whichever worker it has, so another worker has to be drained, too: it is cordoned, and
+// the next step judges its runs. An instance without a worker may get one, unless it is switched off.
+func (w *instanceDriver) keepsWorker(id string, i *waveInstance) bool {
+	listed := w.listed[id]
+	if listed.Worker == i.worker {
+		return true
+	}
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	if listed.Worker == "" && !w.switchedOff(listed) {
+		return false
+	}
+	w.d.Log.Info().Str("event", "drained_worker_replaced").Str("instance", id).Str("worker", listed.Worker).
+		Str("worker_before", i.worker).Msg("instance of a wave has another worker, which is drained instead")
+	i.worker = listed.Worker
+	if i.worker != "" {
+		w.d.agent(i.worker).cordoned = true
+	}
+	return false
+}
+
 // drainInstance stops the runs of a draining instance that may be stopped, and reports whether nothing runs there and
 // no end is lost with its worker.
 func (w *instanceDriver) drainInstance(i *waveInstance) bool {
@@ -105,6 +133,7 @@
 		w.setPhases(x, ids, scheduling.MaintenanceDraining)
 		return
 	}
+	ids = w.stillDrained(x, ids)
 	outcomes := make([]error, len(ids))
 	var sending sync.WaitGroup
 	for n, id := range ids {
@@ -117,6 +146,20 @@
 	}
 }
 
+// stillDrained returns the instances that may still be ordered after the append that stored them as ordered, and puts
+// the others back into the draining phase. An instance may have got another worker during the append.
+func (w *instanceDriver) stillDrained(x *wave, ids []string) []string {
+	var drained []string
+	for _, id := range ids {
+		if w.isDrained(id, x.instances[id]) {
+			drained = append(drained, id)
+		} else {
+			w.setPhases(x, []string{id}, scheduling.MaintenanceDraining)
+		}
+	}
+	return drained
+}
+
 // setPhases sets the phase of some instances of a wave.
 func (w *instanceDriver) setPhases(x *wave, ids []string, phase scheduling.MaintenancePhase) {
 	for _, id := range ids {
@@ -165,3 +208,27 @@
 	}
 	w.d.Log.Info().Str("event", "instance_gone").Str("instance", id).Msg("instance of the wave was removed")
 }
+
+// uncordonMaintained lets tasks start again at the listed worker of an instance that is back from its maintenance. The
+// worker is cordoned if the maintenance had been done before the order, or if it is back under its ID.
+func (w *instanceDriver) uncordonMaintained(id string) {
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	if _, moving := w.arrivals[id]; !moving {
+		w.uncordonListed(id, "its maintenance is done")
+	}
+}
+
+// uncordonListed lets tasks start again at the listed worker of an instance, unless a wave drains or maintains the
+// instance. Callers hold the dispatcher's mu.
+func (w *instanceDriver) uncordonListed(id, why string) {
+	a := w.d.agents[w.listed[id].Worker]
+	if a == nil || !a.cordoned || !w.notInWave(id) {
+		return
+	}
+	a.cordoned = false
+	w.d.Log.Info().Str("event", "worker_uncordoned").Str("instance", id).Str("worker", a.id).Str("why", why).
+		Msg("worker of an instance gets tasks again")
+	w.d.markDirty(a)
+	w.d.signal()
+}
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -40,7 +40,7 @@
 // waveInstance is the progress of one instance.
 type waveInstance struct {
 	phase scheduling.MaintenancePhase
-	// worker is the instance's worker at the time when it was drained; "" if it was switched off.
+	// worker is the instance's worker that is drained or was drained last; "" if the instance was switched off.
 	worker string
 	// refusedOff means that the order was refused while the instance was switched off. The order then waits until the
 	// instance has a worker.
@@ -51,6 +51,11 @@
 	missing   int           // consecutive lists without the instance
 }
 
+// taken reports whether the wave drains or maintains the instance.
+func (i *waveInstance) taken() bool {
+	return i.phase == scheduling.MaintenanceDraining || i.phase == scheduling.MaintenanceOrdered
+}
+
 // waveRecord is the stored progress of a wave.
 type waveRecord struct {
 	// SeenMillis is the Unix time at which the wave was first seen, in milliseconds.
@@ -111,6 +116,27 @@
 	for _, n := range numbers {
 		w.advance(ctx, w.waves[n])
 	}
+	w.cordonWaves()
+}
+
+// cordonWaves cordons the workers of the instances that waves drain or maintain. Callers hold mu.
+func (w *instanceDriver) cordonWaves() {
+	cordons := map[string]bool{}
+	for _, x := range w.waves {
+		for _, i := range x.instances {
+			if i.worker != "" && i.taken() {
+				cordons[i.worker] = true
+			}
+		}
+	}
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	w.d.waveCordons = cordons
+	for id := range cordons {
+		if a := w.d.agents[id]; a != nil {
+			a.cordoned = true
+		}
+	}
 }
 
 // advance advances one wave by one step. Callers hold mu.
@@ -157,6 +183,7 @@
 		if i.phase == scheduling.MaintenanceOrdered && w.isBack(i, listed) {
 			i.phase = scheduling.MaintenanceDone
 			changed = true
+			w.uncordonMaintained(id)
 		}
 	}
 	return changed
@@ -243,7 +270,7 @@
 			i.Rack = listed.Labels[n-1]
 		}
 		if m := x.instances[id]; m != nil {
-			i.Down = m.phase == scheduling.MaintenanceDraining || m.phase == scheduling.MaintenanceOrdered
+			i.Down = m.taken()
 		}
 		p.Instances = append(p.Instances, i)
 	}
