Evacuation of an availability zone: nothing starts there until it is taken back

Cause: the operator's record that requests the evacuation of a zone was not read, so starts went on there.

Ruled out: a flag on each worker's agent that is set when the record arrives, because starts that were decided before pass it by; a refusal of all starts while the operator's records are old, because accepted jobs go on during an outage of the store.

Change: the follower keeps the requested evacuations with the offsets of their records, so that a stale read or a trimmed history neither loses nor restores one. Every start checks the zone of its worker when it is prepared, also repeated, withheld, inherited and unstored ones. Assignments that were not sent are withdrawn. Workers there get no new tasks, their instances are no room when pools are balanced and may only be switched off, and waves prefer them. A term begins with operator records that are as new as its beginning, for a limited time. What runs there goes on. Tasks that only workers there may run wait, are counted and logged.

Conclusion: the decision is made where a call is prepared, so that no path of a start needs its own check.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -149,7 +149,8 @@
 	workers, labelled := map[string]string{}, w.lastWithLabel()
 	for id, x := range w.listed {
 		p := byName[x.Pool]
-		if _, ordered := w.arrivals[id]; p != nil && !p.Standby && !ordered &&
+		evacuated := d.Follower.Evacuating(x.Zone)
+		if _, ordered := w.arrivals[id]; p != nil && !p.Standby && !ordered && !evacuated &&
 			(x.Phase == fleet.InstanceMaintenance || x.Phase == fleet.InstanceMoving) {
 			p.Size++ // it is available as soon as one that is moved now
 		}
@@ -160,13 +161,19 @@
 		if a, ok := w.arrivals[id]; ok && boot < a.until && x.Pool != a.to {
 			continue // it is being moved, and the list does not show it yet
 		}
+		if evacuated {
+			if !labelled[id] {
+				w.countEvacuated(p, id, x, workers, now)
+			}
+			continue
+		}
 		w.countInstance(p, id, x, workers, now, boot)
 		if n := len(p.Idle) - 1; labelled[id] && n >= 0 && p.Idle[n].ID == id {
 			p.Idle = p.Idle[:n]
 		}
 	}
 	for id, a := range w.arrivals {
-		if p := byName[a.to]; p != nil && w.inTransit(id, a, boot) {
+		if p := byName[a.to]; p != nil && w.inTransit(id, a, boot) && !d.Follower.Evacuating(w.listed[id].Zone) {
 			p.Size++
 		}
 	}
@@ -214,16 +221,39 @@
 	}
 }
 
+// countEvacuated adds a listed instance of an evacuated zone to its pool if it is idle and may be switched off. Callers
+// hold the dispatcher's mu.
+func (w *instanceDriver) countEvacuated(
+	p *scheduling.BalancePool, id string, x fleet.Instance, workers map[string]string, now time.Time,
+) {
+	a := w.d.agents[x.Worker]
+	if p.Standby || a == nil || a.entry == nil || !a.contacted || a.silentSince != 0 {
+		return
+	}
+	if a.entry.Draining || a.entry.Pool != p.Name || a.cordoned {
+		return
+	}
+	if a.vacant() && w.notInWave(id) && w.orderable(x) {
+		workers[id] = x.Worker
+		p.Evacuated = append(p.Evacuated, scheduling.BalanceInstance{ID: id, IdleFor: now.Sub(a.idleSince)})
+	}
+}
+
 // lastWithLabel returns the idle instances that stay in their pools because no other one with a label that open jobs
-// need there would be left. Callers hold the dispatcher's mu.
+// need there would be left. One stays for now, and one in evacuated zones for the time after the evacuation. Callers
+// hold the dispatcher's mu.
 func (w *instanceDriver) lastWithLabel() map[string]bool {
-	type poolLabel struct{ pool, label string }
+	type poolLabel struct {
+		pool, label string
+		evacuated   bool
+	}
 	carriers := map[poolLabel][]string{}
 	for pool, jobs := range w.d.active {
 		for _, j := range jobs {
 			for i := range j.Spec.Steps {
 				if label := j.Spec.Steps[i].RequiredLabel; label != "" {
-					carriers[poolLabel{pool, label}] = nil
+					carriers[poolLabel{pool, label, false}] = nil
+					carriers[poolLabel{pool, label, true}] = nil
 				}
 			}
 		}
@@ -237,8 +267,9 @@
 			continue
 		}
 		for _, label := range a.entry.Labels {
-			if ids, needed := carriers[poolLabel{x.Pool, label}]; needed {
-				carriers[poolLabel{x.Pool, label}] = append(ids, id)
+			key := poolLabel{x.Pool, label, w.d.Follower.Evacuating(x.Zone)}
+			if ids, needed := carriers[key]; needed {
+				carriers[key] = append(ids, id)
 			}
 		}
 	}
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -13,8 +13,11 @@
 type counters struct {
 	accepted, starts, startsRefused, runsLost, strays, badEntries, appendRetries, moves, unstoredStarts expvar.Int
 	unknownEnds, workersGivenUp, unconfirmedEntries, spareEnds, recordsRefused, startsLost, lateStarts  expvar.Int
-	ends                                                                                                expvar.Map
-	jobs                                                                                                expvar.Map
+	// evacuatedStarts counts the runs that were not started because the zone of their worker was evacuated, and
+	// evacuationWaits holds the number of tasks that only workers of evacuated zones may run.
+	evacuatedStarts, evacuationWaits expvar.Int
+	ends                             expvar.Map
+	jobs                             expvar.Map
 	// doneMillis is the time from acceptance to the end of jobs that were done, and startMillis the time from
 	// acceptance to the first start of a job.
 	doneMillis, startMillis *metrics.Histogram
@@ -43,6 +46,8 @@
 	m.Set("unknown_ends_total", &c.unknownEnds)
 	m.Set("workers_given_up_total", &c.workersGivenUp)
 	m.Set("instance_moves_total", &c.moves)
+	m.Set("starts_withheld_by_evacuation_total", &c.evacuatedStarts)
+	m.Set("tasks_awaiting_evacuations", &c.evacuationWaits)
 	m.Set("runs_ended_total", c.ends.Init())
 	m.Set("jobs_ended_total", c.jobs.Init())
 	c.doneMillis, c.startMillis = metrics.NewHistogram(), metrics.NewHistogram()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -126,6 +126,7 @@
 	agents         map[string]*agent
 	queues         map[string]*fleet.Queue // including queues removed from the configuration
 	routing        *fleet.Config           // the configuration by which open jobs were last assigned to pools
+	evacuated      []string                // evacuated availability zones, as last applied to the assignments
 	running        map[string]fleet.Resources
 	ordersInFlight map[*workload.Run]bool        // runs with a start or stop in flight
 	advice         map[string]*advice            // by step
@@ -244,10 +245,12 @@
 	for _, t := range tails {
 		tasks.Go(func() { t.follow(ctx) })
 	}
+	d.awaitOperatorRecords(ctx)
 	// Workers are followed only after the jobs are loaded: otherwise their runs would be stopped as unassigned.
 	tasks.Go(func() { d.followWorkers(ctx) })
 	tasks.Go(func() { d.driver.run(ctx) })
 	defer d.stopRenewals()
+	defer d.counters.evacuationWaits.Set(0)
 	d.decide(ctx, commit)
 }
 
@@ -333,6 +336,7 @@
 	d.expireLeases()
 	d.dropUnclaimed()
 	d.followQueues()
+	d.followEvacuations()
 	now := d.now()
 	for _, pool := range d.active {
 		for _, j := range pool {
--- a/internal/dispatch/entries.go
+++ b/internal/dispatch/entries.go
@@ -60,7 +60,7 @@
 }
 
 // removeMissingEntries removes the entries of workers that were deleted while the history was not read.
-func (d *Dispatcher) removeMissingEntries(keys map[string]bool) {
+func (d *Dispatcher) removeMissingEntries(keys map[string]bool, _ int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.entriesRead = true
@@ -160,7 +160,7 @@
 		d.signal()
 	}
 	if e.Draining && (old == nil || !old.Draining) {
-		d.evacuate(a)
+		d.stopMovableRuns(a)
 	}
 	if !a.renewing && d.ctx != nil {
 		var ctx context.Context
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -113,6 +113,10 @@
 	if r.Incarnation != 0 && r.Incarnation != a.incarnation {
 		return worker.Address{}, worker.Start{}, false // a start is meant for one incarnation; the next report settles it
 	}
+	if d.evacuating(a) {
+		d.withdrawEvacuated(a, r, r.Inherited || tried)
+		return worker.Address{}, worker.Start{}, false
+	}
 	deadline := int64(0)
 	if d.mayStartOn(a) {
 		deadline = d.lease(a)
@@ -311,9 +315,9 @@
 	}()
 }
 
-// evacuate stops the runs of a worker that is about to leave if they would be lost there and can continue elsewhere:
+// stopMovableRuns stops the runs of a worker that is about to leave if they would be lost there and can continue elsewhere:
 // those of long-running tasks and of tasks with checkpoints. Callers hold mu.
-func (d *Dispatcher) evacuate(a *agent) {
+func (d *Dispatcher) stopMovableRuns(a *agent) {
 	for _, r := range a.runs {
 		spec := r.Task.Step.Spec
 		if r.Phase == workload.RunActive && (spec.LongRunning || spec.Checkpoints) && !spec.Gang {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -74,7 +74,7 @@
 	if a.entry.Draining || a.cordoned || !a.contacted || a.silentSince != 0 || !a.health.usable(now) {
 		return false
 	}
-	if !a.kindKnown() {
+	if !a.kindKnown() || d.evacuating(a) {
 		return false
 	}
 	// After this period the renewal of the worker is overdue.
--- a/internal/dispatch/poollog.go
+++ b/internal/dispatch/poollog.go
@@ -17,6 +17,7 @@
 		return
 	}
 	d.poolsLogged = boot
+	d.logEvacuationWaits()
 	for pool, jobs := range d.active {
 		waiting := 0
 		for _, j := range d.waiting[pool] {
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -192,6 +192,7 @@
 		listed := w.listed[id]
 		v := scheduling.WaveInstance{ID: id, Pool: listed.Pool, Phase: i.phase, Load: w.load(listed.Pool)}
 		_, moving := w.arrivals[id]
+		v.Evacuated = d.Follower.Evacuating(listed.Zone)
 		v.Off = !moving && !i.refusedOff && w.switchedOff(listed) && w.orderable(listed)
 		if a := d.agents[listed.Worker]; a != nil {
 			a.leaving = i.phase == scheduling.MaintenancePending || i.phase == scheduling.MaintenanceDraining
@@ -239,6 +240,7 @@
 			pools[listed.Pool] = p
 		}
 		i := disruption.Instance{ID: id, Live: listed.Phase == fleet.InstanceUp, Moving: listed.Phase == fleet.InstanceMoving}
+		i.Live = i.Live && !w.d.Follower.Evacuating(listed.Zone)
 		if n := len(listed.Labels); n > 0 {
 			i.Rack = listed.Labels[n-1]
 		}
@@ -254,7 +256,7 @@
 func (w *instanceDriver) load(pool string) float64 {
 	var used, capacity int64
 	for _, a := range w.d.agents {
-		if a.entry != nil && a.entry.Pool == pool {
+		if a.entry != nil && a.entry.Pool == pool && !w.d.evacuating(a) {
 			used += a.used.CPUMilli
 			capacity += a.entry.Capacity.CPUMilli
 		}
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -52,6 +52,8 @@
 	AwayNotice time.Duration
 	// MaxLatencyExcess is the maximum time for which a serving task may exceed its latency target.
 	MaxLatencyExcess time.Duration
+	// Evacuation is the time after the request for an evacuation from which nothing may be started in the zone.
+	Evacuation time.Duration
 	// Move and Maintenance are the durations of a move and of the maintenance of an instance.
 	Move, Maintenance time.Duration
 	// SpreadFactor is the factor by which a task slows down away from its data or rack.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,10 +1,11 @@
-// Package follow tracks the newest configuration and the maintenance waves that operators have requested, and how up
-// to date they are.
+// Package follow tracks the newest configuration, the maintenance waves and the evacuations of availability zones that
+// operators have requested, and how up to date they are.
 package follow
 
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,6 +26,9 @@
 	Config    func(value []byte) (*fleet.Config, error)
 	IsWave    func(key string) bool
 	Wave      func(value []byte) (*fleet.WaveRequest, error)
+	// Evacuation returns the availability zone of a key that requests an evacuation, and reports whether the key is one.
+	// A record without a value takes the request back. Nil stands for no such keys.
+	Evacuation func(key string) (zone string, ok bool)
 }
 
 // Wave is a wave request with the time at which it was first read.
@@ -43,18 +47,27 @@
 	config  *fleet.Config
 	waves   map[string]Wave
 	freshAt time.Duration // boot clock at which config was current; 0 before the first contact
-	changed chan struct{} // closed and replaced when config or waves change
+	changed chan struct{} // closed and replaced when config, waves or evacuations change
+	// evacuations holds the requests with the offsets of their records.
+	evacuations evacuations
+	// evacuated holds the zones with a request. The map is replaced and never modified, so that readers need no lock.
+	evacuated atomic.Pointer[map[string]bool]
 }
 
 // New returns a Follower; Run starts it.
 func New(s store.Store, d Decoder, log zerolog.Logger) *Follower {
-	return &Follower{store: s, decoder: d, log: log, waves: map[string]Wave{}, changed: make(chan struct{})}
+	f := &Follower{
+		store: s, decoder: d, log: log, waves: map[string]Wave{}, changed: make(chan struct{}), evacuations: evacuations{},
+	}
+	f.evacuated.Store(&map[string]bool{})
+	return f
 }
 
 // Run reads the records until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	tail := &store.Tail{
-		Store: f.store, Topic: f.decoder.Topic, Wait: readWait, Apply: f.apply, Contact: f.contact, Log: f.log,
+		Store: f.store, Topic: f.decoder.Topic, Wait: readWait, Apply: f.apply, Contact: f.contact,
+		Synced: f.syncEvacuations, Log: f.log,
 	}
 	tail.Run(ctx)
 }
@@ -66,7 +79,7 @@
 	return f.config
 }
 
-// Changed returns a channel that is closed when the configuration or the waves change.
+// Changed returns a channel that is closed when the configuration, the waves or the evacuations change.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -99,7 +112,10 @@
 }
 
 func (f *Follower) apply(r store.Record) {
+	zone, evacuation := f.evacuatedZone(r.Key)
 	switch {
+	case evacuation:
+		f.applyEvacuation(zone, r)
 	case len(r.Value) == 0:
 	case r.Key == f.decoder.ConfigKey:
 		f.applyConfig(r)
--- a/internal/scheduling/balance.go
+++ b/internal/scheduling/balance.go
@@ -34,6 +34,9 @@
 	Waiting, Inflow int64
 	// Idle lists the instances that may be moved.
 	Idle []BalanceInstance
+	// Evacuated lists the idle instances of evacuated availability zones. As nothing may start there, neither Size nor
+	// Idle includes them. They may only be switched off.
+	Evacuated []BalanceInstance
 }
 
 // Move is a decision to move an instance to another pool.
@@ -69,6 +72,7 @@
 	b := balance{pools: pools, policy: policy}
 	b.fillShortages()
 	b.releaseIdle()
+	b.releaseEvacuated()
 	return b.moves
 }
 
@@ -218,6 +222,24 @@
 	}
 }
 
+// releaseEvacuated switches off the idle instances of evacuated zones.
+func (b *balance) releaseEvacuated() {
+	at := slices.IndexFunc(b.pools, func(p *BalancePool) bool { return p.Standby })
+	if at < 0 {
+		return
+	}
+	for _, p := range b.pools {
+		if p.Standby {
+			continue
+		}
+		for _, x := range p.Evacuated {
+			if x.IdleFor >= b.policy.MinIdleTime && len(b.moves) < b.policy.MaxMoves {
+				b.moves = append(b.moves, Move{Instance: x.ID, From: p.Name, To: b.pools[at].Name})
+			}
+		}
+	}
+}
+
 // releaseTarget returns the pool to which a surplus instance is moved, or nil if it stays.
 func (b *balance) releaseTarget(from *BalancePool) *BalancePool {
 	var home *BalancePool
--- a/internal/scheduling/wave.go
+++ b/internal/scheduling/wave.go
@@ -32,6 +32,8 @@
 	// Up means that the instance has a worker that can be drained. Off means that the instance is switched off, so
 	// that its maintenance costs no capacity.
 	Up, Off bool
+	// Evacuated means that nothing may start at the instance, so that its maintenance takes no room.
+	Evacuated bool
 	// Runs is the number of runs on the instance's worker.
 	Runs int
 	// Load is the used fraction of the CPU capacity of the instance's pool.
@@ -73,8 +75,9 @@
 	return float64(v.TimeLeft) < timeReserveFactor*float64(rounds)*float64(v.TypicalDuration)
 }
 
-// NextForMaintenance returns the instances to drain next: those that are switched off, then idle ones, then those of
-// the least loaded pools with the fewest runs, within MaxDown and the availability budgets of the pools.
+// NextForMaintenance returns the instances to drain next: those that are switched off, then idle ones, first of
+// evacuated zones, then those of the least loaded pools with the fewest runs, within MaxDown and the availability
+// budgets of the pools.
 func NextForMaintenance(v WaveView) []string {
 	taken := 0
 	var pending []WaveInstance
@@ -97,7 +100,7 @@
 		if taken >= v.MaxDown {
 			break
 		}
-		if i.Off {
+		if i.Off || i.Evacuated && i.Runs == 0 {
 			next = append(next, i.ID)
 			taken++
 			continue
@@ -107,7 +110,7 @@
 			continue
 		}
 		pool := v.Pools[i.Pool]
-		if pool == nil || !urgent && !disruption.Allowed(*pool, i.ID).Allowed() {
+		if pool == nil || !urgent && !i.Evacuated && !disruption.Allowed(*pool, i.ID).Allowed() {
 			continue
 		}
 		markDown(pool, i.ID)
@@ -130,10 +133,14 @@
 		return 0
 	case i.Off:
 		return 1
-	case i.Runs == 0:
+	case i.Evacuated && i.Runs == 0:
 		return 2
-	default:
+	case i.Runs == 0:
 		return 3
+	case i.Evacuated:
+		return 4
+	default:
+		return 5
 	}
 }
 
--- a/internal/scheduling/wave_test.go
+++ b/internal/scheduling/wave_test.go
@@ -129,3 +129,20 @@
 	v.Instances[2].Duration = 9 * time.Second
 	is.Equal(NextForMaintenance(v), []string{"m2"})
 }
+
+// TestWavePrefersEvacuatedInstances guards against a wave that takes room from a pool while instances of an evacuated
+// zone are idle, and against one that waits for the load of the pool before it takes these.
+func TestWavePrefersEvacuatedInstances(t *testing.T) {
+	is := is.New(t)
+	instance := func(id string, runs int, evacuated bool) WaveInstance {
+		return WaveInstance{
+			ID: id, Pool: "pool", Phase: MaintenancePending, Up: true, Runs: runs, Load: 0.9, Evacuated: evacuated,
+		}
+	}
+	view := WaveView{
+		Instances: []WaveInstance{instance("idle", 0, false), instance("busy", 3, true), instance("evacuated", 0, true)},
+		MaxDown:   3, TimeLeft: time.Hour, TypicalDuration: time.Second,
+		Pools: map[string]*disruption.Pool{"pool": {Name: "pool"}},
+	}
+	is.Equal(NextForMaintenance(view), []string{"evacuated"})
+}
--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -21,8 +21,8 @@
 	// Apply is called with each record. An older record of a key is never applied after a newer one.
 	Apply func(Record)
 	// Synced is called after the newest records have been read. keys maps each key that was read to whether it has a
-	// value.
-	Synced func(keys map[string]bool)
+	// value, and end is the offset at which the partition ended when the first of them were read.
+	Synced func(keys map[string]bool, end int64)
 	// Contact is called after each read that reached the end of the partition. All records that were appended before the
 	// time at of the boot clock have been read.
 	Contact func(at time.Duration)
@@ -88,7 +88,7 @@
 		t.Contact(sent)
 	}
 	if t.Synced != nil {
-		t.Synced(keys)
+		t.Synced(keys, end)
 	}
 	return end, newest, nil
 }
