--- a/internal/dispatch/instances_test.go
+++ b/internal/dispatch/instances_test.go
@@ -117,13 +117,18 @@
 }
 
 // TestNewLeaderWaitsForACrashedWorker guards against a new leader that gives a worker up by two lists on which its
-// instance is down, although the worker is back under its ID and runs what the former leader started.
+// instance is down, although the worker is back under its ID and runs what the former leader started, and against one
+// that waits for a worker whose instance was moved because an instance of another rack has crashed.
 func TestNewLeaderWaitsForACrashedWorker(t *testing.T) {
 	down := fleet.Instance{ID: "m0", Pool: "pool", Phase: fleet.InstanceDown}
-	other, moving, off := down, down, down
+	other, moving, off, racked := down, down, down, down
 	other.Pool = "other"
+	racked.Labels = []string{"kind", "rack1"}
 	moving.Phase = fleet.InstanceMoving
 	off.Pool = "spare"
+	entryIn := func(rack string) *fleet.WorkerEntry {
+		return &fleet.WorkerEntry{ID: "w0", Pool: "pool", Incarnation: time.Now().UnixMilli(), Rack: rack}
+	}
 	entryOf := func(age time.Duration) *fleet.WorkerEntry {
 		return &fleet.WorkerEntry{ID: "w0", Pool: "pool", Incarnation: time.Now().Add(-age).UnixMilli()}
 	}
@@ -141,6 +146,10 @@
 		"down, and clocks may differ":     {listed: down, entry: entryOf(maxListLag + maxClockSkew/2), waits: true},
 		"down, and its entry has expired": {listed: down, noEntry: true},
 		"down, and its entry is odd":      {listed: down, noEntry: true, rejected: true, waits: true},
+		"down in another rack":            {listed: racked, entry: entryIn("rack2")},
+		"down in its rack":                {listed: racked, entry: entryIn("rack1"), waits: true},
+		"down, and its rack is unknown":   {listed: racked, entry: entryIn(""), waits: true},
+		"down in an unknown rack":         {listed: down, entry: entryIn("rack1"), waits: true},
 		"down in another pool":            {listed: other}, "ordered away": {listed: moving}, "standby": {listed: off},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -37,22 +37,25 @@
 	before  map[string]fleet.Instance
 	// mayReturn reports whether the worker of an instance without a worker may come back under its ID.
 	mayReturn func(fleet.Instance) bool
-	// crashed holds the pools with an instance whose worker may come back.
-	crashed map[string]bool
+	// crashed holds the places with an instance whose worker may come back.
+	crashed map[place]bool
 }
 
+// place is where a worker that crashed may come back: an instance stays in its rack and, without an order, in its pool.
+type place struct{ pool, rack string }
+
 func newInstanceList(
 	listed, before map[string]fleet.Instance, requested, previous time.Duration, mayReturn func(fleet.Instance) bool,
 ) *instanceList {
 	l := &instanceList{
 		requested: requested, previous: previous, instances: listed, before: before, workers: map[string]bool{},
-		mayReturn: mayReturn, crashed: map[string]bool{},
+		mayReturn: mayReturn, crashed: map[place]bool{},
 	}
 	for _, x := range listed {
 		if x.Worker != "" {
 			l.workers[x.Worker] = true
 		} else if mayReturn(x) {
-			l.crashed[x.Pool] = true
+			l.crashed[place{x.Pool, x.Rack()}] = true
 		}
 	}
 	return l
@@ -64,8 +67,8 @@
 	// instance is the one with which a list last showed the worker; "" if none did.
 	instance string
 	// pool is the stored pool of a worker that has not answered in this term; "" if it joined after the set of workers was
-	// stored.
-	pool string
+	// stored. rack is the rack that its entry names; "" if there is no entry.
+	pool, rack string
 	// answered means that the worker has answered in this term.
 	answered bool
 	// firstSeen is when the worker became known, incarnationSince is after the start of its present incarnation, and
@@ -89,7 +92,7 @@
 		return listShowsEnd // the instance was removed
 	case k.instance != "" && !l.mayReturn(x):
 		return listShowsEnd // the instance has another worker, is on its way, or is switched off
-	case k.instance == "" && !k.answered && !l.hasCrashedIn(k.pool):
+	case k.instance == "" && !k.answered && !l.hasCrashedIn(k.pool, k.rack):
 		return listShowsEnd // no instance from which the worker could come back
 	case mayBeOlder:
 		return listShowsNothing
@@ -97,10 +100,15 @@
 	return listShowsCrash
 }
 
-// hasCrashedIn reports whether the list shows an instance of the pool, or of any pool for "", whose worker may come
-// back.
-func (l *instanceList) hasCrashedIn(pool string) bool {
-	return l.crashed[pool] || pool == "" && len(l.crashed) > 0
+// hasCrashedIn reports whether the list shows an instance of the pool and the rack whose worker may come back. An empty
+// name stands for any pool or rack, also on the list.
+func (l *instanceList) hasCrashedIn(pool, rack string) bool {
+	for at := range l.crashed {
+		if (pool == "" || at.pool == pool) && (rack == "" || at.rack == "" || at.rack == rack) {
+			return true
+		}
+	}
+	return false
 }
 
 // mayReturn reports whether the worker of a listed instance may come back under its ID. An instance without a worker
@@ -150,10 +158,14 @@
 
 // knownWorker returns what is known of a worker apart from a list. Callers hold mu.
 func (d *Dispatcher) knownWorker(a *agent) knownWorker {
-	return knownWorker{
+	k := knownWorker{
 		id: a.id, instance: a.instance, pool: d.storedWorkers[a.id], answered: a.contacted,
 		firstSeen: a.firstSeen, incarnationSince: d.incarnationSince(a), askedAt: a.askedAt,
 	}
+	if a.entry != nil {
+		k.rack = a.entry.Rack
+	}
+	return k
 }
 
 // incarnationSince returns a boot clock after the start of the worker's present incarnation. An earlier leader has
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -197,6 +197,14 @@
 	Worker string
 }
 
+// Rack returns the instance's rack, or "" if the list does not name it. It is the last of the labels.
+func (i *Instance) Rack() string {
+	if len(i.Labels) == 0 {
+		return ""
+	}
+	return i.Labels[len(i.Labels)-1]
+}
+
 // WaveRequest is a request to maintain each of the instances once within a time limit.
 type WaveRequest struct {
 	Number    int64
