Ask larger members to announce themselves when a small one begins to lead

Cause: since a small leader hands over only to a member that has announced itself during its term. Announcements come every 5 s, so a small entry instance led for up to 10 s in place of 2 s.

Ruled out: counting announcements from before the term again, which would hand over to processes that were killed.

Change: the record that begins a term states the leader's CPU share. A member that is much larger announces itself a second later, after the leader's first read of the members, and a small leader reads them every 0.5 s.

Failed first: TestSmallLeaderHandsOverSoon.

--- a/internal/leader/handover_test.go
+++ b/internal/leader/handover_test.go
@@ -117,3 +117,36 @@
 		is.True(!e.members.mayHandOver())
 	}
 }
+
+// TestSmallLeaderHandsOverSoon guards against a small leader that keeps its term until the next regular announcements of
+// larger entry instances, although they run: with a saturated processor it starts hardly anything meanwhile.
+func TestSmallLeaderHandsOverSoon(t *testing.T) {
+	is := is.New(t)
+	s := &memoryStore{topics: map[string][]store.Record{}}
+	options := func(name string, share float64, lead Lead) Options {
+		return Options{
+			Store: s, Topic: "leader", MemberTopic: "members", Name: name, Holder: name + "/1", Peer: name + ":1",
+			CPUShare: share, Lead: lead, Log: zerolog.Nop(),
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	began := time.Now()
+	large := New(options("large", 4, nil))
+	go large.members.run(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			_ = large.readChain(ctx)
+		}
+	}()
+	for !large.members.known() {
+		time.Sleep(time.Millisecond)
+	}
+	ended := make(chan time.Duration, 1)
+	small := New(options("small", 1, func(ctx context.Context, _ int64) {
+		<-ctx.Done()
+		ended <- time.Since(began)
+	}))
+	go small.Run(ctx)
+	is.True(<-ended < memberInterval)
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -60,6 +60,8 @@
 	Peer string `json:"peer"`
 	// Token is the term's fencing token, or 0 in the record that begins the term.
 	Token int64 `json:"token,omitempty"`
+	// CPUShare is the leader's CPU share in the record that begins the term, or 0.
+	CPUShare float64 `json:"cpu_share,omitempty"`
 	// Released means that the leader has ended its term.
 	Released bool `json:"released,omitempty"`
 }
@@ -137,7 +139,7 @@
 	e.members = &members{
 		store: o.Store, topic: o.MemberTopic,
 		self: Member{Name: o.Name, Zone: o.Zone, Relay: o.Relay, CPUShare: o.CPUShare},
-		log:  o.Log, startedAt: bootclock.Now(),
+		log:  o.Log, startedAt: bootclock.Now(), prompted: make(chan struct{}, 1), woken: make(chan struct{}, 1),
 	}
 	return e
 }
@@ -329,6 +331,7 @@
 	e.lastSeen = bootclock.Now()
 	if w.Token == 0 {
 		w.Token = r.Offset + 1
+		e.members.prompt(w)
 	}
 	e.publish(Leader{Holder: w.Holder, Peer: w.Peer, Token: w.Token}, w.Released)
 }
@@ -372,7 +375,8 @@
 
 // claim appends the record that begins a term and returns the term's fencing token.
 func (e *Election) claim(ctx context.Context) (int64, error) {
-	offset, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer}, callTimeout)
+	share := e.members.self.CPUShare
+	offset, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer, CPUShare: share}, callTimeout)
 	if err == nil {
 		return offset + 1, nil
 	}
--- a/internal/leader/members.go
+++ b/internal/leader/members.go
@@ -31,6 +31,11 @@
 	maxMemberLead = time.Hour
 	// maxCPUShare is more than any entry instance has. A record with a larger share would make every leader hand over.
 	maxCPUShare = 1024
+	// handOverReadInterval is the interval at which a leader reads the members that is small beside a listed one.
+	handOverReadInterval = 500 * time.Millisecond
+	// promptDelay is the delay of an announcement that a new leader prompts. It is longer than the leader's first read of
+	// the members takes, because only later announcements count for the hand-over.
+	promptDelay = time.Second
 	// membersTimeout is the time after which an entry instance claims even if it could not read the members.
 	membersTimeout = 1500 * time.Millisecond
 	// refreshTimeout bounds the read of the members at the beginning of a term.
@@ -64,6 +69,8 @@
 	self      Member
 	log       zerolog.Logger
 	startedAt time.Duration // boot clock
+	// prompted asks for an announcement before its time, and woken ends the wait for the next one.
+	prompted, woken chan struct{}
 
 	mu      sync.Mutex // guards the following fields
 	list    []Member
@@ -85,9 +92,16 @@
 	}
 	m.markReady()
 	lastRead := bootclock.Now()
+	announceAt := lastRead + memberInterval
 	for ctx.Err() == nil {
-		sleep.For(ctx, memberInterval)
-		m.announce(ctx)
+		if m.wait(ctx, announceAt) {
+			announceAt = min(announceAt, bootclock.Now()+promptDelay)
+			continue
+		}
+		if bootclock.Now() >= announceAt {
+			announceAt = bootclock.Now() + memberInterval
+			m.announce(ctx)
+		}
 		if m.isLeading() || bootclock.Now()-lastRead > followerReadInterval {
 			lastRead = bootclock.Now()
 			_, _ = m.refresh(ctx)
@@ -95,6 +109,47 @@
 	}
 }
 
+// wait waits until the given boot clock, for a shorter time while this entry instance seeks a successor, until a term of
+// this entry instance begins, or until an announcement is asked for, in which case it returns true.
+func (m *members) wait(ctx context.Context, until time.Duration) (prompted bool) {
+	left := until - bootclock.Now()
+	if m.seeksSuccessor() {
+		left = min(left, handOverReadInterval)
+	}
+	timer := time.NewTimer(max(left, 0))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-m.woken:
+	case <-m.prompted:
+		return true
+	}
+	return false
+}
+
+// prompt asks for an announcement of this member if it would be a better leader than the given one. Announcements are
+// rare, and a small leader hands over only to a member that has announced itself during its term.
+func (m *members) prompt(leader record) {
+	if leader.CPUShare >= handOverFraction*m.self.CPUShare || leader.CPUShare == 0 {
+		return // earlier versions do not state their share
+	}
+	notify(m.prompted)
+}
+
+// notify sends to a channel of capacity 1 unless a notification is waiting there.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// seeksSuccessor reports whether this entry instance leads and is small beside a listed member.
+func (m *members) seeksSuccessor() bool {
+	return m.isLeading() && m.self.CPUShare < handOverFraction*m.largest()
+}
+
 func (m *members) markReady() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -112,6 +167,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.leading, m.termStart, m.largestInTerm = leading, -1, 0
+	notify(m.woken)
 }
 
 // mayHandOver reports whether this entry instance, which leads, is small beside a member that has announced itself
