Ranking, work and objectives from distributions of run times

Cause: one mean ratio of actual to estimated run time a queue was taken for the truth, although estimates of most queues may be off by nine tenths. The mean of single ratios is far too high where a few estimates are far too short.

Ruled out: choosing between estimate and typical run time by a threshold (the regression weighs them continuously); learning from runs of which only the last part is seen.

Change: internal/dispatch/estimate.go asks internal/runtimes for the expected work of arriving jobs, for the critical path and for the time left of steps that run. Runs of an earlier leader and resumed runs teach nothing.

--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -1,106 +1,116 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"pollenlead/internal/runtimes"
 	"pollenlead/internal/workload"
 )
 
-// estimateWeight is the weight of one run in the learned duration ratio of a queue.
-const estimateWeight = 0.05
+// estimates answers questions about the run times of the steps of a job from what is known of its queue's run times.
+type estimates struct{ model *runtimes.Model }
 
-const (
-	// workDecay is the weight that earlier runs keep in the learned amount of work with each further run.
-	workDecay = 0.99
-	// priorWork is the estimated run time with which the totals of a new queue begin, and priorRatio the assumed
-	// ratio of actual to estimated time. Estimates with a wide spread are too long on average.
-	priorWork  = 10 * time.Second
-	priorRatio = 0.8
-)
-
-// estimates learns the ratio of actual to estimated run time of each queue.
-type estimates struct {
-	// ratio is the mean of the ratios of single tasks. It serves to predict the duration of a job.
-	ratio map[string]float64
-	// totals compares sums. It serves to predict the work of many jobs, in which a few estimates that are far too
-	// long outweigh the others.
-	totals map[string]*workTotals
-}
-
-// workTotals holds the decaying sums of the estimated and the actual run time.
-type workTotals struct{ estimated, actual float64 }
+func newEstimates() estimates { return estimates{model: runtimes.NewModel()} }
 
-func newEstimates() estimates {
-	return estimates{ratio: map[string]float64{}, totals: map[string]*workTotals{}}
-}
-
-// observe records the duration of a run that ended done.
-func (e *estimates) observe(s *workload.Step, took time.Duration) {
-	if s.Spec.Estimate <= 0 {
+// observe records the duration of a run that ended done. A run that an earlier leader started, or that resumed from a
+// checkpoint, does not show the run time of its task.
+func (e *estimates) observe(r *workload.Run, took time.Duration) {
+	s := r.Task.Step
+	if r.Inherited || r.Task.Checkpoint != "" && !s.Spec.Gang {
 		return
 	}
-	x := min(max(float64(took)/float64(s.Spec.Estimate), 0.1), 10)
-	q := s.Job.Queue
-	if old, ok := e.ratio[q]; ok {
-		x = old + (x-old)*estimateWeight
-	}
-	e.ratio[q] = x
-	a := e.totalsOf(q)
-	a.estimated = a.estimated*workDecay + s.Spec.Estimate.Seconds()
-	a.actual = a.actual*workDecay + took.Seconds()
-}
-
-func (e *estimates) totalsOf(queue string) *workTotals {
-	a := e.totals[queue]
-	if a == nil {
-		a = &workTotals{estimated: priorWork.Seconds(), actual: priorWork.Seconds() * priorRatio}
-		e.totals[queue] = a
-	}
-	return a
-}
-
-// stepDuration returns the expected duration of a task of the step.
-func (e *estimates) stepDuration(s *workload.Step) time.Duration {
-	ratio, ok := e.ratio[s.Job.Queue]
-	if !ok {
-		ratio = 1
-	}
-	return time.Duration(float64(s.Spec.Estimate) * ratio)
+	e.model.Observe(s.Job.Queue, s.Spec.Estimate, took)
 }
 
 // expectedWork returns the expected processor time of an occurrence, in thousandths of a core times seconds.
 func (e *estimates) expectedWork(o *workload.Occurrence) float64 {
-	sum, queue := 0.0, ""
+	sum := 0.0
 	for _, s := range o.Steps {
-		sum += float64(s.Spec.Charge().CPUMilli) * float64(s.Spec.Count) * s.Spec.Estimate.Seconds()
-		queue = s.Job.Queue
+		sum += e.model.Work(s.Job.Queue, s.Spec.Estimate, s.Spec.Count, s.Spec.Charge().CPUMilli)
 	}
-	a := e.totalsOf(queue)
-	return sum * a.actual / a.estimated
+	return sum
 }
 
-// remaining returns the length of the critical path through the unfinished steps of an occurrence.
-func (e *estimates) remaining(o *workload.Occurrence) time.Duration {
-	return e.criticalPath(o, func(s *workload.Step) bool { return s.Open > 0 })
+// total returns the expected length of the critical path through all steps of an occurrence.
+func (e *estimates) total(o *workload.Occurrence) time.Duration {
+	return e.model.PathLeft(queueOf(o), e.path(o))
 }
 
-// total returns the length of the critical path through all steps of an occurrence.
-func (e *estimates) total(o *workload.Occurrence) time.Duration {
-	return e.criticalPath(o, func(*workload.Step) bool { return true })
+// path returns the critical path through all steps of an occurrence, as if none had begun.
+func (e *estimates) path(o *workload.Occurrence) []runtimes.Stage {
+	return e.criticalPath(o, func(s *workload.Step) (runtimes.Stage, bool) {
+		return runtimes.Stage{Estimate: s.Spec.Estimate}, true
+	})
 }
 
-// criticalPath returns the length of the longest chain of dependent steps for which counts reports true.
-func (e *estimates) criticalPath(o *workload.Occurrence, counts func(*workload.Step) bool) time.Duration {
-	ends := make([]time.Duration, len(o.Steps))
-	longest := time.Duration(0)
+// pathLeft returns the critical path through the unfinished steps of an occurrence.
+func (e *estimates) pathLeft(o *workload.Occurrence, now time.Time) []runtimes.Stage {
+	return e.criticalPath(o, func(s *workload.Step) (runtimes.Stage, bool) {
+		return runtimes.Stage{Estimate: s.Spec.Estimate, Elapsed: elapsed(s, now)}, s.Open > 0
+	})
+}
+
+// criticalPath returns the longest chain of dependent steps for which stage reports true.
+func (e *estimates) criticalPath(
+	o *workload.Occurrence, stage func(*workload.Step) (runtimes.Stage, bool),
+) []runtimes.Stage {
+	type chain struct {
+		length   time.Duration
+		previous int
+		stage    runtimes.Stage
+		counts   bool
+	}
+	chains := make([]chain, len(o.Steps))
+	last := -1
 	for i, s := range o.Steps {
+		c := chain{previous: -1}
 		for _, dep := range s.Spec.DependsOn {
-			ends[i] = max(ends[i], ends[dep])
+			if chains[dep].length >= c.length {
+				c.length, c.previous = chains[dep].length, dep
+			}
+		}
+		if c.stage, c.counts = stage(s); c.counts {
+			c.length += e.model.TimeLeft(s.Job.Queue, c.stage.Estimate, c.stage.Elapsed)
 		}
-		if counts(s) {
-			ends[i] += e.stepDuration(s)
+		chains[i] = c
+		if last < 0 || c.length > chains[last].length {
+			last = i
 		}
-		longest = max(longest, ends[i])
 	}
-	return longest
+	var path []runtimes.Stage
+	for ; last >= 0; last = chains[last].previous {
+		if chains[last].counts {
+			path = append(path, chains[last].stage)
+		}
+	}
+	slices.Reverse(path)
+	return path
+}
+
+// elapsed returns for how long all open tasks of a step have been running: 0 if one of them is not.
+func elapsed(s *workload.Step, now time.Time) time.Duration {
+	least := time.Duration(-1)
+	for _, t := range s.Tasks {
+		if t.Done {
+			continue
+		}
+		longest := time.Duration(0)
+		for _, r := range t.Runs {
+			if r.Phase == workload.RunActive {
+				longest = max(longest, now.Sub(r.ActiveSince))
+			}
+		}
+		if least < 0 || longest < least {
+			least = longest
+		}
+	}
+	return max(least, 0)
+}
+
+func queueOf(o *workload.Occurrence) string {
+	if len(o.Steps) == 0 {
+		return ""
+	}
+	return o.Steps[0].Job.Queue
 }
--- a/internal/dispatch/estimate_test.go
+++ b/internal/dispatch/estimate_test.go
@@ -28,7 +28,8 @@
 	e := newEstimates()
 	for range 50 {
 		for _, x := range scatter {
-			e.observe(occurrence(x).Steps[0], took)
+			s := occurrence(x).Steps[0]
+			e.observe(&workload.Run{Task: s.Tasks[0]}, took)
 		}
 	}
 	sum := 0.0
@@ -37,3 +38,21 @@
 	}
 	is.True(math.Abs(sum/float64(len(scatter))-1000) < 100) // a core for one second each
 }
+
+// TestPartialRunsTeachNothing guards against learning short run times from runs of which only the last part was seen: a
+// new leader sees the ends of runs that an earlier one started, and a run may resume from a checkpoint.
+func TestPartialRunsTeachNothing(t *testing.T) {
+	is := is.New(t)
+	spec := &fleet.JobSpec{Steps: []fleet.Step{{Count: 1, Estimate: time.Second, Checkpoints: true}}}
+	j := workload.NewJob("id", "queue", "pool", "team", spec, time.UnixMilli(1))
+	j.Advance(time.UnixMilli(1), 0)
+	task := j.Task(0, 0, 0)
+	e := newEstimates()
+	e.observe(&workload.Run{Task: task, Inherited: true}, time.Millisecond)
+	task.Checkpoint = "saved"
+	e.observe(&workload.Run{Task: task}, time.Millisecond)
+	is.Equal(e.model.Stats()["queue"].Runs, 0.0)
+	task.Checkpoint = ""
+	e.observe(&workload.Run{Task: task}, time.Second)
+	is.Equal(e.model.Stats()["queue"].Runs, 1.0)
+}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -57,7 +57,7 @@
 	case worker.EndDone:
 		a.health.succeeded()
 		if !r.ActiveSince.IsZero() {
-			d.estimates.observe(r.Task.Step, now.Sub(r.ActiveSince))
+			d.estimates.observe(r, now.Sub(r.ActiveSince))
 		}
 	case worker.EndFailed:
 		if spec.LongRunning || r.Task.Failures > 0 {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -195,7 +195,8 @@
 	if due := j.Spec.DueAt(o.Number); !due.IsZero() {
 		begin = due
 	}
-	slack := begin.Add(d.objective(o, q)).Sub(now) - d.estimates.remaining(o)
+	left := d.estimates.model.PathLeft(j.Queue, d.estimates.pathLeft(o, now))
+	slack := begin.Add(d.objective(o, q)).Sub(now) - left
 	r := scheduling.Rank{Tier: scheduling.TierOnTime, Priority: q.Priority, Slack: slack, Submitted: j.Submitted}
 	if slack < 0 {
 		r.Tier = scheduling.TierLate
