Pace waves over their window, and stop the runs that would make an instance late

Cause: a wave waited for calm pools and for one rack of a pool after the other until 1.6 times a typical drain was left, and then took what remained at once. Run times have heavy tails, and a drain waited for each run, however long it took, also beyond the deadline.

Ruled out: too few orders a second and the limit of instances that are down at once.

Change: - WaveView.Behind: the number of instances that have to be selected by now if the selections are spread over the window without its last drain. So many are taken from busy pools and from several racks of a pool; the availability budget of the pool holds. Slow drains come first in a pool. - RunsToStop: a run that is not likely to end in time, by the distribution of run times of its queue, is stopped if that loses less work than a late instance is worth. Runs that checkpoint were stopped before, those of long-running steps keep the rule of MayMiss, and gangs are never stopped. - The line `wave` says once a second how far a wave is, how far behind and what its instances wait for; runs_stopped_for_late_waves_total counts.

--- a/internal/dispatch/check_test.go
+++ b/internal/dispatch/check_test.go
@@ -140,15 +140,15 @@
 	w := newInstanceDriver(d)
 	d.agent("w0").contacted = false
 	i := &waveInstance{phase: scheduling.MaintenanceDraining, worker: "w0"}
-	is.True(!w.drainInstance(i))
-	is.True(!w.drainInstance(&waveInstance{phase: scheduling.MaintenanceDraining, worker: "new"}))
+	is.True(!w.drainInstance(i, time.Minute))
+	is.True(!w.drainInstance(&waveInstance{phase: scheduling.MaintenanceDraining, worker: "new"}, time.Minute))
 	d.applyReport(d.agent("w0"), worker.Report{ClockMillis: 1}, bootclock.Now())
-	is.True(w.drainInstance(i))
+	is.True(w.drainInstance(i, time.Minute))
 	d.agent("w1").contacted = false
 	i.worker = "w1"
-	is.True(!w.drainInstance(i))
+	is.True(!w.drainInstance(i, time.Minute))
 	d.fencedAt -= storeContactTimeout + 2*leaseDuration // no lease can be valid any more
-	is.True(w.drainInstance(i))
+	is.True(w.drainInstance(i, time.Minute))
 }
 
 // TestInheritedRunWaitsForAConfirmedIncarnation guards against a stored run that a leader starts again although it is
--- a/internal/dispatch/cordon_test.go
+++ b/internal/dispatch/cordon_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -89,3 +90,80 @@
 	is.Equal(x.instances["m0"].phase, scheduling.MaintenanceDone)
 	is.True(!d.agents["w0"].cordoned)
 }
+
+// lateRun returns a driver that drains the worker w0, with a run there that has been running for the given time.
+func lateRun(d *Dispatcher, step fleet.Step, elapsed time.Duration) (*instanceDriver, *wave, *workload.Run) {
+	w, x := drainingWave(d, &slowInstances{})
+	d.Bounds.Maintenance, d.Bounds.MaxStopTime = 2*time.Second, time.Second
+	for n := range 200 {
+		took := step.Estimate * time.Duration(1+n%30/29*6) // some take seven times as long
+		d.estimates.model.Observe("queue", step.Estimate, took)
+	}
+	r := d.addJob("0011223344556677", step).Task(0, 0, 0).Assign("w0", 1, d.now())
+	r.Phase, r.Released, r.ActiveSince = workload.RunActive, true, d.now().Add(-elapsed)
+	d.attach(r)
+	return w, x, r
+}
+
+// TestRunThatMakesItsWaveLateIsStopped guards against a wave that waits beyond its deadline for a run that takes
+// several times as long as usual, against the stop of runs that will end in time, and of members of gangs and of long-running
+// steps, which have rules of their own.
+func TestRunThatMakesItsWaveLateIsStopped(t *testing.T) {
+	ordinary := fleet.Step{Count: 1, Estimate: time.Second, Need: fleet.Resources{CPUMilli: 1000}}
+	gang, serving := ordinary, ordinary
+	gang.Gang = true
+	serving.LongRunning = true
+	for name, x := range map[string]struct {
+		step          fleet.Step
+		elapsed, left time.Duration
+		stops         bool
+	}{
+		"late":           {ordinary, 5 * time.Second, 4 * time.Second, true},
+		"past deadline":  {ordinary, 100 * time.Millisecond, -time.Second, true},
+		"ends in time":   {ordinary, 100 * time.Millisecond, 6 * time.Second, false},
+		"there is time":  {ordinary, 5 * time.Second, time.Minute, false},
+		"gang":           {gang, 5 * time.Second, time.Second, false},
+		"may not be off": {serving, 5 * time.Second, time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newFixture(1)
+			d.Workers = &unresponsiveWorkers{}
+			defer d.stop()
+			w, wave, r := lateRun(d, x.step, x.elapsed)
+			w.stopsAllowedFrom = bootclock.Now() + time.Minute
+			is.True(!w.drainInstance(wave.instances["m0"], x.left))
+			is.Equal(r.Phase == workload.RunStopping, x.stops)
+		})
+	}
+}
+
+// TestNewLeaderKeepsThePaceOfAWave guards against a leader that counts the window of a wave from its own term: it would
+// take the last instances after the deadline.
+func TestNewLeaderKeepsThePaceOfAWave(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	d.waveRecords[1] = &waveRecord{SeenMillis: time.Now().Add(-10 * time.Second).UnixMilli(), Done: []string{"m0"}}
+	w := newInstanceDriver(d)
+	w.waves[1] = w.restoreWave(follow.Wave{SeenAt: bootclock.Now(), WaveRequest: fleet.WaveRequest{
+		Number: 1, Instances: []string{"m0", "m1", "m2", "m3"}, FinishBy: 24 * time.Second, MaxDown: 4,
+	}})
+	view := w.waveView(w.waves[1])
+	is.True(view.TimeLeft < 14*time.Second+time.Second/10)
+	is.Equal(view.Behind(), 1) // two of four are due
+}
+
+// TestWorkerBackUnderItsIDStaysCordoned guards against tasks that start on an instance which a wave drains because its
+// worker has started again under its ID.
+func TestWorkerBackUnderItsIDStaysCordoned(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	w, x := drainingWave(d, &slowInstances{})
+	w.waves[1] = x
+	a := d.agent("w0")
+	restartInPool(d, a, "pool")
+	w.cordonWaves()
+	is.True(!d.usable(a, d.now(), bootclock.Now()))
+}
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -16,6 +16,7 @@
 	// evacuatedStarts counts the runs that were not started because the zone of their worker was evacuated, and
 	// evacuationWaits holds the number of tasks that only workers of evacuated zones may run.
 	evacuatedStarts, evacuationWaits expvar.Int
+	waveStops                        expvar.Int
 	ends                             expvar.Map
 	jobs                             expvar.Map
 	// doneMillis is the time from acceptance to the end of jobs that were done, and startMillis the time from
@@ -48,6 +49,7 @@
 	m.Set("instance_moves_total", &c.moves)
 	m.Set("starts_withheld_by_evacuation_total", &c.evacuatedStarts)
 	m.Set("tasks_awaiting_evacuations", &c.evacuationWaits)
+	m.Set("runs_stopped_for_late_waves_total", &c.waveStops)
 	m.Set("runs_ended_total", c.ends.Init())
 	m.Set("jobs_ended_total", c.jobs.Init())
 	c.doneMillis, c.startMillis = metrics.NewHistogram(), metrics.NewHistogram()
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pollenlead/internal/runtimes"
 	"pollenlead/internal/workload"
 )
 
@@ -25,17 +26,20 @@
 	// totals compares sums. It serves to predict the work of many jobs, in which a few estimates that are far too
 	// long outweigh the others.
 	totals map[string]*workTotals
+	// model holds the distributions of run times. It serves to predict when a run ends.
+	model *runtimes.Model
 }
 
 // workTotals holds the decaying sums of the estimated and the actual run time.
 type workTotals struct{ estimated, actual float64 }
 
 func newEstimates() estimates {
-	return estimates{ratio: map[string]float64{}, totals: map[string]*workTotals{}}
+	return estimates{ratio: map[string]float64{}, totals: map[string]*workTotals{}, model: runtimes.NewModel()}
 }
 
 // observe records the duration of a run that ended done.
 func (e *estimates) observe(s *workload.Step, took time.Duration) {
+	e.model.Observe(s.Job.Queue, s.Spec.Estimate, took)
 	if s.Spec.Estimate <= 0 {
 		return
 	}
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
@@ -18,7 +19,7 @@
 	for id, i := range x.instances {
 		switch i.phase {
 		case scheduling.MaintenanceDraining:
-			if w.isDrained(id, i) && w.mayOrder(id) {
+			if w.isDrained(x, id) && w.mayOrder(id) {
 				ready = append(ready, id)
 			}
 		case scheduling.MaintenanceOrdered:
@@ -66,8 +67,9 @@
 
 // isDrained stops the runs of a draining instance that may be stopped, and reports whether the order to maintain the
 // instance ends no tasks.
-func (w *instanceDriver) isDrained(id string, i *waveInstance) bool {
-	return w.keepsWorker(id, i) && w.drainInstance(i)
+func (w *instanceDriver) isDrained(x *wave, id string) bool {
+	i := x.instances[id]
+	return w.keepsWorker(id, i) && w.drainInstance(i, x.finishAt-bootclock.Now())
 }
 
 // keepsWorker reports whether the list shows the draining instance with the worker that is being drained. The order
@@ -93,8 +95,9 @@
 }
 
 // drainInstance stops the runs of a draining instance that may be stopped, and reports whether nothing runs there and
-// no end is lost with its worker.
-func (w *instanceDriver) drainInstance(i *waveInstance) bool {
+// no end is lost with its worker. Runs that cannot be saved have to end by themselves within the time left, or are
+// stopped if that costs less than an instance that is late.
+func (w *instanceDriver) drainInstance(i *waveInstance, left time.Duration) bool {
 	if i.worker == "" {
 		return true
 	}
@@ -102,18 +105,25 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.agent(i.worker)
+	w.stopSaved(a)
+	w.stopLate(a, left)
+	// An earlier leader may have started runs there that are not stored, and only the worker's report shows their ends.
+	read := a.contacted || d.leaseExpired(a, bootclock.Now())
+	return read && a.vacant()
+}
+
+// stopSaved stops the runs that continue elsewhere where they were, and the long-running ones that may be away. Callers
+// hold the dispatcher's mu.
+func (w *instanceDriver) stopSaved(a *agent) {
 	for _, r := range a.runs {
 		spec := r.Task.Step.Spec
 		if r.Phase != workload.RunActive || spec.Gang {
 			continue
 		}
 		if spec.LongRunning && w.mayStop(r.Task) || spec.Checkpoints {
-			d.stopRun(r, "its instance is to be maintained")
+			w.d.stopRun(r, "its instance is to be maintained")
 		}
 	}
-	// An earlier leader may have started runs there that are not stored, and only the worker's report shows their ends.
-	read := a.contacted || d.leaseExpired(a, bootclock.Now())
-	return read && a.vacant()
 }
 
 // mayStop reports whether a long-running task may be stopped now. Callers hold the dispatcher's mu.
@@ -151,7 +161,7 @@
 func (w *instanceDriver) stillDrained(x *wave, ids []string) []string {
 	var drained []string
 	for _, id := range ids {
-		if w.isDrained(id, x.instances[id]) {
+		if w.isDrained(x, id) {
 			drained = append(drained, id)
 		} else {
 			w.setPhases(x, []string{id}, scheduling.MaintenanceDraining)
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -33,8 +33,9 @@
 	request       fleet.WaveRequest
 	finishAt      time.Duration // boot clock
 	instances     map[string]*waveInstance
-	startReported bool // the start of the wave has been reported to the operator
-	endReported   bool // the end of the wave has been reported to the operator
+	loggedAt      time.Duration // boot clock of the last line on the progress
+	startReported bool          // the start of the wave has been reported to the operator
+	endReported   bool          // the end of the wave has been reported to the operator
 }
 
 // waveInstance is the progress of one instance.
@@ -208,43 +209,61 @@
 
 // selectInstances selects the next instances to drain and cordons their workers.
 func (w *instanceDriver) selectInstances(x *wave) {
-	d := w.d
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	view := w.waveView(x)
+	next := scheduling.NextForMaintenance(view)
+	for _, id := range next {
+		w.beginDrain(x, id, view.TimeLeft)
+	}
+	w.logProgress(x, &view, len(next))
+}
+
+// waveView returns the state of a wave for the selection of the next instances. Callers hold the dispatcher's mu.
+func (w *instanceDriver) waveView(x *wave) scheduling.WaveView {
 	view := scheduling.WaveView{
-		MaxDown: x.request.MaxDown, TimeLeft: x.finishAt - bootclock.Now(),
-		TypicalDuration: drainEstimate + d.Bounds.Maintenance, Pools: w.disruptionPools(x),
+		MaxDown: x.request.MaxDown, TimeLeft: x.finishAt - bootclock.Now(), Window: x.request.FinishBy,
+		TypicalDuration: drainEstimate + w.d.Bounds.Maintenance, Pools: w.disruptionPools(x),
 	}
 	for id, i := range x.instances {
-		listed := w.listed[id]
-		v := scheduling.WaveInstance{ID: id, Pool: listed.Pool, Phase: i.phase, Load: w.load(listed.Pool)}
-		_, moving := w.arrivals[id]
-		v.Evacuated = d.Follower.Evacuating(listed.Zone)
-		v.Off = !moving && !i.refusedOff && w.switchedOff(listed) && w.orderable(listed)
-		if a := d.agents[listed.Worker]; a != nil {
-			a.leaving = i.phase == scheduling.MaintenancePending || i.phase == scheduling.MaintenanceDraining
-			v.Runs = len(a.runs)
-			v.Duration = scheduling.DrainTime(
-				slices.Collect(maps.Values(a.runs)), drainEstimate, replacementEstimate,
-			) + d.Bounds.Maintenance
-			v.Up = !moving && w.orderable(listed) && listed.Phase == fleet.InstanceUp &&
-				a.entry != nil && !a.entry.Draining && a.contacted
-		}
-		view.Instances = append(view.Instances, v)
+		view.Instances = append(view.Instances, w.instanceView(id, i))
 	}
-	for _, id := range scheduling.NextForMaintenance(view) {
-		i := x.instances[id]
-		i.phase, i.worker = scheduling.MaintenanceDraining, w.listed[id].Worker
-		runs := 0
-		if i.worker != "" {
-			a := d.agent(i.worker)
-			a.cordoned = true
-			runs = len(a.runs)
-		}
-		d.Log.Info().Str("event", "maintenance_drain").Int64("wave", x.request.Number).Str("instance", id).
-			Str("worker", i.worker).
-			Int("runs", runs).Dur("left", view.TimeLeft).Msg("draining instance before its maintenance")
+	return view
+}
+
+// instanceView returns the state of one instance of a wave. Callers hold the dispatcher's mu.
+func (w *instanceDriver) instanceView(id string, i *waveInstance) scheduling.WaveInstance {
+	listed := w.listed[id]
+	v := scheduling.WaveInstance{ID: id, Pool: listed.Pool, Phase: i.phase, Load: w.load(listed.Pool)}
+	_, moving := w.arrivals[id]
+	v.Evacuated = w.d.Follower.Evacuating(listed.Zone)
+	v.Off = !moving && !i.refusedOff && w.switchedOff(listed) && w.orderable(listed)
+	a := w.d.agents[listed.Worker]
+	if a == nil {
+		return v
+	}
+	a.leaving = i.phase == scheduling.MaintenancePending || i.phase == scheduling.MaintenanceDraining
+	v.Runs = len(a.runs)
+	v.Duration = scheduling.DrainTime(
+		slices.Collect(maps.Values(a.runs)), drainEstimate, replacementEstimate,
+	) + w.d.Bounds.Maintenance
+	v.Up = !moving && w.orderable(listed) && listed.Phase == fleet.InstanceUp &&
+		a.entry != nil && !a.entry.Draining && a.contacted
+	return v
+}
+
+// beginDrain cordons the worker of an instance that is to be maintained. Callers hold the dispatcher's mu.
+func (w *instanceDriver) beginDrain(x *wave, id string, left time.Duration) {
+	i := x.instances[id]
+	i.phase, i.worker = scheduling.MaintenanceDraining, w.listed[id].Worker
+	runs := 0
+	if i.worker != "" {
+		a := w.d.agent(i.worker)
+		a.cordoned = true
+		runs = len(a.runs)
 	}
+	w.d.Log.Info().Str("event", "maintenance_drain").Int64("wave", x.request.Number).Str("instance", id).
+		Str("worker", i.worker).Int("runs", runs).Dur("left", left).Msg("draining instance before its maintenance")
 }
 
 // switchedOff reports whether an instance is switched off. Callers hold the dispatcher's mu.
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -246,7 +246,7 @@
 	d.Bounds.Maintenance = 2 * time.Second
 	w := newInstanceDriver(d)
 	i := &waveInstance{phase: scheduling.MaintenanceDraining}
-	is.True(w.drainInstance(i))
+	is.True(w.drainInstance(i, time.Minute))
 	is.Equal(len(d.agents), 0) // no agent is created for it
 
 	now := bootclock.Now()
--- a/internal/disruption/disruption.go
+++ b/internal/disruption/disruption.go
@@ -27,7 +27,9 @@
 	// Size is the declared number of instances, or 0 if none is declared.
 	Size                int
 	MinAvailablePercent int
-	Instances           []Instance
+	// AnyRack means that instances of several racks may be down at once.
+	AnyRack   bool
+	Instances []Instance
 }
 
 // Baseline returns the number of instances that the percentage refers to. Including the declared size keeps the floor
@@ -126,7 +128,7 @@
 		d.Rule = RuleNotLive
 	case asked.Moving:
 		d.Rule = RuleMoving
-	case otherRackDown(p, asked, &d):
+	case !p.AnyRack && otherRackDown(p, asked, &d):
 		d.Rule = RuleOtherRackDown
 	case d.Available-1 < d.Floor:
 		d.Rule = RuleFloor
--- a/internal/scheduling/wave.go
+++ b/internal/scheduling/wave.go
@@ -49,6 +49,8 @@
 	MaxDown int
 	// TimeLeft is the time until the deadline of the wave.
 	TimeLeft time.Duration
+	// Window is the time from the request of the wave to its deadline.
+	Window time.Duration
 	// TypicalDuration is the time that most instances take from their selection until they are in service again.
 	TypicalDuration time.Duration
 	// Pools holds the pools of the instances, for the availability budget.
@@ -76,15 +78,40 @@
 }
 
 // NextForMaintenance returns the instances to drain next: those that are switched off, then idle ones, first of
-// evacuated zones, then those of the least loaded pools with the fewest runs, within MaxDown and the availability
-// budgets of the pools.
+// evacuated zones, then those of the least loaded pools, the slowest drains first, within MaxDown and the availability
+// budgets of the pools. As many as the wave is behind its pace are taken from busy pools and from several racks of a
+// pool.
 func NextForMaintenance(v WaveView) []string {
-	taken := 0
+	s := selection{view: &v}
+	pending := s.pending()
+	urgent := v.Urgent()
+	pending = slices.DeleteFunc(pending, func(i WaveInstance) bool {
+		return v.waitsFor(&i, urgent || v.overdue(&i)) == WaitsForNothing && s.take(&i)
+	})
+	behind := v.Behind()
+	for n := range pending {
+		if i := &pending[n]; len(s.next) < behind && v.mayHurry(i) {
+			s.take(i)
+		}
+	}
+	return s.next
+}
+
+// selection collects the instances that are selected in one decision.
+type selection struct {
+	view  *WaveView
+	taken int // instances that are draining or down, with those of next
+	next  []string
+}
+
+// pending counts the instances that are draining or down, and returns those that may be selected, the best first.
+func (s *selection) pending() []WaveInstance {
+	v := s.view
 	var pending []WaveInstance
 	for _, i := range v.Instances {
 		switch i.Phase {
 		case MaintenanceDraining, MaintenanceOrdered:
-			taken++
+			s.taken++
 		case MaintenancePending:
 			if i.Up || i.Off {
 				pending = append(pending, i)
@@ -92,34 +119,27 @@
 		}
 	}
 	slices.SortFunc(pending, func(a, b WaveInstance) int {
-		return cmp.Or(v.cost(&a)-v.cost(&b), cmp.Compare(a.Load, b.Load), a.Runs-b.Runs)
+		return cmp.Or(v.cost(&a)-v.cost(&b), cmp.Compare(a.Load, b.Load), cmp.Compare(b.Duration, a.Duration), a.Runs-b.Runs)
 	})
-	urgent := v.Urgent()
-	var next []string
-	for _, i := range pending {
-		if taken >= v.MaxDown {
-			break
-		}
-		if i.Off || i.Evacuated && i.Runs == 0 {
-			next = append(next, i.ID)
-			taken++
-			continue
-		}
-		urgent := urgent || v.overdue(&i)
-		if !urgent && i.Load > maxCalmLoad {
-			continue
-		}
-		pool := v.Pools[i.Pool]
-		if pool == nil || !urgent && !i.Evacuated && !disruption.Allowed(*pool, i.ID).Allowed() {
-			continue
-		}
-		markDown(pool, i.ID)
-		next = append(next, i.ID)
-		taken++
+	return pending
+}
+
+// take selects an instance if the wave may have another one down.
+func (s *selection) take(i *WaveInstance) bool {
+	if s.taken >= s.view.MaxDown {
+		return false
 	}
-	return next
+	if !i.isUnused() {
+		markDown(s.view.Pools[i.Pool], i.ID)
+	}
+	s.next = append(s.next, i.ID)
+	s.taken++
+	return true
 }
 
+// isUnused reports whether nothing runs on the instance and nothing may start there.
+func (i *WaveInstance) isUnused() bool { return i.Off || i.Evacuated && i.Runs == 0 }
+
 // overdue reports whether the instance would miss the deadline if it waited any longer. Long-running tasks of one
 // step leave an instance one after the other, so a drain may take longer than usual.
 func (v *WaveView) overdue(i *WaveInstance) bool {
