Bound what the connections of callers can take

Cause: bodies that stop just short of their end held their memory and their connections without a bound or a time limit. Ruled out: the buffers of chunked bodies (the library bounds chunk headers and trailers by 4 KiB); a time limit alone (the memory fills within it); refusing new bodies (ordinary callers pay). docs/design/hostile-clients.md has the list. Change: internal/ingress counts what connections, headers and bodies take, closes those that hold the most for the longest time without progress, bounds connections below the descriptors, and sets time limits for bodies and responses. The soft memory limit of `pollenlead serve` leaves out the pages of the program, which took it to 130 MB of 128.

--- a/cmd/pollenlead/main.go
+++ b/cmd/pollenlead/main.go
@@ -35,10 +35,11 @@
 
 // The live heap of an entry instance is about 12 MB at the target size. With the default GOGC, garbage collection
 // took a sixth of its CPU time. At 400 the heap grows to five times the live heap, which is below half of the 128 MB
-// that control may use; the memory limit keeps it within that bound under load.
+// that control may use. The memory limit keeps it within that bound under load; it leaves out the pages of the program
+// itself.
 const (
 	gcPercent   = 400
-	memoryLimit = 112 << 20
+	memoryLimit = 96 << 20
 )
 
 type serveCmd struct {
--- a/internal/entry/serving.go
+++ b/internal/entry/serving.go
@@ -11,6 +11,7 @@
 	"pollenlead/internal/allotment"
 	"pollenlead/internal/config"
 	"pollenlead/internal/gateway"
+	"pollenlead/internal/ingress"
 	"pollenlead/internal/job"
 	"pollenlead/internal/membership"
 	"pollenlead/internal/platform"
@@ -44,6 +45,13 @@
 		Document: i.document, Worker: i.worker, AcquireStarted: i.acquireStarted, Now: time.Now, NotSent: replica.ErrNotSent,
 	})
 	i.callers.server.Handler = i.closeWhileDraining(i.gateway)
+	limits := i.settings.CallerLimits
+	guard := ingress.New(ingress.Limits{
+		Connections: limits.Connections, Memory: int64(limits.MemoryMegabytes) << 20,
+		BodyTime: i.settings.Timeouts.CallerBody(),
+	}, i.logger)
+	guard.Protect(i.callers.server)
+	i.callers.socket = guard.Listener(i.callers.socket)
 }
 
 // closeWhileDraining sets "Connection: close" on responses during a shutdown, so that callers send no further request
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -25,6 +25,7 @@
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/follow"
 	"pollenlead/internal/front"
+	"pollenlead/internal/ingress"
 	"pollenlead/internal/instances"
 	"pollenlead/internal/leader"
 	"pollenlead/internal/leaderrpc"
@@ -42,8 +43,17 @@
 	// maxReadyConfigAge is the maximum age of the configuration at which this entry instance reports ready.
 	maxReadyConfigAge = 2500 * time.Millisecond
 	readHeaderTimeout = 3 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 16 << 10
+	// readBodyTimeout is several times the longest deadline of a request.
+	readBodyTimeout = 10 * time.Second
+	// writeTimeout bounds a request from the end of its header: the transfer of its body, its deadline, and the transfer of
+	// its response.
+	writeTimeout   = 20 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 16 << 10
+	// callerMemoryFraction and callerSocketFraction are the parts of the process's memory and sockets that connections of
+	// callers may take. A leader needs the rest for the state of the jobs and for its connections to workers.
+	callerMemoryFraction = 0.25
+	callerSocketFraction = 0.5
 )
 
 // Platform holds the clients, codecs and topic names that the platform adapter provides.
@@ -192,6 +202,8 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", expvar.Handler())
 	callers := newServer(handler)
+	guard := ingress.New(callerLimits(n.settings), n.log)
+	guard.Protect(callers)
 	metricsAddress := net.JoinHostPort(n.settings.Address, strconv.Itoa(n.settings.MetricsPort))
 	for _, s := range []struct {
 		address string
@@ -203,6 +215,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("entry instance: listen: %w", err)
 		}
+		if s.server == callers {
+			l = guard.Listener(l)
+		}
 		go n.serve(s.server, l)
 	}
 	peers, err := net.Listen("tcp", net.JoinHostPort(n.settings.Address, strconv.Itoa(n.settings.PeerPort)))
@@ -227,7 +242,17 @@
 
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout + readBodyTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// callerLimits returns the part of this process's memory and sockets that connections of callers may take.
+func callerLimits(s fleet.Settings) ingress.Limits {
+	return ingress.Limits{
+		Connections: int(float64(s.MaxSockets) * callerSocketFraction),
+		Memory:      int64(float64(s.MemoryMB<<20) * callerMemoryFraction),
+		BodyTime:    readBodyTimeout,
 	}
 }
 
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -24,8 +24,10 @@
 	AdviceAddress    string
 	// CPUShare is the fraction of a core that this process has.
 	CPUShare float64
-	MemoryMB int
-	Bounds   Bounds
+	// MemoryMB and MaxSockets are what this process may take; 0 means that there is no limit.
+	MemoryMB   int
+	MaxSockets int
+	Bounds     Bounds
 }
 
 // Bounds holds the time limits and rates that the deployment has to observe.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,9 +7,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +17,7 @@
 
 	"pollenlead/internal/dispatch"
 	"pollenlead/internal/fleet"
+	"pollenlead/internal/ingress"
 	"pollenlead/internal/leaderrpc"
 	"pollenlead/internal/sleep"
 	"pollenlead/internal/store"
@@ -42,6 +43,8 @@
 	retryAfterSeconds = 1
 	// defaultBodyBytes is the limit for request bodies if the configuration sets none.
 	defaultBodyBytes = 256 << 10
+	// maxConcurrentDecodeBytes is the size up to which bodies are decoded concurrently.
+	maxConcurrentDecodeBytes = 16 << 10
 )
 
 // Codec decodes requests and encodes responses. The platform adapter provides it.
@@ -79,6 +82,8 @@
 	Log           zerolog.Logger
 	// Draining is set when the process is about to stop. Responses then close their connections.
 	Draining *atomic.Bool
+
+	largeDecode sync.Mutex
 }
 
 // request is a routed and authenticated request.
@@ -189,12 +194,13 @@
 		h.refuse(w, r, q, &refusal{http.StatusServiceUnavailable, reason, retryAfterSeconds})
 		return
 	}
-	body, err := h.readBody(r)
+	body, err := ingress.ReadBody(w, r, h.bodyLimit())
 	if err != nil {
-		h.refuse(w, r, q, &refusal{status: http.StatusRequestEntityTooLarge, reason: err.Error()})
+		w.Header().Set("Connection", "close") // the rest of the body is unread
+		h.refuse(w, r, q, bodyRefusal(err))
 		return
 	}
-	spec, err := h.Codec.Job(body)
+	spec, err := h.decode(body)
 	if err != nil {
 		h.refuse(w, r, q, &refusal{status: http.StatusBadRequest, reason: err.Error()})
 		return
@@ -311,22 +317,36 @@
 	}
 }
 
-func (h *Handler) readBody(r *http.Request) ([]byte, error) {
-	limit := int64(defaultBodyBytes)
+// bodyLimit returns the limit for request bodies in force.
+func (h *Handler) bodyLimit() int64 {
 	if c := h.Config.Config(); c != nil && c.Limits.BodyBytes > 0 {
-		limit = c.Limits.BodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, fmt.Errorf("request body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
+		return c.Limits.BodyBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, err
+	return defaultBodyBytes
+}
+
+// bodyRefusal returns the refusal of a request whose body was not received.
+func bodyRefusal(err error) *refusal {
+	switch {
+	case errors.Is(err, ingress.ErrTooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: err.Error()}
+	case errors.Is(err, ingress.ErrNoMemory):
+		return &refusal{http.StatusServiceUnavailable, err.Error(), retryAfterSeconds}
+	case errors.Is(err, ingress.ErrTimeout):
+		return &refusal{status: http.StatusRequestTimeout, reason: err.Error()}
+	default:
+		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
 	}
-	if int64(len(body)) > limit {
-		return nil, fmt.Errorf("request body exceeds the limit of %d bytes", limit)
+}
+
+// decode decodes a job. Large bodies are decoded one at a time, because a body of many small fields takes many times its
+// size while it is decoded.
+func (h *Handler) decode(body []byte) (*fleet.JobSpec, error) {
+	if len(body) > maxConcurrentDecodeBytes {
+		h.largeDecode.Lock()
+		defer h.largeDecode.Unlock()
 	}
-	return body, nil
+	return h.Codec.Job(body)
 }
 
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, q *request, refused *refusal) {
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -5,13 +5,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/oklog/ulid/v2"
 
+	"pollenlead/internal/ingress"
 	"pollenlead/internal/record"
 	"pollenlead/internal/statemachine"
 )
@@ -109,7 +109,7 @@
 		problem = newProblem(http.StatusBadRequest, ReasonInvalidRequest, "the idempotency key is too long")
 	}
 	if problem == nil {
-		op.Body, problem = readJobBody(r, doc.Limits.JobBodyBytes)
+		op.Body, problem = readJobBody(w, r, doc.Limits.JobBodyBytes)
 	}
 	if problem != nil {
 		g.writeProblem(w, problem)
@@ -158,17 +158,12 @@
 	writeJSON(w, status, newJobStatus(job))
 }
 
-func readJobBody(r *http.Request, limit int64) ([]byte, *Problem) {
-	if r.ContentLength > limit {
-		return nil, bodyProblem(errBodyTooLarge)
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+func readJobBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *Problem) {
+	body, err := ingress.ReadBody(w, r, limit)
 	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body is unread
 		return nil, bodyProblem(err)
 	}
-	if int64(len(body)) > limit {
-		return nil, bodyProblem(errBodyTooLarge)
-	}
 	return body, nil
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 
 	"pollenlead/internal/admission"
 	"pollenlead/internal/config"
+	"pollenlead/internal/ingress"
 	"pollenlead/internal/record"
 	"pollenlead/internal/statemachine"
 )
@@ -114,7 +115,7 @@
 	}
 	return &exchange{
 		g: g, w: w, r: r, id: id, service: service, path: servicePath,
-		body:          newReplayableBody(r.Body, doc.Limits.BodyBytes),
+		body:          newReplayableBody(r, doc.Limits.BodyBytes),
 		nonIdempotent: isTrue(r, HeaderNonIdempotent), execution: record.ExecutionNotRun,
 	}, nil
 }
@@ -221,10 +222,14 @@
 }
 
 func bodyProblem(err error) *Problem {
-	if errors.Is(err, errBodyTooLarge) {
-		return newProblem(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, err.Error())
+	switch {
+	case errors.Is(err, errBodyTooLarge), errors.Is(err, ingress.ErrTooLarge):
+		return newProblem(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, errBodyTooLarge.Error())
+	case errors.Is(err, ingress.ErrNoMemory):
+		return newProblem(http.StatusServiceUnavailable, ReasonNoCapacity, err.Error()).withRetryAfter()
+	default:
+		return newProblem(http.StatusBadRequest, ReasonBodyUnreadable, err.Error())
 	}
-	return newProblem(http.StatusBadRequest, ReasonBodyUnreadable, err.Error())
 }
 
 // settleAsync settles a claimed idempotency key in the background.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,7 @@
 	BootstrapOperator *BootstrapOperator `yaml:"bootstrap_operator"`
 	LogLevel          string             `yaml:"log_level"`
 	Timeouts          Timeouts           `yaml:"timeouts"`
+	CallerLimits      CallerLimits       `yaml:"caller_limits"`
 }
 
 // Listen holds the addresses that the process listens on. With port 0 the system assigns a port.
@@ -65,6 +66,12 @@
 	CA          string `yaml:"ca"`
 }
 
+// CallerLimits bounds what the connections of all callers together can take.
+type CallerLimits struct {
+	Connections     int `yaml:"connections" jsonschema:"minimum=16,maximum=1000000"`
+	MemoryMegabytes int `yaml:"memory_megabytes" jsonschema:"minimum=4,maximum=65536"`
+}
+
 // BootstrapOperator is the operator that may publish the first document. Its key is not valid after that.
 type BootstrapOperator struct {
 	Name   string `yaml:"name" jsonschema:"required"`
@@ -82,6 +89,7 @@
 	PeerRequestMilliseconds   int `yaml:"peer_request_milliseconds" jsonschema:"minimum=50,maximum=2000"`
 	WorkerConnectMilliseconds int `yaml:"worker_connect_milliseconds" jsonschema:"minimum=50,maximum=5000"`
 	CallerHeaderMilliseconds  int `yaml:"caller_header_milliseconds" jsonschema:"minimum=500,maximum=60000"`
+	CallerBodyMilliseconds    int `yaml:"caller_body_milliseconds" jsonschema:"minimum=500,maximum=600000"`
 	CallerIdleSeconds         int `yaml:"caller_idle_seconds" jsonschema:"minimum=1,maximum=3600"`
 	ShutdownSeconds           int `yaml:"shutdown_seconds" jsonschema:"minimum=1,maximum=7200"`
 }
@@ -103,9 +111,11 @@
 			PeerRequestMilliseconds:   1000,
 			WorkerConnectMilliseconds: 500,
 			CallerHeaderMilliseconds:  10000,
+			CallerBodyMilliseconds:    30000,
 			CallerIdleSeconds:         120,
 			ShutdownSeconds:           300,
 		},
+		CallerLimits: CallerLimits{Connections: 8192, MemoryMegabytes: 32},
 	}
 }
 
@@ -130,6 +140,9 @@
 // CallerHeader returns the timeout for reading the header of a caller's request.
 func (t Timeouts) CallerHeader() time.Duration { return milliseconds(t.CallerHeaderMilliseconds) }
 
+// CallerBody returns the timeout for reading the body of a job.
+func (t Timeouts) CallerBody() time.Duration { return milliseconds(t.CallerBodyMilliseconds) }
+
 // CallerIdle returns how long an idle connection of a caller stays open.
 func (t Timeouts) CallerIdle() time.Duration { return time.Duration(t.CallerIdleSeconds) * time.Second }
 
