--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -99,6 +99,7 @@
 	}
 	size := min(max(2*int64(cap(b.bytes)), initialBodyBytes), b.limit+1)
 	if b.conn != nil && !b.conn.grow(size) {
+		counters.refusedRequests.Add(1)
 		return ErrNoMemory
 	}
 	larger := make([]byte, len(b.bytes), size)
--- a/internal/ingress/counters.go
+++ b/internal/ingress/counters.go
@@ -8,6 +8,7 @@
 type ingressCounters struct {
 	connections, reservedBytes                 expvar.Int // at present
 	shedForMemory, shedForConnections, refused expvar.Int
+	refusedRequests                            expvar.Int // for want of memory
 }
 
 func newIngressCounters() *ingressCounters {
@@ -18,5 +19,6 @@
 	m.Set("shed_for_memory_total", &c.shedForMemory)
 	m.Set("shed_for_connections_total", &c.shedForConnections)
 	m.Set("refused_connections_total", &c.refused)
+	m.Set("refused_requests_total", &c.refusedRequests)
 	return c
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -99,6 +99,7 @@
 
 // refuse responds to a request of which nothing has been done.
 func refuse(w http.ResponseWriter) {
+	counters.refusedRequests.Add(1)
 	w.Header().Set("Connection", "close")
 	w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	w.WriteHeader(http.StatusServiceUnavailable)
