--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -151,9 +152,11 @@
 	now, boot := d.now(), bootclock.Now()
 	byName := map[string]*scheduling.BalancePool{}
 	var pools []*scheduling.BalancePool
+	share := w.availableShare()
 	for i := range config.Pools {
+		name := config.Pools[i].Name
 		p := &scheduling.BalancePool{
-			Name: config.Pools[i].Name, Standby: config.Pools[i].Standby, HomeSize: w.homeSizes[config.Pools[i].Name],
+			Name: name, Standby: config.Pools[i].Standby, HomeSize: int(math.Ceil(share * float64(w.homeSizes[name]))),
 		}
 		byName[p.Name] = p
 		pools = append(pools, p)
@@ -239,6 +242,18 @@
 	}
 }
 
+// availableShare returns the share of the instances that are not in evacuated zones. The home sizes of pools count in
+// that proportion during an evacuation, or reserves would take the instances that waiting work needs.
+func (w *instanceDriver) availableShare() float64 {
+	available := 0
+	for _, x := range w.listed {
+		if !w.d.Follower.Evacuating(x.Zone) {
+			available++
+		}
+	}
+	return float64(available) / float64(max(len(w.listed), 1))
+}
+
 // countEvacuated adds a listed instance of an evacuated zone to its pool if it is idle and may be switched off. Callers
 // hold the dispatcher's mu.
 func (w *instanceDriver) countEvacuated(
--- a/internal/dispatch/evacuate_test.go
+++ b/internal/dispatch/evacuate_test.go
@@ -246,8 +246,8 @@
 	is.Equal(x.starts, nil)
 }
 
-// TestEvacuatedInstancesAreNoRoom guards against a pool that counts instances of an evacuated zone as room, or gets
-// more of them.
+// TestEvacuatedInstancesAreNoRoom guards against a pool that counts instances of an evacuated zone as room, gets more of
+// them, or keeps a reserve for all of them in the other zones.
 func TestEvacuatedInstancesAreNoRoom(t *testing.T) {
 	is := is.New(t)
 	x := newEvacuationFixture(t, 3)
@@ -266,14 +266,17 @@
 	up("m3", "off", "z0", "")
 	up("m4", "off", "z1", "")
 	x.addJob("0011223344556677", fleet.Step{Count: 4, Need: fleet.Resources{CPUMilli: 20000}})
+	home := 0
 	moves := func() []scheduling.Move {
 		pools, _ := w.balancePools()
+		home = pools[0].HomeSize
 		return scheduling.Balance(pools, scheduling.DefaultBalance)
 	}
 	is.Equal(len(moves()), 0) // 80 of 96 cores
 	x.evacuate(true)
 	x.agent("w0").idleSince = x.now()
 	is.Equal(moves(), []scheduling.Move{{Instance: "m4", From: "off", To: "pool"}})
+	is.Equal(home, 2) // three of five instances are in other zones
 }
 
 // TestTermBeginsWithFreshOperatorRecords guards against an entry instance that was paused, claims leadership and starts
