Check the key again after the body of a job has arrived

Cause: a request was authenticated and routed before its body was read. A body may take 10 s, longer than a withdrawn key may be used, so that a client which stalled its body handed in jobs with a key that had been withdrawn meanwhile.

Ruled out: a shorter time for bodies, because slow clients would lose it as well; the check only after the body, because the bodies of unknown clients would then take memory.

Change: the request is admitted again once its body is there, by the configuration in force then.

Result: TestKeyWithdrawnWhileTheBodyArrives had status 200 before and has 401 now; go test -race ./internal/front passes.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -200,6 +200,12 @@
 		h.refuse(w, r, q, bodyRefusal(err))
 		return
 	}
+	// A client may take longer to send its body than a withdrawn key may be used.
+	q, refused := h.admit(r)
+	if refused != nil {
+		h.refuse(w, r, q, refused)
+		return
+	}
 	spec, err := h.decode(body)
 	if err != nil {
 		h.refuse(w, r, q, &refusal{status: http.StatusBadRequest, reason: err.Error()})
