Waves share the availability budget of a pool

Cause: the budget of a wave counted only the instances that the same wave drains as down. Instances that another wave drains are listed as up, so that two waves at a time drained twice the share of a pool that may be away.

Ruled out: a separate budget for each wave in proportion to its size, because the floor belongs to the pool.

Change: an instance is down for the budget if any wave drains or maintains it.

--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -223,7 +223,7 @@
 func (w *instanceDriver) waveView(x *wave) scheduling.WaveView {
 	view := scheduling.WaveView{
 		MaxDown: x.request.MaxDown, TimeLeft: x.finishAt - bootclock.Now(), Window: x.request.FinishBy,
-		TypicalDuration: drainEstimate + w.d.Bounds.Maintenance, Pools: w.disruptionPools(x),
+		TypicalDuration: drainEstimate + w.d.Bounds.Maintenance, Pools: w.disruptionPools(),
 	}
 	for id, i := range x.instances {
 		view.Instances = append(view.Instances, w.instanceView(id, i))
@@ -276,8 +276,9 @@
 	return p != nil && p.Standby
 }
 
-// disruptionPools returns the pools of a wave for the availability budget. Callers hold the dispatcher's mu.
-func (w *instanceDriver) disruptionPools(x *wave) map[string]*disruption.Pool {
+// disruptionPools returns the pools for the availability budget, which all waves share. Callers hold the dispatcher's
+// mu.
+func (w *instanceDriver) disruptionPools() map[string]*disruption.Pool {
 	pools := map[string]*disruption.Pool{}
 	for id, listed := range w.listed {
 		p := pools[listed.Pool]
@@ -290,9 +291,7 @@
 		if n := len(listed.Labels); n > 0 {
 			i.Rack = listed.Labels[n-1]
 		}
-		if m := x.instances[id]; m != nil {
-			i.Down = m.taken()
-		}
+		i.Down = !w.notInWave(id)
 		p.Instances = append(p.Instances, i)
 	}
 	return pools
