A new leader cordons the workers of inherited maintenance orders

Cause: the workers of the instances whose maintenance an earlier leader had ordered were cordoned only when the new leader had advanced all waves for the first time: after the first list of instances, the home sizes and the appends of each wave. Its first decisions started tasks there, which the order, if it is carried out late, ends. The first balance lifted such a cordon as well, because no wave was known yet.

Ruled out: a start only after the first list of instances, because accepted jobs would wait for the instances service.

Change: the cordons follow from the stored waves before the jobs are restored, and the waves are added before the balance.

--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -102,6 +102,7 @@
 	if w.homeSizes == nil && !w.initHomeSizes(ctx) {
 		return
 	}
+	w.addWaves() // the balance lifts cordons that belong to no wave
 	if w.termConfirmed() {
 		w.balance(ctx)
 	}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -87,6 +87,7 @@
 	if ctx.Err() != nil {
 		return nil, false
 	}
+	d.restoreCordons()
 	d.restore(progress)
 	d.Log.Info().Str("event", "jobs_loaded").Int64("token", d.Token).Int64("fenced", fenced).Int("jobs", len(d.jobs)).
 		Int("open", d.openJobs()).
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -105,6 +105,22 @@
 	return x
 }
 
+// restoreCordons cordons the workers of the instances whose maintenance an earlier leader has ordered. Its order may
+// still be carried out.
+func (d *Dispatcher) restoreCordons() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	cordons := map[string]bool{}
+	for _, x := range d.waveRecords {
+		for instance, worker := range x.Ordered {
+			if !x.Closed && worker != "" && !slices.Contains(x.Done, instance) {
+				cordons[worker] = true
+			}
+		}
+	}
+	d.waveCordons = cordons
+}
+
 // advanceWaves advances each open wave by one step. Callers hold mu.
 func (w *instanceDriver) advanceWaves(ctx context.Context) {
 	numbers := make([]int64, 0, len(w.waves))
