Requests on one HTTP/2 connection are counted apart

Cause: the guard kept one phase and one sum for each connection. On HTTP/2 the beginning of a request released what the other requests of its connection held, and their ends made it a candidate although others were in progress. A client with many stalled bodies on one connection held many times what was counted.

Ruled out: HTTP/1.1 only for TLS callers, because they use HTTP/2 already; one sum for each connection that grows with each request, because a connection that is never idle would never release any.

Change: each HTTP/2 request stands for a connection of its own in the guard from its header to the end of its handler. The connection itself is shed only while it has none.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -34,6 +34,8 @@
 	reserved int64
 	// progressAt is when the client last sent something.
 	progressAt time.Time
+	// streams is the number of its HTTP/2 requests that are being handled.
+	streams int
 }
 
 // connKey is the key of a request's connection in its context.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -81,22 +81,29 @@
 	}
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := connOf(r)
-		switch {
+		switch c := connOf(r); {
 		case c == nil:
 			next.ServeHTTP(w, r)
-			return
-		case c.beginRequest(r):
-			next.ServeHTTP(w, r)
+		case r.ProtoMajor == 2:
+			g.serveStream(next, w, r, c)
 		default:
-			refuse(w)
-		}
-		if c.endRequest() {
-			c.setReadDeadline(w, discardTime)
+			g.serve(next, w, r, c)
 		}
 	})
 }
 
+// serve serves a request that c stands for.
+func (g *Guard) serve(next http.Handler, w http.ResponseWriter, r *http.Request, c *conn) {
+	if c.beginRequest(r) {
+		next.ServeHTTP(w, r)
+	} else {
+		refuse(w)
+	}
+	if c.endRequest() {
+		c.setReadDeadline(w, discardTime)
+	}
+}
+
 // refuse responds to a request of which nothing has been done.
 func refuse(w http.ResponseWriter) {
 	counters.refusedRequests.Add(1)
