Count what a shed connection holds until the server has ended it

A shed connection no longer counted from the moment of its choice, but its handler keeps the buffer until it notices that the connection is closed. On a busy machine many handlers do so late, while others had been given the same memory.

Change: what a shed connection held counts as draining until the server closes it.

Failed first: TestBodyWaitsForTheMemoryOfShedConnections.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -32,6 +32,8 @@
 	// The guard's mu protects the fields below.
 	phase    phase
 	reserved int64
+	// draining is what the connection held when it was shed, until the server has ended it.
+	draining int64
 	// progressAt is when the client last sent something.
 	progressAt time.Time
 }
@@ -100,6 +102,7 @@
 func (c *conn) Close() error {
 	c.guard.mu.Lock()
 	c.guard.remove(c)
+	c.guard.drained(c)
 	c.guard.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -152,13 +155,31 @@
 	counters.reservedBytes.Add(-bytes)
 }
 
-// grow reserves bytes for a body. It reports false if there is no memory for them.
+// grow reserves bytes for a body. It reports false if there is no memory for them. It waits until the server has ended
+// the connections that were shed for them, at most for maxDrainWait.
 func (c *conn) grow(bytes int64) bool {
-	c.guard.mu.Lock()
-	victims, ok := c.guard.reserve(c, bytes)
-	c.guard.mu.Unlock()
-	closeAll(victims)
-	return ok
+	g := c.guard
+	timeout := time.NewTimer(maxDrainWait)
+	defer timeout.Stop()
+	for {
+		g.mu.Lock()
+		victims, ok := g.reserve(c, bytes)
+		drained := g.drainedSome
+		wait := ok && g.overDrained()
+		if wait {
+			c.release(bytes)
+		}
+		g.mu.Unlock()
+		closeAll(victims)
+		if !wait {
+			return ok
+		}
+		select {
+		case <-drained:
+		case <-timeout.C:
+			return false
+		}
+	}
 }
 
 // shrink releases bytes of a body.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -231,3 +231,33 @@
 	<-s.handled
 	s.await(t, "the header is reserved", func() bool { return s.reserved > fields*headerFieldBytes })
 }
+
+// TestBodyWaitsForTheMemoryOfShedConnections guards against memory that is given to one body while the handler of a shed
+// connection still holds it: on a busy machine, many handlers take a while to notice that their connections are closed.
+func TestBodyWaitsForTheMemoryOfShedConnections(t *testing.T) {
+	is := is.New(t)
+	const limit = 1 << 20
+	g := New(Limits{Memory: limit}, zerolog.Nop())
+	open := func() *conn {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		c := g.admit(near)
+		c.phase = phaseBody
+		return c
+	}
+	first, second := open(), open()
+	is.True(first.grow(limit / 2))
+	grown := make(chan bool, 1)
+	go func() { grown <- second.grow(limit * 3 / 4) }()
+	select {
+	case <-grown:
+		t.Fatal("the memory was given away while the shed connection held it")
+	case <-time.After(maxDrainWait / 10):
+	}
+	is.NoErr(first.Close()) // the handler of the shed connection has returned
+	is.True(<-grown)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	is.Equal(g.draining, int64(0))
+	is.True(g.reserved <= limit)
+}
--- a/internal/ingress/shed.go
+++ b/internal/ingress/shed.go
@@ -28,7 +28,7 @@
 		if g.reserved <= target {
 			break
 		}
-		g.remove(x.conn)
+		g.shed(x.conn)
 		victims = append(victims, x.conn)
 	}
 	counters.shedForMemory.Add(int64(len(victims)))
@@ -53,7 +53,7 @@
 	n := max(int(float64(g.limits.Connections)*shedConnectionFraction), 1)
 	var victims []*conn
 	for _, x := range list[:min(n, len(list))] {
-		g.remove(x.conn)
+		g.shed(x.conn)
 		victims = append(victims, x.conn)
 	}
 	counters.shedForConnections.Add(int64(len(victims)))
