Order of waiting work by its chance, its value and the shares of teams

Cause: under overload the work nearest to its objective comes first, by an estimate that may be off by nine tenths, and work that has no value any more comes before late work that has. A team that sends many times its share takes the capacity that the work of all others needs, because the order knows no shares.

Change: scheduling.Timing classifies work by quantiles of its run time: on time, late, excess, expired. The leader counts the jobs of each team against its share in a token bucket, and counts the stored submissions again at the start of a term. The leader's part of refusing excess work is in internal/overload and not used yet. run_times in the metrics.

--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -17,13 +17,16 @@
 	// evacuationWaits holds the number of tasks that only workers of evacuated zones may run.
 	evacuatedStarts, evacuationWaits expvar.Int
 	waveStops                        expvar.Int
-	ends                             expvar.Map
-	jobs                             expvar.Map
+	// shedding counts how often a queue began to refuse work.
+	shedding expvar.Int
+	ends     expvar.Map
+	jobs     expvar.Map
 	// doneMillis is the time from acceptance to the end of jobs that were done, and startMillis the time from
 	// acceptance to the first start of a job.
 	doneMillis, startMillis *metrics.Histogram
 	usage                   *usageCounter
 	late                    lateCounter
+	runTimes                runTimesVar
 }
 
 var sharedCounters = newCounters()
@@ -50,6 +53,7 @@
 	m.Set("starts_withheld_by_evacuation_total", &c.evacuatedStarts)
 	m.Set("tasks_awaiting_evacuations", &c.evacuationWaits)
 	m.Set("runs_stopped_for_late_waves_total", &c.waveStops)
+	m.Set("queue_overloads_total", &c.shedding)
 	m.Set("runs_ended_total", c.ends.Init())
 	m.Set("jobs_ended_total", c.jobs.Init())
 	c.doneMillis, c.startMillis = metrics.NewHistogram(), metrics.NewHistogram()
@@ -58,6 +62,7 @@
 	c.usage = newUsageCounter()
 	m.Set("instance_seconds", c.usage)
 	c.late.publish(m)
+	m.Set("run_times", &c.runTimes)
 	return c
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/follow"
 	"pollenlead/internal/instances"
+	"pollenlead/internal/overload"
 	"pollenlead/internal/scheduling"
 	"pollenlead/internal/sleep"
 	"pollenlead/internal/store"
@@ -95,6 +96,8 @@
 	failures int
 	// partitions is a bit set of the partitions in which the job's submission or cancellation was read.
 	partitions uint64
+	// excess means that the job is beyond its team's share of jobs per second.
+	excess bool
 	// endedBefore means that the job had ended when the term began.
 	endedBefore bool
 	// unstorableUntil is the boot clock until which nothing of the job is started, because the store refused its progress.
@@ -165,6 +168,8 @@
 	wallStart      time.Time     // the time of day at bootStart
 	estimates      estimates
 	counters       *counters
+	rates          *overload.Rates
+	overload       overload.State // what the entry instances refuse
 	entryLog       entryLog
 	driver         *instanceDriver
 	// waveRecords holds the progress of waves as an earlier leader stored it.
@@ -200,7 +205,7 @@
 		waveRecords:      map[int64]*waveRecord{}, advice: map[string]*advice{}, dirty: map[string]bool{},
 		inflow: map[string]*scheduling.Inflow{}, loadedJobs: map[string]*loadedJob{},
 		loadedParts: map[string]map[string][]byte{},
-		counters:    sharedCounters, estimates: newEstimates(),
+		counters:    sharedCounters, estimates: newEstimates(), rates: overload.NewRates(),
 	}
 	d.driver = newInstanceDriver(d)
 	return d
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"pollenlead/internal/fleet"
 	"pollenlead/internal/runtimes"
+	"pollenlead/internal/scheduling"
 	"pollenlead/internal/workload"
 )
 
@@ -37,6 +39,16 @@
 	return e.model.PathLeft(queueOf(o), e.path(o))
 }
 
+// timing returns what the rank of an occurrence depends on, except for the time that has elapsed.
+func (e *estimates) timing(o *workload.Occurrence, q *fleet.Queue, now time.Time) scheduling.Timing {
+	queue, whole, left := queueOf(o), e.path(o), e.pathLeft(o, now)
+	return scheduling.Timing{
+		Stretch: q.Stretch, LatencyObjective: q.LatencyObjective,
+		Total: func(p float64) time.Duration { return e.model.PathLeftQuantile(queue, whole, p) },
+		Left:  func(p float64) time.Duration { return e.model.PathLeftQuantile(queue, left, p) },
+	}
+}
+
 // path returns the critical path through all steps of an occurrence, as if none had begun.
 func (e *estimates) path(o *workload.Occurrence) []runtimes.Stage {
 	return e.criticalPath(o, func(s *workload.Step) (runtimes.Stage, bool) {
@@ -101,6 +113,9 @@
 				longest = max(longest, now.Sub(r.ActiveSince))
 			}
 		}
+		if longest == 0 {
+			return 0
+		}
 		if least < 0 || longest < least {
 			least = longest
 		}
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"pollenlead/internal/bootclock"
 	"pollenlead/internal/store"
 	"pollenlead/internal/workload"
 )
@@ -74,6 +75,7 @@
 	}
 	j := d.insert(w)
 	j.readAfter = max(d.now().Sub(w.Submitted), 0)
+	d.noteSubmission(j, bootclock.Now())
 	if c, ok := d.pendingCancels[id]; ok {
 		delete(d.pendingCancels, id)
 		j.partitions |= c.partitions
@@ -81,7 +83,7 @@
 	}
 	d.advance(j)
 	d.Log.Info().Str("event", "job_seen").Str("job", id).Str("queue", w.Queue).Str("team", w.Team).Str("pool", w.Pool).
-		Int("steps", len(w.Spec.Steps)).Int64("offset", r.Offset).Dur("age", time.Since(w.Submitted)).
+		Int("steps", len(w.Spec.Steps)).Bool("excess", j.excess).Int64("offset", r.Offset).Dur("age", time.Since(w.Submitted)).
 		Msg("job read from the store")
 	d.markWaiting(j)
 	d.signal()
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -181,6 +181,7 @@
 			open[j.Pool] = append(open[j.Pool], restoredJob{j, progress[id]})
 		}
 	}
+	d.replaySubmissions()
 	d.logRestored(open)
 	for id := range progress {
 		if _, known := d.loadedJobs[id]; !known { // an earlier leader removed the submission, but not yet the progress
--- /dev/null
+++ b/internal/dispatch/overload.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"time"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/overload"
+	"pollenlead/internal/scheduling"
+	"pollenlead/internal/workload"
+)
+
+// maxDrainTime is the drain time of a pool without usable workers.
+const maxDrainTime = time.Minute
+
+// OverloadState returns what the entry instances refuse at present, encoded. It is nil if they refuse nothing.
+func (d *Dispatcher) OverloadState() json.RawMessage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.loaded {
+		return nil
+	}
+	excess := d.rates.ExcessFractions(bootclock.Now())
+	var loads map[string]overload.QueueLoad
+	if len(excess) > 0 {
+		loads = d.queueLoads()
+	}
+	next := overload.Next(d.overload, loads, excess)
+	d.logOverload(next)
+	d.overload = next
+	encoded, err := next.Encode()
+	if err != nil {
+		d.Log.Error().Err(err).Str("event", "bad_overload_state").Msg("overload state cannot be encoded")
+	}
+	return encoded
+}
+
+// queueLoads returns the load of each queue whose pool has waiting work. Callers hold mu.
+func (d *Dispatcher) queueLoads() map[string]overload.QueueLoad {
+	loads := map[string]overload.QueueLoad{}
+	c := d.Follower.Config()
+	if c == nil {
+		return loads
+	}
+	drainTimes := map[string]time.Duration{}
+	for pool := range d.waiting {
+		drainTimes[pool] = d.drainTime(pool)
+	}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if wait := drainTimes[q.Pool]; wait > 0 {
+			loads[q.Name] = overload.QueueLoad{Wait: wait, OnTime: d.estimates.longestWait(q)}
+		}
+	}
+	return loads
+}
+
+// drainTime returns the time that a pool takes for the work of its waiting jobs at its present capacity. Work that has
+// no value any more counts for nothing, as it comes after all other work. Callers hold mu.
+func (d *Dispatcher) drainTime(pool string) time.Duration {
+	now, work := d.now(), 0.0
+	for _, j := range d.waiting[pool] {
+		for _, o := range j.Occurrences {
+			if j.Spec.LongRunning() || d.rank(j, o, d.queue(j.Queue), now).Tier == scheduling.TierExpired {
+				continue
+			}
+			work += d.estimates.waitingWork(o)
+		}
+	}
+	capacity := d.usableCPU(pool, now)
+	if capacity == 0 {
+		return maxDrainTime
+	}
+	return min(time.Duration(work/float64(capacity)*float64(time.Second)), maxDrainTime)
+}
+
+// usableCPU returns the CPU capacity of the workers of a pool that may get tasks. Callers hold mu.
+func (d *Dispatcher) usableCPU(pool string, now time.Time) int64 {
+	sum, boot := int64(0), bootclock.Now()
+	for _, a := range d.agents {
+		if a.entry != nil && a.entry.Pool == pool && d.usable(a, now, boot) {
+			sum += a.entry.Capacity.CPUMilli
+		}
+	}
+	return sum
+}
+
+// logOverload logs the queues that begin or end to refuse work. Callers hold mu.
+func (d *Dispatcher) logOverload(next overload.State) {
+	for queue, s := range next {
+		if _, before := d.overload[queue]; !before {
+			d.counters.shedding.Add(1)
+			d.Log.Info().Str("event", "overload_began").Str("queue", queue).Interface("teams", s.Teams).
+				Int64("retry_ms", s.RetryMillis).Msg("queue refuses work beyond the shares of teams")
+		}
+	}
+	for queue := range d.overload {
+		if _, still := next[queue]; !still {
+			d.Log.Info().Str("event", "overload_ended").Str("queue", queue).Msg("queue takes all work again")
+		}
+	}
+}
+
+// waitingWork returns the expected processor time of the tasks of an occurrence that have not run, in thousandths of a
+// core times seconds.
+func (e *estimates) waitingWork(o *workload.Occurrence) float64 {
+	sum := 0.0
+	for _, s := range o.Steps {
+		if n := waitingCount(s); n > 0 {
+			sum += e.model.Work(s.Job.Queue, s.Spec.Estimate, n, s.Spec.Charge().CPUMilli)
+		}
+	}
+	return sum
+}
+
+// longestWait returns for how long a job of one step of typical duration may wait and still meet its objective.
+func (e *estimates) longestWait(q *fleet.Queue) time.Duration {
+	typical := e.model.Mean(q.Name, 0)
+	return q.LatencyObjective + max(time.Duration((q.Stretch-1)*float64(typical)), 0)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -195,12 +195,10 @@
 	if due := j.Spec.DueAt(o.Number); !due.IsZero() {
 		begin = due
 	}
-	left := d.estimates.model.PathLeft(j.Queue, d.estimates.pathLeft(o, now))
-	slack := begin.Add(d.objective(o, q)).Sub(now) - left
-	r := scheduling.Rank{Tier: scheduling.TierOnTime, Priority: q.Priority, Slack: slack, Submitted: j.Submitted}
-	if slack < 0 {
-		r.Tier = scheduling.TierLate
-	}
+	timing := d.estimates.timing(o, q, now)
+	timing.Elapsed, timing.Excess = now.Sub(begin), j.excess
+	r := scheduling.Rank{Priority: q.Priority, Submitted: j.Submitted}
+	r.Tier, r.Slack = timing.Classify()
 	return r
 }
 
--- a/internal/dispatch/poollog.go
+++ b/internal/dispatch/poollog.go
@@ -10,13 +10,14 @@
 // poolLogInterval is the shortest interval between two logs of the pools' backlogs.
 const poolLogInterval = time.Second
 
-// logPools logs the state of each pool in which tasks wait. Callers hold mu.
+// logPools logs the state of each pool in which tasks wait, and publishes the run times of the queues. Callers hold mu.
 func (d *Dispatcher) logPools(now time.Time) {
 	boot := bootclock.Now()
 	if boot-d.poolsLogged < poolLogInterval {
 		return
 	}
 	d.poolsLogged = boot
+	d.counters.runTimes.set(d.estimates.model.Stats())
 	d.logEvacuationWaits()
 	for pool, jobs := range d.active {
 		waiting := 0
--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,116 @@
+package overload
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestShareIsExact guards against a team that gets more of a full fleet than its share by sending in bursts or by
+// pausing, and against counting jobs within a share as excess.
+func TestShareIsExact(t *testing.T) {
+	is := is.New(t)
+	r := NewRates()
+	admitted := 0
+	for i := range 4000 { // 400 jobs per second for 10 s
+		if r.Admit("hot", 20, time.Duration(i)*10*time.Second/4000) {
+			admitted++
+		}
+	}
+	is.True(admitted >= 200 && admitted <= 221)
+	for i := range 100 {
+		is.True(r.Admit("calm", 20, time.Duration(i)*100*time.Millisecond))
+	}
+	fractions := r.ExcessFractions(10 * time.Second)
+	is.True(fractions["hot"] > 0.9)
+	is.Equal(fractions["calm"], 0.0)
+	is.True(r.Admit("", 0, 0)) // a public queue
+	is.True(r.Admit("hot", 20, 20*time.Second))
+}
+
+// TestStepOfAClockAddsNothing guards against a clock that jumps back and forth and fills a team's bucket each time.
+func TestStepOfAClockAddsNothing(t *testing.T) {
+	is := is.New(t)
+	r := NewRates()
+	admitted := 0
+	for i := range 200 {
+		if r.Admit("hot", 10, time.Duration(10+i%2*2)*time.Second) {
+			admitted++
+		}
+	}
+	is.True(admitted <= 20)
+}
+
+func encode(is *is.I, s State) json.RawMessage {
+	encoded, err := s.Encode()
+	is.NoErr(err)
+	return encoded
+}
+
+// shedHalf refuses half of the jobs of one team.
+var shedHalf = State{"queue": {Teams: map[string]float64{"hot": 0.5}, RetryMillis: 3000}}
+
+// TestEntryInstancesDecideAlike guards against entry instances that decide differently about the same job, so that a
+// client finds one that takes what the others refuse, and against refusing what is within a share.
+func TestEntryInstancesDecideAlike(t *testing.T) {
+	is := is.New(t)
+	published := func() (json.RawMessage, time.Duration) { return encode(is, shedHalf), time.Second }
+	a, b := Gate{Published: published}, Gate{Published: published}
+	refused, retries := 0, map[time.Duration]int{}
+	for i := range 1000 {
+		id := fmt.Sprintf("%016x", i)
+		x, y := a.Refuse("queue", "hot", id), b.Refuse("queue", "hot", id)
+		is.Equal(x, y)
+		is.Equal(a.Refuse("queue", "calm", id), nil)
+		is.Equal(a.Refuse("other", "hot", id), nil)
+		if x != nil {
+			refused++
+			retries[x.RetryAfter.Truncate(time.Second)]++
+			is.True(x.RetryAfter >= 3*time.Second && x.RetryAfter <= 6*time.Second)
+		}
+	}
+	is.True(refused > 450 && refused < 550)
+	for _, n := range retries {
+		is.True(n < refused/2) // they do not return all at once
+	}
+}
+
+// TestStaleStateRefusesNothing guards against refusals without a leader: after its death, while an entry instance is
+// cut off from the store, and after a record that cannot be decoded.
+func TestStaleStateRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	refusals := func(encoded json.RawMessage, age time.Duration) int {
+		g := Gate{Published: func() (json.RawMessage, time.Duration) { return encoded, age }}
+		n := 0
+		for i := range 100 {
+			if g.Refuse("queue", "hot", fmt.Sprintf("%016x", i)) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	is.True(refusals(encode(is, shedHalf), maxAge) > 0)
+	is.Equal(refusals(encode(is, shedHalf), maxAge+time.Millisecond), 0)
+	is.Equal(refusals(nil, 0), 0)
+	is.Equal(refusals(json.RawMessage(`["queue"]`), 0), 0)
+	is.Equal(encode(is, State{}), nil)
+}
+
+// TestOnlyExcessIsShed guards against refusing work while the queue can serve it in time, and against a state that
+// alternates while the load is near the limit.
+func TestOnlyExcessIsShed(t *testing.T) {
+	is := is.New(t)
+	excess := map[string]float64{"hot": 0.7, "nearly": 0.001}
+	load := func(wait time.Duration) map[string]QueueLoad {
+		return map[string]QueueLoad{"queue": {Wait: wait, OnTime: time.Second}}
+	}
+	is.Equal(len(Next(nil, load(900*time.Millisecond), excess)), 0)
+	is.Equal(len(Next(nil, load(2*time.Second), nil)), 0)
+	s := Next(nil, load(2*time.Second), excess)
+	is.Equal(s["queue"], Shedding{Teams: map[string]float64{"hot": 0.7}, RetryMillis: 2000})
+	is.Equal(len(Next(s, load(900*time.Millisecond), excess)), 1)
+	is.Equal(len(Next(s, load(400*time.Millisecond), excess)), 0)
+}
--- /dev/null
+++ b/internal/overload/state.go
@@ -0,0 +1,68 @@
+package overload
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minExcess is the number of jobs per second beyond its share from which on a team is over its share.
+	minExcess = 1
+	// recoveredFraction is the fraction of the limit below which the expected wait has to fall before a queue takes all
+	// work again, so that the state does not alternate with each decision.
+	recoveredFraction = 0.5
+	// minFraction is the smallest fraction of jobs that is refused.
+	minFraction = 0.02
+)
+
+func decay(elapsed, window time.Duration) float64 {
+	return math.Exp(-float64(max(elapsed, 0)) / float64(window))
+}
+
+// QueueLoad is what a queue's state depends on.
+type QueueLoad struct {
+	// Wait is the time that the pool takes for all work that waits now, at its present capacity.
+	Wait time.Duration
+	// OnTime is for how long a typical job of the queue can wait and still meet its objective.
+	OnTime time.Duration
+}
+
+// Shedding is what the entry instances refuse of one queue.
+type Shedding struct {
+	// Teams holds the fractions of the jobs that are refused, by team.
+	Teams map[string]float64 `json:"teams"`
+	// RetryMillis is the time that the pool takes for the work that waits.
+	RetryMillis int64 `json:"retry_ms"`
+}
+
+// State is what the entry instances refuse, by queue. The leader publishes it, and its zero value refuses nothing.
+type State map[string]Shedding
+
+// Next returns the state that follows from the loads of the queues and the fractions of the teams' jobs that are beyond
+// their shares. A queue sheds the excess of such teams from the moment when the work that waits takes longer than a job
+// can wait: the excess comes after all other work, so it would only be done late.
+func Next(previous State, loads map[string]QueueLoad, excess map[string]float64) State {
+	next := State{}
+	if len(excess) == 0 {
+		return next
+	}
+	for queue, load := range loads {
+		limit := load.OnTime
+		if _, shedding := previous[queue]; shedding {
+			limit = time.Duration(recoveredFraction * float64(limit))
+		}
+		if load.Wait <= limit {
+			continue
+		}
+		teams := map[string]float64{}
+		for team, fraction := range excess {
+			if fraction >= minFraction {
+				teams[team] = math.Round(fraction*100) / 100
+			}
+		}
+		if len(teams) > 0 {
+			next[queue] = Shedding{Teams: teams, RetryMillis: load.Wait.Milliseconds()}
+		}
+	}
+	return next
+}
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -40,47 +40,6 @@
 	Rank Rank
 }
 
-// Rank is the position of a PendingStep among the others of its pool.
-type Rank struct {
-	// Tier separates work that can still meet its objective from work that cannot.
-	Tier Tier
-	// Priority is the queue's priority; 0 comes first.
-	Priority int
-	// Slack is the time until the objective minus the remaining work.
-	Slack time.Duration
-	// Submitted breaks ties in favor of the older job.
-	Submitted time.Time
-}
-
-// Tier is a class of urgency.
-type Tier uint8
-
-// The tiers, most urgent first.
-const (
-	// TierServing is work that runs until it is cancelled and has value only while it runs.
-	TierServing Tier = iota
-	// TierOnTime is work that can still meet its objective.
-	TierOnTime
-	// TierLate is work that has missed its objective.
-	TierLate
-)
-
-func (r Rank) compare(o Rank) int {
-	if r.Tier != o.Tier {
-		return int(r.Tier) - int(o.Tier)
-	}
-	if r.Priority != o.Priority {
-		return r.Priority - o.Priority
-	}
-	if r.Slack != o.Slack {
-		if r.Slack < o.Slack {
-			return -1
-		}
-		return 1
-	}
-	return r.Submitted.Compare(o.Submitted)
-}
-
 // Placement assigns a task to a worker.
 type Placement struct {
 	Task   *workload.Task
