Refuse work beyond a team's share at once while its queue is overloaded

Cause: nothing is refused. A team far above its share fills the backlog with work that is started when it has no value any more: 5,554 of 5,568 jobs of a hot account under a burst were accepted, 1,434 of them in vain.

Ruled out: counting shares at each entry instance (a share of a few jobs a second cannot be divided by 29); polling the leader (29 further calls several times a second); asking the leader before each refusal (a refusal would wait for a network).

Change: the leader's heartbeat record carries what entry instances refuse: a fraction of the jobs of each team beyond its share, for each queue whose pool needs longer for what waits than a job can wait. Entry instances answer 429 before anything is appended; the hash of the job's ID decides, and spreads Retry-After over the time that the pool needs. A state older than 1.2 s refuses nothing, and neither do scheduled and long-running jobs meet it.

--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"expvar"
 	"fmt"
@@ -29,6 +30,7 @@
 	"pollenlead/internal/instances"
 	"pollenlead/internal/leader"
 	"pollenlead/internal/leaderrpc"
+	"pollenlead/internal/overload"
 	"pollenlead/internal/relay"
 	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
@@ -92,7 +94,7 @@
 		Store: p.Store, Topic: p.LeaderTopic, MemberTopic: p.MemberTopic, Name: s.Name,
 		Holder: s.Name + "/" + rand.Text()[:8],
 		Peer:   net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPort)), CPUShare: s.CPUShare, Lead: n.lead, Log: log,
-		Zone: s.Zone, Relay: n.relayAddress(),
+		Zone: s.Zone, Relay: n.relayAddress(), Note: n.overloadState,
 	})
 	n.delegate = &relay.Delegate{Workers: p.Workers, Token: n.latestToken, Log: log}
 	return n
@@ -137,6 +139,14 @@
 	d.Run(ctx)
 }
 
+// overloadState returns what the entry instances refuse while this one leads, or nil.
+func (n *Node) overloadState() json.RawMessage {
+	if d := n.dispatcher.Load(); d != nil {
+		return d.OverloadState()
+	}
+	return nil
+}
+
 // jobs returns the running dispatcher, or nil while this entry instance is not the leader.
 func (n *Node) jobs() leaderrpc.Jobs {
 	if d := n.dispatcher.Load(); d != nil {
@@ -195,6 +205,7 @@
 		),
 		Codec:         n.platform.Codec,
 		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log},
+		Overload:      &overload.Gate{Published: n.election.Note},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
 	}
 	ready := http.NewServeMux()
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -11,7 +11,9 @@
 
 type frontCounters struct {
 	accepted, cancelled, unknown expvar.Int
-	refused                      expvar.Map // by status code
+	// shed counts the submissions that were refused because of overload.
+	shed    expvar.Int
+	refused expvar.Map // by status code
 	// acceptMillis is the time from the receipt of a submission until it is stored.
 	acceptMillis *metrics.Histogram
 }
@@ -22,6 +24,7 @@
 	m.Set("jobs_accepted_total", &c.accepted)
 	m.Set("cancellations_total", &c.cancelled)
 	m.Set("outcomes_unknown_total", &c.unknown)
+	m.Set("jobs_shed_total", &c.shed)
 	m.Set("refused_total", c.refused.Init())
 	c.acceptMillis = metrics.NewHistogram()
 	m.Set("accept_milliseconds", c.acceptMillis)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -19,6 +20,7 @@
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/ingress"
 	"pollenlead/internal/leaderrpc"
+	"pollenlead/internal/overload"
 	"pollenlead/internal/sleep"
 	"pollenlead/internal/store"
 	"pollenlead/internal/workload"
@@ -77,6 +79,8 @@
 	Jobs   *store.Batchers
 	Leader Leader
 	Codec  Codec
+	// Overload refuses work that the queue cannot serve in time. Nil refuses nothing.
+	Overload *overload.Gate
 	// KeyWithdrawal is the time after which a withdrawn key must no longer be accepted.
 	KeyWithdrawal time.Duration
 	Log           zerolog.Logger
@@ -205,6 +209,11 @@
 		h.refuse(w, r, q, &refusal{status: http.StatusBadRequest, reason: err.Error()})
 		return
 	}
+	if refused := h.shed(q, spec); refused != nil {
+		counters.shed.Add(1)
+		h.refuse(w, r, q, refused)
+		return
+	}
 	value, err := json.Marshal(workload.Submission{
 		Queue: q.queue.Name, Pool: q.queue.Pool, Team: q.team, Attempts: q.queue.Attempts,
 		AtMillis: received.UnixMilli(), Spec: spec,
@@ -222,6 +231,22 @@
 	}
 }
 
+// shed returns the refusal of a job that its queue cannot serve in time, or nil. Nothing of the job has been stored.
+// Scheduled jobs are due at another time, and long-running ones come before all others: both are taken.
+func (h *Handler) shed(q *request, spec *fleet.JobSpec) *refusal {
+	if h.Overload == nil || spec.Times > 0 || spec.LongRunning() {
+		return nil
+	}
+	refused := h.Overload.Refuse(q.queue.Name, q.team, q.id)
+	if refused == nil {
+		return nil
+	}
+	return &refusal{
+		http.StatusTooManyRequests, "queue is overloaded and the team is beyond its share",
+		int(math.Ceil(refused.RetryAfter.Seconds())),
+	}
+}
+
 // cancel stores a cancellation and confirms it.
 func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request) {
 	value, err := json.Marshal(workload.Cancellation{Queue: q.queue.Name, Team: q.team})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"pollenlead/internal/fleet"
+	"pollenlead/internal/overload"
 	"pollenlead/internal/store"
 )
 
@@ -74,3 +77,44 @@
 	is.Equal(submit(store.DefaultLimits.Record-1000), http.StatusOK)
 	is.Equal(s.records.Load(), int32(1))
 }
+
+// TestOverloadRefusesBeforeTheStore guards against a refused job that is stored and runs, and against refusing jobs
+// that are due at another time, that run until they are cancelled, or that are not beyond a share.
+func TestOverloadRefusesBeforeTheStore(t *testing.T) {
+	is := is.New(t)
+	s, spec := &countingStore{}, &fleet.JobSpec{}
+	state := overload.State{"queue": {Teams: map[string]float64{"": 1}, RetryMillis: 2500}}
+	encoded, err := state.Encode()
+	is.NoErr(err)
+	age := time.Duration(0)
+	h := &Handler{
+		Config: oneQueue{}, Jobs: store.NewBatchers(t.Context(), s, store.DefaultLimits, "topic", 2, 0), Log: zerolog.Nop(),
+		Draining: &atomic.Bool{},
+		Codec: Codec{
+			Job: func([]byte) (*fleet.JobSpec, error) { return spec, nil },
+			Key: func(string) string { return "" },
+		},
+		Overload: &overload.Gate{Published: func() (json.RawMessage, time.Duration) { return encoded, age }},
+	}
+	submit := func() *httptest.ResponseRecorder {
+		r := httptest.NewRequest(http.MethodPost, "http://a.example/0011223344556677", strings.NewReader("x"))
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		return w
+	}
+	spec.Steps = []fleet.Step{{Count: 1}}
+	refused := submit()
+	is.Equal(refused.Code, http.StatusTooManyRequests)
+	seconds, err := strconv.Atoi(refused.Header().Get("Retry-After"))
+	is.NoErr(err)
+	is.True(seconds >= 3 && seconds <= 5)
+	is.Equal(s.records.Load(), int32(0))
+	age = time.Minute // the leader is gone, or this entry instance is cut off
+	is.Equal(submit().Code, http.StatusOK)
+	age = 0
+	spec.Times = 2
+	is.Equal(submit().Code, http.StatusOK)
+	spec.Times, spec.Steps = 0, []fleet.Step{{Count: 1, LongRunning: true}}
+	is.Equal(submit().Code, http.StatusOK)
+	is.Equal(s.records.Load(), int32(3))
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -64,6 +64,8 @@
 	CPUShare float64 `json:"cpu_share,omitempty"`
 	// Released means that the leader has ended its term.
 	Released bool `json:"released,omitempty"`
+	// Note is what the leader tells all entry instances with a heartbeat; see Options.
+	Note json.RawMessage `json:"note,omitempty"`
 }
 
 // Leader is the current leader as last read by this entry instance.
@@ -95,6 +97,10 @@
 	// confirmed is the boot clock at the time of sending the most recent accepted record of this entry instance. If the
 	// answer to that record was lost, it may be the time of an earlier one.
 	confirmed time.Duration
+	// leaderNote is the note of the newest record, and notedAt the boot clock of its receipt.
+	leaderNote json.RawMessage
+	notedAt    time.Duration
+	note       func() json.RawMessage
 
 	// The following fields are used only by the goroutine of Run.
 	nextOffset int64         // end of the partition, as far as read
@@ -123,7 +129,9 @@
 	Zone, Relay string
 	CPUShare    float64
 	Lead        Lead
-	Log         zerolog.Logger
+	// Note returns what this entry instance tells the others with each heartbeat while it leads. It may be nil.
+	Note func() json.RawMessage
+	Log  zerolog.Logger
 }
 
 // New returns an Election; Run starts it.
@@ -131,7 +139,7 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(o.Holder))
 	e := &Election{
-		store: o.Store, topic: o.Topic, holder: o.Holder, peer: o.Peer, lead: o.Lead, log: o.Log,
+		store: o.Store, topic: o.Topic, holder: o.Holder, peer: o.Peer, lead: o.Lead, note: o.Note, log: o.Log,
 		jitter:  maxClaimJitter * time.Duration(h.Sum32()%100) / 100,
 		changed: make(chan struct{}), resigned: make(chan struct{}), nextOffset: -1,
 		pace: store.TimeoutEstimator{Min: minHeartbeatTimeout, Max: callTimeout},
@@ -333,9 +341,24 @@
 		w.Token = r.Offset + 1
 		e.members.prompt(w)
 	}
+	e.keepNote(w.Note)
 	e.publish(Leader{Holder: w.Holder, Peer: w.Peer, Token: w.Token}, w.Released)
 }
 
+// Note returns the note of the leader's newest heartbeat and the time since its receipt. A record without a note, as it
+// begins and ends a term, removes the former one.
+func (e *Election) Note() (json.RawMessage, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaderNote, bootclock.Now() - e.notedAt
+}
+
+func (e *Election) keepNote(note json.RawMessage) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaderNote, e.notedAt = note, bootclock.Now()
+}
+
 // wroteOne reports whether this entry instance wrote one of the records. Others may be records that no leader has
 // written.
 func (e *Election) wroteOne(records []store.Record) bool {
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -96,7 +96,11 @@
 	if e.unconfirmedSince == 0 {
 		e.unconfirmedSince = began
 	}
-	_, err := e.append(ctx, record{Holder: e.holder, Peer: e.peer, Token: token}, e.pace.Timeout(0))
+	r := record{Holder: e.holder, Peer: e.peer, Token: token}
+	if e.note != nil {
+		r.Note = e.note()
+	}
+	_, err := e.append(ctx, r, e.pace.Timeout(0))
 	e.pace.Observe(bootclock.Now() - began)
 	if err == nil {
 		return false
--- a/internal/leader/term_test.go
+++ b/internal/leader/term_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -66,3 +67,27 @@
 type lostStore struct{ *slowStore }
 
 func (*lostStore) Append(context.Context, store.Append) (int64, error) { return 0, store.ErrUnknown }
+
+// TestNoteEndsWithTheTerm guards against entry instances that go on with what a former leader told them, and against a
+// note that does not arrive with the heartbeat.
+func TestNoteEndsWithTheTerm(t *testing.T) {
+	is := is.New(t)
+	s := &slowStore{}
+	note := json.RawMessage(`{"queue":{}}`)
+	leader := New(Options{Store: s, Holder: "h", Note: func() json.RawMessage { return note }})
+	leader.nextOffset = 0
+	leader.publish(Leader{Holder: "h", Token: 1}, false)
+	is.True(!leader.heartbeat(t.Context(), 1))
+	other := New(Options{Store: s, Holder: "o"})
+	other.nextOffset = 0
+	is.NoErr(other.readChain(t.Context()))
+	read, age := other.Note()
+	is.Equal(read, note)
+	is.True(age < time.Second)
+	time.Sleep(5 * time.Millisecond)
+	_, later := other.Note()
+	is.True(later > age) // it grows old without further heartbeats
+	_, _ = other.claim(t.Context())
+	read, _ = other.Note()
+	is.Equal(read, nil)
+}
