--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -180,12 +180,11 @@
 	is.True(useful > 0.99)
 }
 
-// TestBurstIsServedInPart guards against a burst that is served late as a whole: work with uncertain estimates that
-// waits until it can just meet its objective misses it as often as not.
+// TestBurstIsServedInPart guards against a burst that is served late as a whole because the work that has waited longest
+// comes first.
 func TestBurstIsServedInPart(t *testing.T) {
 	is := is.New(t)
 	p := replay(during(4, 8, 80, 20), during(0, 0, 0, 0))
 	inTime, _ := p.served("calm")
-	t.Logf("in time: %.3f", inTime)
-	is.True(inTime > 0.5)
+	is.True(inTime > 0.6)
 }
