Prefer workers that stay while a wave has time

Cause: the fullest worker gets the next task, also when a wave is about to drain it. The wave then waits for that task or stops it.

Ruled out: a bound on the estimated run time of such tasks; estimates are far off.

Change: a worker that a wave will drain gets a task when no other one has room. Long-running tasks avoid it more, as before.

--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -262,8 +262,10 @@
 	costProbe      = 3
 	// costInterference keeps filler tasks away from serving tasks, which they slow down.
 	costInterference = 1
-	// costLeaving keeps long-running tasks away from workers that are about to be stopped.
-	costLeaving = 3
+	// costLeaving keeps tasks away from workers that are about to be stopped if others have room, and costLeavingLong
+	// keeps long-running tasks away besides.
+	costLeaving     = 1
+	costLeavingLong = 3
 	// costFailedOn makes the worker on which the task failed last the last choice.
 	costFailedOn = 100
 )
@@ -291,9 +293,12 @@
 	if s.LatencyTarget > 0 {
 		cost += costInterference * float64(c.Fillers)
 	}
-	if s.LongRunning && c.Leaving {
+	if c.Leaving {
 		cost += costLeaving
 	}
+	if s.LongRunning && c.Leaving {
+		cost += costLeavingLong
+	}
 	return cost
 }
 
--- a/internal/scheduling/plan_test.go
+++ b/internal/scheduling/plan_test.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// TestTasksPreferWorkersThatStay guards against tasks on the fullest worker although a wave will drain it: the wave waits
+// for them, or they are stopped and begin again.
+func TestTasksPreferWorkersThatStay(t *testing.T) {
+	is := is.New(t)
+	leaving, stays := newWorker("leaving", 4000), newWorker("stays", 32000)
+	leaving.Leaving = true
+	task := want("task", TierOnTime, fleet.Step{Count: 1, Need: fleet.Resources{CPUMilli: 2000}})
+	is.Equal(Plan([]*Worker{leaving, stays}, []PendingStep{task}, Limits{}, moment)[0].Worker.ID, "stays")
+	stays.Free.CPUMilli = 0
+	is.Equal(Plan([]*Worker{leaving, stays}, []PendingStep{task}, Limits{}, moment)[0].Worker.ID, "leaving")
+}
+
 // TestPlacementRules guards against placing a task on a worker that must not run it.
 func TestPlacementRules(t *testing.T) {
 	is := is.New(t)
