--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -108,6 +108,22 @@
 	return x
 }
 
+// restoreCordons cordons the workers of the instances whose maintenance an earlier leader has ordered. Its order may
+// still be carried out.
+func (d *Dispatcher) restoreCordons() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	cordons := map[string]bool{}
+	for _, x := range d.waveRecords {
+		for instance, worker := range x.Ordered {
+			if !x.Closed && worker != "" && !slices.Contains(x.Done, instance) {
+				cordons[worker] = true
+			}
+		}
+	}
+	d.waveCordons = cordons
+}
+
 // advanceWaves advances each open wave by one step. Callers hold mu.
 func (w *instanceDriver) advanceWaves(ctx context.Context) {
 	numbers := make([]int64, 0, len(w.waves))
@@ -229,7 +245,7 @@
 func (w *instanceDriver) waveView(x *wave) scheduling.WaveView {
 	view := scheduling.WaveView{
 		MaxDown: x.request.MaxDown, TimeLeft: x.finishAt - bootclock.Now(), Window: x.request.FinishBy,
-		TypicalDuration: drainEstimate + w.d.Bounds.Maintenance, Pools: w.disruptionPools(x),
+		TypicalDuration: drainEstimate + w.d.Bounds.Maintenance, Pools: w.disruptionPools(),
 	}
 	var runs []*workload.Run
 	for id, i := range x.instances {
@@ -289,8 +305,9 @@
 	return p != nil && p.Standby
 }
 
-// disruptionPools returns the pools of a wave for the availability budget. Callers hold the dispatcher's mu.
-func (w *instanceDriver) disruptionPools(x *wave) map[string]*disruption.Pool {
+// disruptionPools returns the pools for the availability budget, which all waves share. Callers hold the dispatcher's
+// mu.
+func (w *instanceDriver) disruptionPools() map[string]*disruption.Pool {
 	pools := map[string]*disruption.Pool{}
 	for id, listed := range w.listed {
 		p := pools[listed.Pool]
@@ -303,9 +320,7 @@
 		if n := len(listed.Labels); n > 0 {
 			i.Rack = listed.Labels[n-1]
 		}
-		if m := x.instances[id]; m != nil {
-			i.Down = m.taken()
-		}
+		i.Down = !w.notInWave(id)
 		p.Instances = append(p.Instances, i)
 	}
 	return pools
