--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -74,7 +74,7 @@
 	s.conns[larger] = struct{}{}
 	s.mu.Unlock()
 	is.True(larger.grow(4 * bodyLimit))
-	s.await(t, "the memory of the others is released", func() bool { return len(s.conns) == 1 })
+	s.await(t, "the memory of the others is released", func() bool { return len(s.conns) == 1 && s.draining == 0 })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	is.Equal(s.reserved, int64(4*bodyLimit))
