An instance missing from one list stays in its wave

Cause: an instance that three consecutive lists lack counts as removed, and its wave as done without it. But the wave counted its own steps, of which several see the same list: one list that lacked an instance for half a second ended its part of the wave, and a wave could be reported as done with an instance that had not been maintained.

Ruled out: a removal only after a fixed time, because no further list may have been read in it.

Change: each list counts once, by the time of its request.

Result: TestInstanceMissingFromOneListStaysInItsWave failed within the first list and passes now; go test -race ./internal/dispatch passes.

--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -26,6 +26,8 @@
 	waveMinAvailablePercent = 60
 	// orderRetryDelay is how long an order may have no effect in the list before it is repeated.
 	orderRetryDelay = 1500 * time.Millisecond
+	// missingLists is the number of consecutive lists without an instance after which it counts as removed.
+	missingLists = 3
 )
 
 // wave is the progress of one wave.
@@ -53,6 +55,8 @@
 	// drainedFrom and orderedAt are the boot clocks of the begin of the drain and of the last order.
 	drainedFrom, orderedAt time.Duration
 	missing                int // consecutive lists without the instance
+	// missingAt is the boot clock of the last of them.
+	missingAt time.Duration
 }
 
 // taken reports whether the wave drains or maintains the instance.
@@ -191,8 +195,10 @@
 	for id, i := range x.instances {
 		listed, ok := w.listed[id]
 		if !ok {
-			i.missing++
-			if i.missing >= 3 && i.phase != scheduling.MaintenanceDone { // the instance has been removed
+			if i.missingAt != w.listedAt {
+				i.missing, i.missingAt = i.missing+1, w.listedAt
+			}
+			if i.missing >= missingLists && i.phase != scheduling.MaintenanceDone { // the instance has been removed
 				w.uncordon(id, i)
 				i.phase = scheduling.MaintenanceDone
 				changed = true
