--- a/internal/dispatch/evacuate_test.go
+++ b/internal/dispatch/evacuate_test.go
@@ -209,8 +209,8 @@
 	is.Equal(task.Runs[0].Phase, workload.RunStopping) // until the worker's report shows that it does not run
 }
 
-// TestInheritedStartIsWithheldInTheZone guards against a new leader that sends the stored starts of its predecessor to a
-// zone that is evacuated, or gives them up without a stop while they may still be carried out.
+// TestInheritedStartIsWithheldInTheZone guards against a new leader that sends the stored starts of its predecessor
+// to a zone that is evacuated, or gives them up without a stop while they may still be carried out.
 func TestInheritedStartIsWithheldInTheZone(t *testing.T) {
 	is := is.New(t)
 	x := newEvacuationFixture(t, 2)
@@ -246,8 +246,8 @@
 	is.Equal(x.starts, nil)
 }
 
-// TestEvacuatedInstancesAreNoRoom guards against a pool that counts instances of an evacuated zone as room, gets more of
-// them, or keeps a reserve for all of them in the other zones.
+// TestEvacuatedInstancesAreNoRoom guards against a pool that counts instances of an evacuated zone as room, gets more
+// of them, or keeps a reserve for all of them in the other zones.
 func TestEvacuatedInstancesAreNoRoom(t *testing.T) {
 	is := is.New(t)
 	x := newEvacuationFixture(t, 3)
--- a/internal/dispatch/inheritedcordon_test.go
+++ b/internal/dispatch/inheritedcordon_test.go
@@ -15,8 +15,8 @@
 )
 
 // TestInheritedOrdersCordonTheirWorkers guards against tasks that a new leader starts on an instance for which its
-// predecessor has ordered the maintenance: the order may still be carried out and would end them. The cordon has to hold
-// from the first decision on, and through the first decisions on instances, until the wave is advanced.
+// predecessor has ordered the maintenance: the order may still be carried out and would end them. The cordon has to
+// hold from the first decision on, and through the first decisions on instances, until the wave is advanced.
 func TestInheritedOrdersCordonTheirWorkers(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(0)
--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -10,8 +10,7 @@
 // A list of instances shows a state of the past. A worker that crashes may come back under its ID, so a list on which
 // its instance is down may speak of an earlier incarnation of the worker than the one that has the runs.
 
-// maxListLag bounds the age of the state that a list of instances shows. On the days played, lists were 0.3 to 0.8 s
-// behind.
+// maxListLag bounds the age of the state that a list of instances shows, since the platform names no bound.
 const maxListLag = 2 * time.Second
 
 // expiredEntryIntervals is the number of heartbeat intervals after which the entry of a silent worker expires.
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -315,8 +315,8 @@
 	}()
 }
 
-// stopMovableRuns stops the runs of a worker that is about to leave if they would be lost there and can continue elsewhere:
-// those of long-running tasks and of tasks with checkpoints. Callers hold mu.
+// stopMovableRuns stops the runs of a worker that is about to leave if they would be lost there and can continue
+// elsewhere: those of long-running tasks and of tasks with checkpoints. Callers hold mu.
 func (d *Dispatcher) stopMovableRuns(a *agent) {
 	for _, r := range a.runs {
 		spec := r.Task.Step.Spec
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -52,7 +52,7 @@
 	confirmed bool
 	// incarnation is the one that the worker had when the order was answered; 0 if it is not known.
 	incarnation int64
-	// drainedFrom and orderedAt are the boot clocks of the begin of the drain and of the last order.
+	// drainedFrom and orderedAt are the boot clocks of the beginning of the drain and of the last order.
 	drainedFrom, orderedAt time.Duration
 	missing                int // consecutive lists without the instance
 	// missingAt is the boot clock of the last of them.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -370,8 +370,8 @@
 	}
 }
 
-// decode decodes a job. Large bodies are decoded one at a time, because a body of many small fields takes many times its
-// size while it is decoded.
+// decode decodes a job. Large bodies are decoded one at a time, because a body of many small fields takes many times
+// its size while it is decoded.
 func (h *Handler) decode(body []byte) (*fleet.JobSpec, error) {
 	if len(body) > maxConcurrentDecodeBytes {
 		h.largeDecode.Lock()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -169,9 +169,9 @@
 	return guarded
 }
 
-// reserve adds bytes to what a connection holds. If that exceeds the limit, it sheds other connections, which the caller
-// closes after it has released mu. It reports false, and reserves nothing, if that did not make enough room, or if the
-// connection itself has been shed. Callers hold mu.
+// reserve adds bytes to what a connection holds. If that exceeds the limit, it sheds other connections, which the
+// caller closes after it has released mu. It reports false, and reserves nothing, if that did not make enough room,
+// or if the connection itself has been shed. Callers hold mu.
 func (g *Guard) reserve(c *conn, bytes int64) (victims []*conn, ok bool) {
 	if _, open := g.conns[c]; !open {
 		return nil, false
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -120,7 +120,8 @@
 	}
 }
 
-// TestStalledBodyGivesWay guards against bodies that stop before their end and keep the memory that other requests need.
+// TestStalledBodyGivesWay guards against bodies that stop before their end and keep the memory that other requests
+// need.
 func TestStalledBodyGivesWay(t *testing.T) {
 	is := is.New(t)
 	// A body takes up to one and a half times its size while its buffer grows, so the first ordinary one does not fit.
@@ -201,8 +202,8 @@
 	s.await(t, "the connection is closed", func() bool { return len(s.conns) == 0 })
 }
 
-// TestMemoryIsReleased guards against memory that stays reserved after a request or a connection has ended, until nothing
-// is left for others.
+// TestMemoryIsReleased guards against memory that stays reserved after a request or a connection has ended, until
+// nothing is left for others.
 func TestMemoryIsReleased(t *testing.T) {
 	is := is.New(t)
 	s := start(t, Limits{Memory: 1 << 20}, nil)
@@ -233,8 +234,9 @@
 	s.await(t, "the header is reserved", func() bool { return s.reserved > fields*headerFieldBytes })
 }
 
-// TestBodyWaitsForTheMemoryOfShedConnections guards against memory that is given to one body while the handler of a shed
-// connection still holds it: on a busy machine, many handlers take a while to notice that their connections are closed.
+// TestBodyWaitsForTheMemoryOfShedConnections guards against memory that is given to one body while the handler of a
+// shed connection still holds it: on a busy machine, many handlers take a while to notice that their connections are
+// closed.
 func TestBodyWaitsForTheMemoryOfShedConnections(t *testing.T) {
 	is := is.New(t)
 	const limit = 1 << 20
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -60,8 +60,8 @@
 	})
 }
 
-// TestStalledStreamGivesWay guards against stalled bodies on an HTTP/2 connection that are never shed, and against memory
-// that stays reserved after they were.
+// TestStalledStreamGivesWay guards against stalled bodies on an HTTP/2 connection that are never shed, and against
+// memory that stays reserved after they were.
 func TestStalledStreamGivesWay(t *testing.T) {
 	is := is.New(t)
 	s, begin := startHTTP2(t, Limits{Memory: 6 * (connectionBytes + bodyLimit)})
