The test of inherited cordons covers the load of a term

Cause: it called the function that restores the cordons, so that a load that does not call it passed; the mutation on that was not found.

Change: the test loads the stored waves as a new leader does. The checks are the same.

--- a/internal/dispatch/inheritedcordon_test.go
+++ b/internal/dispatch/inheritedcordon_test.go
@@ -40,11 +40,12 @@
 	for len(d.Follower.Waves()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	d.loaded = false
-	d.applyInstanceRecord(workload.KeyWave, "1", []byte(`{"ordered":{"m0":"w0"},"done":["m1"]}`))
-	d.applyInstanceRecord(workload.KeyWave, "2", []byte(`{"ordered":{"m2":"w2"},"closed":true}`))
-	d.restoreCordons()
-	d.loaded = true
+	records := &operatorLog{}
+	records.append(workload.WaveKey(1), `{"ordered":{"m0":"w0"},"done":["m1"]}`)
+	records.append(workload.WaveKey(2), `{"ordered":{"m2":"w2"},"closed":true}`)
+	d.Store, d.JobPartitions, d.loaded = records, 1, false
+	_, ok := d.load(t.Context(), 0)
+	is.True(ok)
 	is.True(d.agent("w0").cordoned)
 	is.True(!d.agent("w1").cordoned)
 	is.True(!d.agent("w2").cordoned)
