--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -98,12 +98,10 @@
 
 // move sends the order to move an instance.
 func (w *instanceDriver) move(ctx context.Context, m scheduling.Move, worker string) {
-	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
-	defer cancel()
-	err, incarnation := errUnconfirmed, w.d.incarnationOf(worker)
-	if w.termConfirmed() {
-		err = w.d.Instances.Move(ctx, m.Instance, m.To, w.d.Token)
-	}
+	incarnation := w.d.incarnationOf(worker)
+	err := w.sendOrder(ctx, func(ctx context.Context) error {
+		return w.d.Instances.Move(ctx, m.Instance, m.To, w.d.Token)
+	})
 	w.d.counters.moves.Add(1)
 	w.d.Log.Info().Str("event", "move").Str("instance", m.Instance).Str("worker", worker).Str("from", m.From).
 		Str("to", m.To).Err(err).Msg("move of an instance to another pool ordered")
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
-	"pollenlead/internal/instances"
 	"pollenlead/internal/sleep"
 )
 
@@ -22,10 +20,6 @@
 	stopMargin = time.Second
 	// maxListAge is the age of the list of instances up to which waves use it.
 	maxListAge = listInterval + instanceTimeout
-	// confirmationTTL is how long after the last confirmation of the term orders are sent if the instances service
-	// does not compare fencing tokens. It is shorter than the silence after which another entry instance claims
-	// leadership.
-	confirmationTTL = time.Second
 	// instanceTimeout bounds a call to the instances service.
 	instanceTimeout = time.Second
 )
@@ -56,6 +50,10 @@
 	// stopsAllowedFrom is the boot clock from which runs may be stopped to empty an instance. A run that an earlier
 	// leader has just stopped is listed as running until it has ended, and must not be counted as running.
 	stopsAllowedFrom time.Duration
+	// held means that orders are held back because the term is not confirmed.
+	held bool
+	// appends is the number of records on instances that this leader has tried to store.
+	appends int64
 }
 
 func newInstanceDriver(d *Dispatcher) *instanceDriver {
@@ -102,32 +100,20 @@
 	if w.homeSizes == nil && !w.initHomeSizes(ctx) {
 		return
 	}
-	if w.termConfirmed() {
+	if w.mayOrderNow() {
 		w.balance(ctx)
 	}
 }
 
 // stepWaves advances the waves by one step if the list of instances is new enough. Callers hold mu.
 func (w *instanceDriver) stepWaves(ctx context.Context) {
-	if w.homeSizes == nil || bootclock.Now()-w.listedAt > maxListAge || !w.termConfirmed() {
+	if w.homeSizes == nil || bootclock.Now()-w.listedAt > maxListAge || !w.mayOrderNow() {
 		return
 	}
 	w.addWaves()
 	w.advanceWaves(ctx)
 }
 
-// termConfirmed reports whether orders may be sent. A leader that was paused does not know whether another leader has
-// sent orders in the meantime. If the instances service does not compare fencing tokens, it would carry out the
-// orders of both.
-func (w *instanceDriver) termConfirmed() bool {
-	d := w.d
-	return d.Bounds.InstancesFenced || d.LastConfirmed == nil || bootclock.Now()-d.LastConfirmed() < confirmationTTL
-}
-
-// errUnconfirmed means that an order was not sent because the term was not confirmed recently.
-var errUnconfirmed = fmt.Errorf("dispatch: order not sent: term not confirmed within %v: %w", confirmationTTL,
-	instances.ErrBusy)
-
 // maxClockSkew is the largest difference between the clocks of instances and entry instances.
 const maxClockSkew = time.Second
 
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -180,12 +180,9 @@
 // maintain sends the order to maintain one instance. It may run concurrently, because it uses no field that the
 // driver changes.
 func (w *instanceDriver) maintain(ctx context.Context, id string, wave int64) error {
-	if !w.termConfirmed() {
-		return errUnconfirmed
-	}
-	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
-	defer cancel()
-	return w.d.Instances.Maintain(ctx, id, wave, w.d.Token)
+	return w.sendOrder(ctx, func(ctx context.Context) error {
+		return w.d.Instances.Maintain(ctx, id, wave, w.d.Token)
+	})
 }
 
 // applyOrderOutcome applies the outcome of a maintenance order.
@@ -200,6 +197,10 @@
 		w.d.stop()
 		return
 	}
+	if errors.Is(err, errUnconfirmed) {
+		i.phase = scheduling.MaintenanceDraining
+		return
+	}
 	i.confirmed = err == nil
 	i.orderedAt = bootclock.Now() // a list that was requested before the answer may show the state before the order
 	if i.worker == "" && refused != nil && refused.Reason == instances.RefusedBusy {
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"sort"
@@ -342,17 +343,19 @@
 	return w.append(ctx, w.d.StatusTopic, store.Record{Key: key, Value: value})
 }
 
-// append stores one record and reports whether that succeeded. Callers hold mu.
+// append stores one record and reports whether that succeeded. A store that has an append of a later leader ends the
+// term. Callers hold mu.
 func (w *instanceDriver) append(ctx context.Context, topic string, r store.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
+	a := store.Append{Topic: topic, Records: []store.Record{r}, Producer: w.nextProducer()}
 	var err error
-	w.unlocked(func() {
-		_, err = w.d.Store.Append(ctx, store.Append{Topic: topic, Records: []store.Record{r}})
-	})
+	w.unlocked(func() { _, err = w.d.Store.Append(ctx, a) })
 	if err != nil {
 		w.d.Log.Info().Str("event", "wave_not_stored").Str("key", r.Key).Err(err).Msg("wave record could not be stored")
-		return false
 	}
-	return true
+	if errors.Is(err, store.ErrFenced) {
+		w.d.stop()
+	}
+	return err == nil
 }
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -176,7 +176,7 @@
 	d := newFixture(0)
 	defer d.stop()
 	service, slow := &listingInstances{}, &blockingStore{blocked: make(chan struct{}, 10)}
-	d.Instances, d.Store, d.Bounds.InstancesFenced = service, slow, true
+	d.Instances, d.Store = service, slow
 	d.driver.homeSizes = map[string]int{"pool": 1}
 	d.driver.waves[1] = &wave{request: fleet.WaveRequest{Number: 1}}
 	ctx, stop := context.WithCancel(t.Context())
@@ -285,8 +285,8 @@
 	is.True(!w.mayStop(j.Task(0, 0, 0)))
 }
 
-// TestPausedLeaderGivesNoOrders guards against an order of a leader that was paused, sent after its successor's order
-// for the same instance, if the service does not compare fencing tokens.
+// TestPausedLeaderGivesNoOrders guards against an order of a leader that was paused, sent after its successor has
+// ordered or used the instance. The service cannot refuse it if the successor has not ordered that instance.
 func TestPausedLeaderGivesNoOrders(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(0)
@@ -303,8 +303,6 @@
 	is.True(errors.Is(w.maintain(t.Context(), "m0", 1), instances.ErrBusy)) // the order was not sent
 	w.move(t.Context(), scheduling.Move{Instance: "m0", To: "desk"}, "")
 	is.Equal(service.orders.Load(), int32(2))
-	d.Bounds.InstancesFenced = true
-	is.NoErr(w.maintain(t.Context(), "m0", 1))
 }
 
 // TestListDuringAnOrderShowsNoReturn guards against an instance that counts as maintained because of a list that was
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -46,8 +46,6 @@
 	EarlyStart time.Duration
 	// Heartbeat is the interval between heartbeats of a worker.
 	Heartbeat time.Duration
-	// InstancesFenced means that the instances service refuses orders with an older fencing token.
-	InstancesFenced bool
 	// InstanceLease is the time within which two holders must not alternate in giving orders for one instance.
 	InstanceLease time.Duration
 	// AwayNotice is the time for which a task that is out of service counts as away.
