--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -110,6 +110,10 @@
 		w.d.stop()
 		return
 	}
+	if errors.Is(err, errUnconfirmed) {
+		w.giveUpMove(m.Instance, worker)
+		return
+	}
 	if worker == "" || err != nil && !errors.As(err, &refused) && !errors.Is(err, instances.ErrBusy) {
 		return // the move may still be carried out: inTransit uncordons the worker if the list shows that it was not
 	}
@@ -138,6 +142,20 @@
 	return 0
 }
 
+// giveUpMove ends a planned move whose order was not sent, and lets tasks start again on the worker.
+func (w *instanceDriver) giveUpMove(id, worker string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.arrivals, id)
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	if a := w.d.agents[worker]; a != nil && w.notInWave(id) {
+		a.cordoned = false
+		w.d.markDirty(a)
+		w.d.signal()
+	}
+}
+
 // balancePools returns the state of the pools, and the worker of each instance that may be moved.
 func (w *instanceDriver) balancePools() ([]*scheduling.BalancePool, map[string]string) {
 	d := w.d
--- a/internal/dispatch/confirm_test.go
+++ b/internal/dispatch/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/scheduling"
 	"pollenlead/internal/store"
+	"pollenlead/internal/worker"
 )
 
 // producerStore accepts appends as the store does: none of an earlier epoch. during is called while an append is under
@@ -70,6 +72,41 @@
 	is.Equal(service.orders.Load(), int32(1))
 }
 
+// TestMoveNeedsATerm guards against a former leader that moves an instance away under the work which its successor has
+// started there, and against an instance that stays out of service after its move was given up.
+func TestMoveNeedsATerm(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	service := &slowInstances{}
+	d.Instances = service
+	d.LastConfirmed = func() time.Duration { return bootclock.Now() - 2*time.Second }
+	w := newInstanceDriver(d)
+	w.arrivals["m0"] = arrival{to: "desk", worker: "w0", until: bootclock.Now() + time.Minute}
+	w.cordon("w0")
+	w.move(t.Context(), scheduling.Move{Instance: "m0", From: "pool", To: "desk"}, "w0")
+	is.Equal(service.orders.Load(), int32(0))
+	is.Equal(len(w.arrivals), 0)
+	is.True(!d.agents["w0"].cordoned)
+}
+
+// TestFrozenOrderIsNotSent guards against an order that is written long after its term was checked, because the
+// process was frozen or the call waited for a connection.
+func TestFrozenOrderIsNotSent(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	confirmed := bootclock.Now()
+	d.LastConfirmed = func() time.Duration { return confirmed }
+	w := newInstanceDriver(d)
+	err := w.sendOrder(t.Context(), func(ctx context.Context) error {
+		is.NoErr(worker.MaySend(ctx))
+		confirmed -= 2 * time.Second // the process was frozen
+		return worker.MaySend(ctx)   // as the client does right before it writes
+	})
+	is.True(errors.Is(err, errUnconfirmed))
+}
+
 // TestFormerLeaderStoresNoWaves guards against progress of a wave that a former leader stores over that of its
 // successor: the next leader would not know of the instances that the successor has taken down.
 func TestFormerLeaderStoresNoWaves(t *testing.T) {
