--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -198,6 +198,7 @@
 	case worker.RefusedRoom:
 		a.health.backOff(now, fullBackoff)
 	case worker.RefusedTicket:
+		r.Task.Step.Job.NeedsTicket = true // the submission may be a record of an earlier version
 		delete(d.advice, stepName(r.Task.Step))
 	case worker.RefusedLate:
 		if r.Incarnation == a.incarnation {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -165,7 +165,7 @@
 			rank = &r
 		}
 		w := scheduling.PendingStep{Step: s, Tasks: waiting, Rank: *rank}
-		if q.Advice != nil {
+		if needsTicket(j, q) {
 			if w.Tickets = d.tickets(s, workers); len(w.Tickets) == 0 {
 				continue
 			}
--- a/internal/dispatch/queues.go
+++ b/internal/dispatch/queues.go
@@ -22,14 +22,19 @@
 	return d.queues[name]
 }
 
-// attempts returns the number of failed runs of a task after which the job fails. Callers hold mu.
+// attempts returns the number of failed runs of a task after which the job fails. It is the one with which the job was
+// accepted. Callers hold mu.
 func (d *Dispatcher) attempts(j *job) int {
-	if q := d.knownQueue(j.Queue); q != nil {
-		return max(q.Attempts, 1)
+	if j.Attempts > 0 {
+		return j.Attempts
 	}
-	return max(j.Attempts, 1)
+	return max(d.queue(j.Queue).Attempts, 1)
 }
 
+// needsTicket reports whether a start of the job needs a ticket of the advice service: its queue demanded one when the
+// job was accepted, or demands one now.
+func needsTicket(j *job, q *fleet.Queue) bool { return j.NeedsTicket || q.Advice != nil }
+
 // followQueues moves the open jobs of each queue to the pool to which the newest configuration leads the queue. Runs
 // that exist stay where they are; what is still to be started starts in the new pool. A job whose queue was removed
 // stays in its pool. Callers hold mu.
--- a/internal/dispatch/queues_test.go
+++ b/internal/dispatch/queues_test.go
@@ -9,6 +9,7 @@
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/store"
+	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
 )
 
@@ -99,3 +100,48 @@
 		is.Equal(d.jobs[id].State == workload.StateFailed, failures == 3)
 	}
 }
+
+// TestTicketOutlastsTheQueue guards against an accepted job that never goes on: a leader that had never read its queue,
+// because it was removed, sent its starts without the ticket that workers still demand. A job that an earlier version
+// accepted shows by the first refusal that it needs one.
+func TestTicketOutlastsTheQueue(t *testing.T) {
+	for _, field := range []string{`"needs_ticket":true,`, ""} {
+		t.Run(field, func(t *testing.T) {
+			is := is.New(t)
+			d := newFixture(1)
+			defer d.stop()
+			d.Advisor = oneGoodWorker{"w0"}
+			const id = "0011223344556677"
+			d.applyJobRecord(0, store.Record{Key: workload.SubmissionKey(id), Value: []byte(
+				`{"queue":"removed","pool":"pool",` + field + `"spec":{"Steps":[{"Count":1}]}}`)})
+			task := d.jobs[id].Task(0, 0, 0)
+			d.place()
+			if field == "" {
+				run := task.Runs[0]
+				is.Equal(run.Ticket, "")
+				d.applyStartOutcome(d.agent("w0"), run, &worker.RefusedError{Reason: worker.RefusedTicket}, false)
+			}
+			is.Equal(len(task.Runs), 0)
+			await(t, d, func() bool {
+				d.mu.Unlock()
+				d.place()
+				d.mu.Lock()
+				return len(task.Runs) == 1
+			})
+			is.Equal(task.Runs[0].Ticket, "ticket")
+		})
+	}
+}
+
+// TestAttemptsStayWithTheJob guards against a job that fails earlier, or is tried more often, than its queue promised
+// when the job was accepted, because a later configuration changes the queue.
+func TestAttemptsStayWithTheJob(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	d.leadQueue(t, 2, "pool") // with three attempts
+	j := d.addJob("0011223344556677", fleet.Step{Count: 1})
+	is.Equal(d.attempts(j), 3) // a record of an earlier version does not name them
+	j.Attempts = 5
+	is.Equal(d.attempts(j), 5)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -207,7 +207,7 @@
 	}
 	value, err := json.Marshal(workload.Submission{
 		Queue: q.queue.Name, Pool: q.queue.Pool, Team: q.team, Attempts: q.queue.Attempts,
-		AtMillis: received.UnixMilli(), Spec: spec,
+		NeedsTicket: q.queue.Advice != nil, AtMillis: received.UnixMilli(), Spec: spec,
 	})
 	if err != nil {
 		h.refuse(w, r, q, &refusal{status: http.StatusBadRequest, reason: err.Error()})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -14,13 +14,16 @@
 
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/store"
+	"pollenlead/internal/workload"
 )
 
 // oneQueue is a configuration with one public queue.
-type oneQueue struct{}
+type oneQueue struct{ advice *fleet.AdvicePolicy }
 
-func (oneQueue) Config() *fleet.Config {
-	queue := fleet.Queue{Name: "queue", Host: "a.example", PathPrefix: "/", Public: true}
+func (q oneQueue) Config() *fleet.Config {
+	queue := fleet.Queue{
+		Name: "queue", Host: "a.example", PathPrefix: "/", Public: true, Attempts: 3, Advice: q.advice,
+	}
 	c := &fleet.Config{Version: 1, Queues: []fleet.Queue{queue}}
 	c.Limits.BodyBytes = 1 << 20
 	c.Index()
@@ -30,9 +33,13 @@
 func (oneQueue) Age() (time.Duration, bool) { return 0, true }
 
 // countingStore accepts every append and counts the records.
-type countingStore struct{ records atomic.Int32 }
+type countingStore struct {
+	records atomic.Int32
+	last    atomic.Pointer[store.Record]
+}
 
 func (s *countingStore) Append(_ context.Context, a store.Append) (int64, error) {
+	s.last.Store(&a.Records[len(a.Records)-1])
 	s.records.Add(int32(len(a.Records)))
 	return 0, nil
 }
@@ -45,13 +52,11 @@
 	return store.Newest{}, nil
 }
 
-// TestSubmissionOverTheLimitIsRefused guards against a submission that can never be stored and is answered with 504 at
-// the end of its deadline, as if it might run.
-func TestSubmissionOverTheLimitIsRefused(t *testing.T) {
-	is := is.New(t)
-	s := &countingStore{}
-	h := &Handler{
-		Config: oneQueue{}, Jobs: store.NewBatchers(t.Context(), s, store.DefaultLimits, "topic", 2, 0), Log: zerolog.Nop(),
+// newHandler returns a handler that stores submissions in s.
+func newHandler(t *testing.T, s store.Store, c Config) *Handler {
+	t.Helper()
+	return &Handler{
+		Config: c, Jobs: store.NewBatchers(t.Context(), s, store.DefaultLimits, "topic", 2, 0), Log: zerolog.Nop(),
 		Draining: &atomic.Bool{},
 		Codec: Codec{
 			Job: func(body []byte) (*fleet.JobSpec, error) {
@@ -60,13 +65,37 @@
 			Key: func(string) string { return "" },
 		},
 	}
-	submit := func(bytes int) int {
-		body := strings.NewReader(strings.Repeat("x", bytes))
-		r := httptest.NewRequest(http.MethodPost, "http://a.example/0011223344556677", body)
-		w := httptest.NewRecorder()
-		h.ServeHTTP(w, r)
-		return w.Code
+}
+
+// submit submits a job and returns the status of the response.
+func submit(h *Handler, body string) int {
+	r := httptest.NewRequest(http.MethodPost, "http://a.example/0011223344556677", strings.NewReader(body))
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Code
+}
+
+// TestSubmissionKeepsWhatItsQueueDemands guards against a later leader that does not know the ticket and the attempts
+// of a job, because its queue has been removed.
+func TestSubmissionKeepsWhatItsQueueDemands(t *testing.T) {
+	is := is.New(t)
+	for _, advice := range []*fleet.AdvicePolicy{nil, {}} {
+		s := &countingStore{}
+		is.Equal(submit(newHandler(t, s, oneQueue{advice}), "x"), http.StatusOK)
+		j, err := workload.DecodeSubmission("0011223344556677", s.last.Load().Value)
+		is.NoErr(err)
+		is.Equal(j.NeedsTicket, advice != nil)
+		is.Equal(j.Attempts, 3)
 	}
+}
+
+// TestSubmissionOverTheLimitIsRefused guards against a submission that can never be stored and is answered with 504 at
+// the end of its deadline, as if it might run.
+func TestSubmissionOverTheLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := &countingStore{}
+	h := newHandler(t, s, oneQueue{})
+	submit := func(bytes int) int { return submit(h, strings.Repeat("x", bytes)) }
 	began := time.Now()
 	is.Equal(submit(store.DefaultLimits.Record), http.StatusRequestEntityTooLarge)
 	is.True(time.Since(began) < storeRetryWindow)
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -39,8 +39,11 @@
 	Spec  *fleet.JobSpec
 	// Submitted is the time of day at which the job was accepted.
 	Submitted time.Time
-	// Attempts is the number of failed runs of a task after which the job fails, as its queue had it at the submission.
+	// Attempts is the number of failed runs of a task after which the job fails, as its queue had it at the submission;
+	// 0 if the submission does not name it.
 	Attempts int
+	// NeedsTicket means that workers reject starts of the job without a ticket of the advice service.
+	NeedsTicket bool
 	// State is the job's state. Started means that a worker is known to have started a task; an assignment alone may be
 	// refused or withdrawn.
 	State   State
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -19,8 +19,10 @@
 	Queue string `json:"queue"`
 	Pool  string `json:"pool"`
 	Team  string `json:"team,omitempty"`
-	// Attempts is that of the queue. A leader that never read the queue, because it was removed, has no other source.
-	Attempts int `json:"attempts,omitempty"`
+	// Attempts and NeedsTicket are what the queue demands of the job. They hold for the job when the queue changes or is
+	// removed. A record of an earlier version may lack them.
+	Attempts    int  `json:"attempts,omitempty"`
+	NeedsTicket bool `json:"needs_ticket,omitempty"`
 	// AtMillis is the Unix time of acceptance in milliseconds.
 	AtMillis int64          `json:"at_ms"`
 	Spec     *fleet.JobSpec `json:"spec"`
@@ -39,7 +41,7 @@
 		return nil, fmt.Errorf("decode submission of job %s: %w", id, err)
 	}
 	j := NewJob(id, s.Queue, s.Pool, s.Team, s.Spec, time.UnixMilli(s.AtMillis))
-	j.Attempts = max(s.Attempts, 1)
+	j.Attempts, j.NeedsTicket = s.Attempts, s.NeedsTicket
 	return j, nil
 }
 
