--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -208,7 +208,7 @@
 			p.Size++
 		}
 	}
-	limits := d.limits()
+	limits := d.limits(d.uncheckedPools())
 	for name, p := range byName {
 		if p.InstanceCPU == 0 && !p.Standby {
 			p.InstanceCPU = w.instanceCPU()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,7 +33,7 @@
 	d.sendWithheld(unchecked)
 	now := d.now()
 	byPool := d.usableWorkers(now)
-	limits := d.limits()
+	limits := d.limits(unchecked)
 	for pool := range d.dirty {
 		workers := byPool[pool]
 		if len(workers) == 0 {
@@ -87,16 +87,18 @@
 	return a.incarnation == 0 || a.entry.Incarnation == 0 || a.entry.Incarnation == a.incarnation
 }
 
-// limits returns the resources that each team may still use. Callers hold mu.
-func (d *Dispatcher) limits() scheduling.Limits {
+// limits returns the resources that each team may still use, while runs that are not known may be on workers of the
+// unchecked pools. Callers hold mu.
+func (d *Dispatcher) limits(unchecked map[string]bool) scheduling.Limits {
 	limits := scheduling.Limits{}
 	c := d.Follower.Config()
 	if c == nil {
 		return limits
 	}
+	unheard := d.unheardUses(c.Teams, unchecked)
 	for i := range c.Teams {
 		t := &c.Teams[i]
-		left := t.UpperLimit.Sub(d.running[t.Name])
+		left := t.UpperLimit.Sub(d.running[t.Name]).Sub(unheard[t.Name])
 		replaceZeroLimit(&left.CPUMilli, t.UpperLimit.CPUMilli)
 		replaceZeroLimit(&left.MemoryMB, t.UpperLimit.MemoryMB)
 		replaceZeroLimit(&left.GPU, t.UpperLimit.GPU)
