--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -21,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"pollenlead/internal/claim"
 	"pollenlead/internal/dispatch"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/follow"
@@ -67,9 +68,11 @@
 	// JobTopic, ProgressTopic, LeaderTopic and MemberTopic are topics that only pollenlead writes. They are compacted: the
 	// store keeps the newest record of each key.
 	JobTopic, ProgressTopic, LeaderTopic, MemberTopic string
-	WorkerTopic, StatusTopic                          string
-	DecodeEntry                                       func(id string, value []byte) (*fleet.WorkerEntry, error)
-	WaveStatus                                        func(wave int64, done bool) (key string, value []byte)
+	// ClaimTopics hold the claims of job IDs. Their records may expire.
+	ClaimTopics              []string
+	WorkerTopic, StatusTopic string
+	DecodeEntry              func(id string, value []byte) (*fleet.WorkerEntry, error)
+	WaveStatus               func(wave int64, done bool) (key string, value []byte)
 }
 
 // Node is one entry instance.
@@ -193,6 +196,9 @@
 			ctx, n.platform.Store, n.settings.StoreLimits, n.platform.JobTopic, n.settings.StorePartitions,
 			preferredPartition(n.settings),
 		),
+		Claims: &claim.Claims{
+			Store: n.platform.Store, Topics: n.platform.ClaimTopics, Partitions: n.settings.StorePartitions,
+		},
 		Codec:         n.platform.Codec,
 		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"pollenlead/internal/claim"
 	"pollenlead/internal/dispatch"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/ingress"
@@ -64,6 +65,12 @@
 	Age() (time.Duration, bool)
 }
 
+// Claims reserves the IDs of jobs for their owners.
+type Claims interface {
+	// Claim returns claim.ErrTaken if the ID belongs to another owner. After any error nothing is stored under the ID.
+	Claim(ctx context.Context, id, owner string) error
+}
+
 // Leader answers queries about jobs.
 type Leader interface {
 	JobState(ctx context.Context, queue, team, id string) (workload.State, error)
@@ -74,7 +81,9 @@
 type Handler struct {
 	Config Config
 	// Jobs appends records to the partitions of the job topic.
-	Jobs   *store.Batchers
+	Jobs *store.Batchers
+	// Claims reserves the IDs of jobs. Nil reserves none.
+	Claims Claims
 	Leader Leader
 	Codec  Codec
 	// KeyWithdrawal is the time after which a withdrawn key must no longer be accepted.
@@ -205,6 +214,10 @@
 		h.refuse(w, r, q, &refusal{status: http.StatusBadRequest, reason: err.Error()})
 		return
 	}
+	if refused := h.claim(ctx, q); refused != nil {
+		h.refuse(w, r, q, refused)
+		return
+	}
 	value, err := json.Marshal(workload.Submission{
 		Queue: q.queue.Name, Pool: q.queue.Pool, Team: q.team, Attempts: q.queue.Attempts,
 		NeedsTicket: q.queue.Advice != nil, AtMillis: received.UnixMilli(), Spec: spec,
@@ -222,6 +235,24 @@
 	}
 }
 
+// claim reserves the job's ID for the client account at the address of the queue. Tasks are named by the ID on workers,
+// so no other account may use it, and the newest submission under an ID would replace the others. The name of the queue
+// does not count: a configuration may give the address to a queue of another name while a request is repeated.
+func (h *Handler) claim(ctx context.Context, q *request) *refusal {
+	if h.Claims == nil {
+		return nil
+	}
+	err := h.Claims.Claim(ctx, q.id, q.team+"@"+q.queue.Host+q.queue.PathPrefix)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, claim.ErrTaken):
+		return &refusal{status: http.StatusServiceUnavailable, reason: err.Error()}
+	default:
+		return &refusal{http.StatusServiceUnavailable, err.Error(), retryAfterSeconds}
+	}
+}
+
 // cancel stores a cancellation and confirms it.
 func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request) {
 	value, err := json.Marshal(workload.Cancellation{Queue: q.queue.Name, Team: q.team})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"pollenlead/internal/claim"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/store"
 	"pollenlead/internal/workload"
@@ -103,3 +104,30 @@
 	is.Equal(submit(store.DefaultLimits.Record-1000), http.StatusOK)
 	is.Equal(s.records.Load(), int32(1))
 }
+
+// otherOwner is a reservation of IDs in which every ID belongs to the owner of the first claim.
+type otherOwner struct{ first string }
+
+func (o *otherOwner) Claim(_ context.Context, _, owner string) error {
+	if o.first == "" {
+		o.first = owner
+	}
+	if o.first != owner {
+		return claim.ErrTaken
+	}
+	return nil
+}
+
+// TestTakenIDIsRefused guards against a submission that takes the place of the accepted job of another client account,
+// and against a status that lets its client believe that it may run.
+func TestTakenIDIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := &countingStore{}
+	h := newHandler(t, s, oneQueue{})
+	h.Claims = &otherOwner{first: "another account"}
+	is.Equal(submit(h, "x"), http.StatusServiceUnavailable)
+	is.Equal(s.records.Load(), int32(0)) // nothing is stored under the ID
+	h.Claims = &otherOwner{}
+	is.Equal(submit(h, "x"), http.StatusOK)
+	is.Equal(submit(h, "x"), http.StatusOK) // the repeat of the same account remains one job
+}
