--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
 	"pollenlead/internal/workload"
 )
 
@@ -34,15 +35,29 @@
 	return j.shownState(), nil
 }
 
-// answersFor reports whether a queue answers requests for a job: its own queue, or any other once the configuration has
-// removed it. A version may replace a queue by one of another name at the same address, and the job remains. Callers
-// hold mu.
+// answersFor reports whether a queue answers requests for a job: its own queue or, once the configuration has removed
+// that, the one at the same address. A version may replace a queue by one of another name, and the job remains. A job
+// whose address is not known may have been at any. Callers hold mu.
 func (d *Dispatcher) answersFor(queue string, j *job) bool {
+	return d.ownsJob(queue, j) || j.Address == "" && d.mayOwnJob(queue, j) != nil
+}
+
+// ownsJob reports whether a queue is the job's own or has replaced it at its address. Callers hold mu.
+func (d *Dispatcher) ownsJob(queue string, j *job) bool {
 	if j.Queue == queue {
 		return true
 	}
+	q := d.mayOwnJob(queue, j)
+	return q != nil && q.Address() == j.Address
+}
+
+// mayOwnJob returns a queue of the configuration if it has removed the job's own one, or nil. Callers hold mu.
+func (d *Dispatcher) mayOwnJob(queue string, j *job) *fleet.Queue {
 	c := d.Follower.Config()
-	return c != nil && c.Queue(queue) != nil && c.Queue(j.Queue) == nil
+	if c == nil || c.Queue(j.Queue) != nil {
+		return nil
+	}
+	return c.Queue(queue)
 }
 
 // shownState returns the state of the job for clients. A run that an earlier leader assigned may be at work, so its job
@@ -72,7 +87,7 @@
 	n := 0
 	for _, pool := range d.active {
 		for _, j := range pool {
-			if j.Queue == queue && !j.Started {
+			if !j.Started && d.ownsJob(queue, j) {
 				n++
 			}
 		}
--- a/internal/dispatch/query_test.go
+++ b/internal/dispatch/query_test.go
@@ -138,3 +138,25 @@
 	is.Equal(state("other", "team", "queue", "other"), ErrNoJob)
 	is.Equal(state("unknown", "team", "renamed"), ErrNoJob)
 }
+
+// TestPendingJobsOfARenamedQueue guards against waiting jobs that are answered as pending but not counted, because a
+// version replaced their queue by one of another name at the same address, and against jobs that count for a queue at
+// another address.
+func TestPendingJobsOfARenamedQueue(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	j := d.addJob("0011223344556677", oneTask)
+	j.Address = "host/a/"
+	d.Follower = followConfig(t, &fleet.Config{Version: 1, Queues: []fleet.Queue{
+		{Name: "renamed", Host: "host", PathPrefix: "/a/", Pool: "pool"},
+		{Name: "other", Host: "host", PathPrefix: "/b/", Pool: "pool"},
+	}})
+	for queue, want := range map[string]int{"renamed": 1, "other": 0} {
+		n, err := d.PendingJobs(queue)
+		is.NoErr(err)
+		is.Equal(n, want)
+		_, err = d.JobState(queue, "team", j.ID)
+		is.Equal(err == nil, want == 1)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,6 +56,9 @@
 	Advice *AdvicePolicy
 }
 
+// Address returns the address at which callers reach the queue.
+func (q *Queue) Address() string { return q.Host + q.PathPrefix }
+
 // AdvicePolicy holds the timing of the advice service for a queue whose policy allows only some workers to run a
 // step.
 type AdvicePolicy struct {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -220,7 +220,7 @@
 	}
 	value, err := json.Marshal(workload.Submission{
 		Queue: q.queue.Name, Pool: q.queue.Pool, Team: q.team, Attempts: q.queue.Attempts,
-		NeedsTicket: q.queue.Advice != nil, AtMillis: received.UnixMilli(), Spec: spec,
+		NeedsTicket: q.queue.Advice != nil, Address: q.queue.Address(), AtMillis: received.UnixMilli(), Spec: spec,
 	})
 	if err != nil {
 		h.refuse(w, r, q, &refusal{status: http.StatusBadRequest, reason: err.Error()})
@@ -242,7 +242,7 @@
 	if h.Claims == nil {
 		return nil
 	}
-	err := h.Claims.Claim(ctx, q.id, q.team+"@"+q.queue.Host+q.queue.PathPrefix)
+	err := h.Claims.Claim(ctx, q.id, q.team+"@"+q.queue.Address())
 	switch {
 	case err == nil:
 		return nil
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -44,6 +44,8 @@
 	Attempts int
 	// NeedsTicket means that workers reject starts of the job without a ticket of the advice service.
 	NeedsTicket bool
+	// Address is the address of the queue at the submission; "" if it is not known.
+	Address string
 	// State is the job's state. Started means that a worker is known to have started a task; an assignment alone may be
 	// refused or withdrawn.
 	State   State
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -23,6 +23,8 @@
 	// removed. A record of an earlier version may lack them.
 	Attempts    int  `json:"attempts,omitempty"`
 	NeedsTicket bool `json:"needs_ticket,omitempty"`
+	// Address is that of the queue at the submission. A record of an earlier version lacks it.
+	Address string `json:"address,omitempty"`
 	// AtMillis is the Unix time of acceptance in milliseconds.
 	AtMillis int64          `json:"at_ms"`
 	Spec     *fleet.JobSpec `json:"spec"`
@@ -41,7 +43,7 @@
 		return nil, fmt.Errorf("decode submission of job %s: %w", id, err)
 	}
 	j := NewJob(id, s.Queue, s.Pool, s.Team, s.Spec, time.UnixMilli(s.AtMillis))
-	j.Attempts, j.NeedsTicket = s.Attempts, s.NeedsTicket
+	j.Attempts, j.NeedsTicket, j.Address = s.Attempts, s.NeedsTicket, s.Address
 	return j, nil
 }
 
