--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -208,12 +208,12 @@
 			p.Size++
 		}
 	}
-	limits := d.limits(d.uncheckedPools())
+	limits, missing := d.limits(d.uncheckedPools()), w.missingLabels()
 	for name, p := range byName {
 		if p.InstanceCPU == 0 && !p.Standby {
 			p.InstanceCPU = w.instanceCPU()
 		}
-		p.Waiting = d.waitingCPU(name, limits)
+		p.Waiting, p.MissingLabels = d.waitingCPU(name, limits), missing[name]
 		if i := d.inflow[name]; i != nil {
 			p.Inflow = i.Expected(boot, d.Bounds.Move+workerJoinDelay)
 		}
@@ -232,7 +232,7 @@
 	if p.Standby {
 		p.Size++
 		if _, moving := w.arrivals[id]; !moving && w.notInWave(id) && w.orderable(x) {
-			p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind})
+			p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind, Labels: x.Labels})
 		}
 		return
 	}
@@ -254,7 +254,9 @@
 	p.Used += a.used.CPUMilli
 	if a.vacant() && w.notInWave(id) && w.orderable(x) && w.d.usable(a, now, boot) {
 		workers[id] = x.Worker
-		p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind, IdleFor: now.Sub(a.idleSince)})
+		p.Idle = append(p.Idle, scheduling.BalanceInstance{
+			ID: id, Kind: kind, Labels: x.Labels, IdleFor: now.Sub(a.idleSince),
+		})
 	}
 }
 
--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -76,3 +76,27 @@
 	d.agent("w1").seenEnd++                    // it is not idle
 	is.Equal(idle(), []string{"m-w0", "m-w2"})
 }
+
+// TestMissingLabelOfWaitingWork guards against work that waits for an instance kind that its pool does not have, and
+// against further moves while one is on its way or only work that cannot start needs the label.
+func TestMissingLabelOfWaitingWork(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	w := newInstanceDriver(d)
+	big := fleet.Instance{ID: "m1", Pool: "off", Phase: fleet.InstanceUp, Labels: []string{"big", "r1"}}
+	w.listed = map[string]fleet.Instance{
+		"m0": {ID: "m0", Pool: "pool", Phase: fleet.InstanceUp, Worker: "w0", Labels: []string{"small", "r1"}}, "m1": big,
+	}
+	j := d.addJob("0011223344556677", fleet.Step{Count: 1, RequiredLabel: "big"})
+	is.Equal(w.missingLabels(), map[string][]string{"pool": {"big"}})
+	w.arrivals["m1"] = arrival{to: "pool"}
+	is.Equal(len(w.missingLabels()), 0)
+	delete(w.arrivals, "m1")
+	big.Pool = "pool"
+	w.listed["m1"] = big
+	is.Equal(len(w.missingLabels()), 0)
+	delete(w.listed, "m1")
+	j.Task(0, 0, 0).Done, j.Occurrences[0].Steps[0].Open = true, 0
+	is.Equal(len(w.missingLabels()), 0)
+}
--- a/internal/scheduling/balance.go
+++ b/internal/scheduling/balance.go
@@ -11,6 +11,8 @@
 	ID string
 	// Kind is the instance kind. Pools exchange only instances of the same kind.
 	Kind string
+	// Labels are the labels of the instance, its kind and its rack among them.
+	Labels []string
 	// IdleFor is the time since the last run on the instance ended.
 	IdleFor time.Duration
 }
@@ -32,6 +34,8 @@
 	// Waiting is the CPU need of the tasks that are ready to start and do not fit on any worker. Inflow is the CPU
 	// that arriving work is expected to take.
 	Waiting, Inflow int64
+	// MissingLabels lists the labels that waiting tasks need and that no instance of the pool carries.
+	MissingLabels []string
 	// Idle lists the instances that may be moved.
 	Idle []BalanceInstance
 	// Evacuated lists the idle instances of evacuated availability zones. As nothing may start there, neither Size nor
@@ -70,6 +74,7 @@
 // that do not need them. It modifies the given pools.
 func Balance(pools []*BalancePool, policy BalancePolicy) []Move {
 	b := balance{pools: pools, policy: policy}
+	b.fillLabels()
 	b.fillShortages()
 	b.releaseIdle()
 	b.releaseEvacuated()
--- a/internal/scheduling/balance_test.go
+++ b/internal/scheduling/balance_test.go
@@ -191,3 +191,21 @@
 	calm.Evacuated = []BalanceInstance{{ID: "idle", Kind: "a", IdleFor: time.Minute}}
 	is.Equal(len(Balance([]*BalancePool{busy, calm}, DefaultBalance)), 0) // nothing is switched off
 }
+
+// TestMissingLabelBringsAnInstance guards against accepted work that never runs because all instances of the kind that
+// it needs are switched off, while its pool has processor time to spare.
+func TestMissingLabelBringsAnInstance(t *testing.T) {
+	is := is.New(t)
+	labelled := func(p *BalancePool, kinds ...string) *BalancePool {
+		for i := range p.Idle {
+			p.Idle[i].Kind, p.Idle[i].Labels = kinds[i], []string{kinds[i], "r1"}
+		}
+		return p
+	}
+	short := pool("short", 3, 3, 0, 3000, 0)
+	short.MissingLabels = []string{"big", "none has it"}
+	other := labelled(pool("other", 2, 2, 2, 0, 0), "big", "small")
+	off := labelled(pool("off", 2, 2, 2, 0, 0), "small", "big")
+	off.Standby = true
+	is.Equal(Balance([]*BalancePool{short, other, off}, DefaultBalance), []Move{{"off1", "off", "short"}})
+}
