--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -98,12 +98,10 @@
 
 // move sends the order to move an instance.
 func (w *instanceDriver) move(ctx context.Context, m scheduling.Move, worker string) {
-	ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
-	defer cancel()
-	err, incarnation := errUnconfirmed, w.d.incarnationOf(worker)
-	if w.termConfirmed() {
-		err = w.d.Instances.Move(ctx, m.Instance, m.To, w.d.Token)
-	}
+	incarnation := w.d.incarnationOf(worker)
+	err := w.sendOrder(ctx, func(ctx context.Context) error {
+		return w.d.Instances.Move(ctx, m.Instance, m.To, w.d.Token)
+	})
 	w.d.counters.moves.Add(1)
 	w.d.Log.Info().Str("event", "move").Str("instance", m.Instance).Str("worker", worker).Str("from", m.From).
 		Str("to", m.To).Err(err).Msg("move of an instance to another pool ordered")
@@ -112,6 +110,10 @@
 		w.d.stop()
 		return
 	}
+	if errors.Is(err, errUnconfirmed) {
+		w.giveUpMove(m.Instance, worker)
+		return
+	}
 	if worker == "" || err != nil && !errors.As(err, &refused) && !errors.Is(err, instances.ErrBusy) {
 		return // the move may still be carried out: inTransit uncordons the worker if the list shows that it was not
 	}
@@ -140,6 +142,20 @@
 	return 0
 }
 
+// giveUpMove ends a planned move whose order was not sent, and lets tasks start again on the worker.
+func (w *instanceDriver) giveUpMove(id, worker string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.arrivals, id)
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	if a := w.d.agents[worker]; a != nil && w.notInWave(id) {
+		a.cordoned = false
+		w.d.markDirty(a)
+		w.d.signal()
+	}
+}
+
 // balancePools returns the state of the pools, and the worker of each instance that may be moved.
 func (w *instanceDriver) balancePools() ([]*scheduling.BalancePool, map[string]string) {
 	d := w.d
@@ -192,12 +208,12 @@
 			p.Size++
 		}
 	}
-	limits := d.limits()
+	limits, missing := d.limits(d.uncheckedPools()), w.missingLabels()
 	for name, p := range byName {
 		if p.InstanceCPU == 0 && !p.Standby {
 			p.InstanceCPU = w.instanceCPU()
 		}
-		p.Waiting = d.waitingCPU(name, limits)
+		p.Waiting, p.MissingLabels = d.waitingCPU(name, limits), missing[name]
 		if i := d.inflow[name]; i != nil {
 			p.Inflow = i.Expected(boot, d.Bounds.Move+workerJoinDelay)
 		}
@@ -216,7 +232,7 @@
 	if p.Standby {
 		p.Size++
 		if _, moving := w.arrivals[id]; !moving && w.notInWave(id) && w.orderable(x) {
-			p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind})
+			p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind, Labels: x.Labels})
 		}
 		return
 	}
@@ -238,7 +254,9 @@
 	p.Used += a.used.CPUMilli
 	if a.vacant() && w.notInWave(id) && w.orderable(x) && w.d.usable(a, now, boot) {
 		workers[id] = x.Worker
-		p.Idle = append(p.Idle, scheduling.BalanceInstance{ID: id, Kind: kind, IdleFor: now.Sub(a.idleSince)})
+		p.Idle = append(p.Idle, scheduling.BalanceInstance{
+			ID: id, Kind: kind, Labels: x.Labels, IdleFor: now.Sub(a.idleSince),
+		})
 	}
 }
 
