Publish the overload of queues with waiting work only, and none during an outage

Cause: a trial showed that an overloaded pool put each of its queues into the heartbeat record, some dozens of which have no work, and that a pool without a usable worker counts as overloaded for a minute's work.

Ruled out: refusing work within the shares that a pool cannot do while it has value.

Change: only queues of jobs that wait are published; pools that a new leader still checks and pools without workers are not.

Measured: TestOverloadIsPublished fails without the guard of an outage.

--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -11,7 +11,7 @@
 	"pollenlead/internal/workload"
 )
 
-// maxDrainTime is the drain time of a pool without usable workers.
+// maxDrainTime bounds the drain time of a pool with hardly any usable worker.
 const maxDrainTime = time.Minute
 
 // OverloadState returns what the entry instances refuse at present, encoded. It is nil if they refuse nothing.
@@ -36,43 +36,47 @@
 	return encoded
 }
 
-// queueLoads returns the load of each queue whose pool has waiting work. Callers hold mu.
+// queueLoads returns the load of each queue with waiting work. Queues without any are left out: a deployment may have many,
+// and the state is read by all entry instances several times a second. Callers hold mu.
 func (d *Dispatcher) queueLoads() map[string]overload.QueueLoad {
 	loads := map[string]overload.QueueLoad{}
-	c := d.Follower.Config()
-	if c == nil {
-		return loads
-	}
-	drainTimes := map[string]time.Duration{}
+	unchecked := d.uncheckedPools()
 	for pool := range d.waiting {
-		drainTimes[pool] = d.drainTime(pool)
-	}
-	for i := range c.Queues {
-		q := &c.Queues[i]
-		if wait := drainTimes[q.Pool]; wait > 0 {
-			loads[q.Name] = overload.QueueLoad{Wait: wait, OnTime: d.estimates.longestWait(q)}
+		if unchecked[pool] {
+			continue
+		}
+		wait, queues := d.drainTime(pool)
+		if wait == 0 {
+			continue
+		}
+		for queue := range queues {
+			loads[queue] = overload.QueueLoad{Wait: wait, OnTime: d.estimates.longestWait(d.queue(queue))}
 		}
 	}
 	return loads
 }
 
-// drainTime returns the time that a pool takes for the work of its waiting jobs at its present capacity. Work that has
-// no value any more counts for nothing, as it comes after all other work. Callers hold mu.
-func (d *Dispatcher) drainTime(pool string) time.Duration {
+// drainTime returns the time that a pool takes for the work of its waiting jobs at its present capacity, and the queues of
+// these jobs. Work that has no value any more counts for nothing, as it comes after all other work. The time is 0 without a
+// usable worker: that is an outage, after which the accepted work goes on. Callers hold mu.
+func (d *Dispatcher) drainTime(pool string) (wait time.Duration, queues map[string]bool) {
 	now, work := d.now(), 0.0
+	queues = map[string]bool{}
 	for _, j := range d.waiting[pool] {
 		for _, o := range j.Occurrences {
 			if j.Spec.LongRunning() || d.rank(j, o, d.queue(j.Queue), now).Tier == scheduling.TierExpired {
 				continue
 			}
 			work += d.estimates.waitingWork(o)
+			queues[j.Queue] = true
 		}
 	}
 	capacity := d.usableCPU(pool, now)
 	if capacity == 0 {
-		return maxDrainTime
+		return 0, nil
 	}
-	return min(time.Duration(work/float64(capacity)*float64(time.Second)), maxDrainTime)
+	seconds := min(work/float64(capacity), maxDrainTime.Seconds())
+	return time.Duration(seconds * float64(time.Second)), queues
 }
 
 // usableCPU returns the CPU capacity of the workers of a pool that may get tasks. Callers hold mu.
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -96,7 +96,7 @@
 }
 
 // TestOverloadIsPublished guards against a leader that lets a hot team's backlog grow for longer than its work has
-// value, and against one that refuses work when there is capacity or before it has read the jobs.
+// value, and against one that refuses work when there is capacity, during an outage, or before it has read the jobs.
 func TestOverloadIsPublished(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(2)
@@ -117,6 +117,10 @@
 	is.Equal(len(s["queue"].Teams), 1)
 	is.True(s["queue"].Teams["hot"] > 0.8)
 	is.True(s["queue"].RetryMillis > 10_000)
+	for _, a := range d.agents {
+		a.silentSince = 1
+	}
+	is.Equal(d.OverloadState(), nil) // without any worker the pool is not overloaded, but out of service
 	for _, j := range d.jobs {
 		j.Cancel(d.now())
 		d.markChanged(j)
