Reservations and backfill for large tasks, off by default

Cause: a decision places by rank into what is free now. In a full pool each end of a small task leaves room for another small one only, so that a large task waits until there are no small ones left. Change: a task that fits on no worker reserves the worker on which it fits the soonest, by the expected ends of the runs there (internal/runtimes); tasks of lower rank use that worker only if they end before or fit beside. Gangs, queues with advice, teams at their limit, work that would miss its objective and pools with most of their capacity free get none; long-running work is never held back.

--- a/cmd/pollenlead/entry.go
+++ b/cmd/pollenlead/entry.go
@@ -24,6 +24,8 @@
 type entryCmd struct {
 	Settings string `help:"The platform's settings file (YAML); the platform provides the default." type:"path" placeholder:"FILE"`
 	LogLevel string `help:"Minimum level of log lines." enum:"debug,info,warn,error" default:"info"`
+
+	Reservations bool `help:"Keep workers free for large tasks that fit on none yet, where this instance leads."`
 }
 
 // Run serves on the platform until SIGTERM.
@@ -39,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	s.Reservations = c.Reservations
 	level, err := zerolog.ParseLevel(c.LogLevel)
 	if err != nil {
 		return err
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -19,8 +19,10 @@
 	waveStops                        expvar.Int
 	// shedding counts how often a queue began to refuse work.
 	shedding expvar.Int
-	ends     expvar.Map
-	jobs     expvar.Map
+	// reservations counts workers that a decision reserved for a task, heldBack how often one was not given to a task.
+	reservations, heldBack expvar.Int
+	ends                   expvar.Map
+	jobs                   expvar.Map
 	// doneMillis is the time from acceptance to the end of jobs that were done, and startMillis the time from
 	// acceptance to the first start of a job.
 	doneMillis, startMillis *metrics.Histogram
@@ -45,6 +47,8 @@
 	m.Set("unconfirmed_worker_entries_total", &c.unconfirmedEntries)
 	m.Set("append_retries_total", &c.appendRetries)
 	m.Set("unstored_starts_total", &c.unstoredStarts)
+	m.Set("reservations_total", &c.reservations)
+	m.Set("placements_held_back_total", &c.heldBack)
 	m.Set("records_refused_total", &c.recordsRefused)
 	m.Set("spare_ends_total", &c.spareEnds)
 	m.Set("unknown_ends_total", &c.unknownEnds)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -78,7 +78,9 @@
 	// LastConfirmed returns the boot clock of a moment until which no other term had begun. Nil stands for the present
 	// time.
 	LastConfirmed func() time.Duration
-	Log           zerolog.Logger
+	// Reservations keeps workers free for tasks that fit on none yet.
+	Reservations bool
+	Log          zerolog.Logger
 }
 
 // job is a job with the dispatcher's bookkeeping on its record.
@@ -105,6 +107,8 @@
 	// removalSentAt is the boot clock at which the removal of the expired job's submissions was last sent; 0 if it was
 	// not.
 	removalSentAt time.Duration
+	// blockedRank is the rank of the job's step that was found to fit on no worker.
+	blockedRank blockedRank
 }
 
 // Dispatcher runs the leader's control loops during one term.
@@ -124,6 +128,7 @@
 	jobs           map[string]*job
 	active         map[string]map[string]*job // by pool and ID: jobs that have not ended
 	waiting        map[string]map[string]*job // by pool and ID: jobs with a task that may wait for a run
+	blocked        []blockedStep              // of the decision in progress
 	changed        map[string]*job            // jobs whose progress has to be stored, or removed if nil
 	pendingCancels map[string]cancellation    // cancellations that were read before their submission
 	agents         map[string]*agent
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -30,6 +30,7 @@
 func newFixture(workers int) *Dispatcher {
 	d := New(Options{
 		Store: emptyStore{}, Follower: follow.New(emptyStore{}, follow.Decoder{}, zerolog.Nop()), Log: zerolog.Nop(),
+		Reservations: true,
 	})
 	d.bootStart, d.wallStart = bootclock.Now(), time.Now()
 	d.lastStored, d.fencedAt = d.bootStart, d.bootStart
--- a/internal/dispatch/livenesstest/world_test.go
+++ b/internal/dispatch/livenesstest/world_test.go
@@ -195,6 +195,7 @@
 		// The term is never confirmed, so that no instance is moved or maintained.
 		LastConfirmed: func() time.Duration { return 0 },
 		StoreLimits:   modelLimits, Token: x.token, Log: x.scenario.log(),
+		Reservations: x.scenario.Seed%2 == 0,
 		Bounds: fleet.Bounds{
 			MaxLease: maxLease, MaxStopTime: 400 * time.Millisecond, StatusRetention: 2 * time.Minute,
 			EarlyStart: 250 * time.Millisecond, Heartbeat: heartbeat,
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -46,6 +46,7 @@
 		for _, p := range scheduling.Plan(workers, wants, limits, now) {
 			d.assign(p, now)
 		}
+		d.countReservations(workers)
 	}
 	clear(d.dirty)
 }
@@ -119,6 +120,7 @@
 	pool string, workers []*scheduling.Worker, unchecked map[string]bool, now time.Time,
 ) []scheduling.PendingStep {
 	var wants []scheduling.PendingStep
+	d.blocked = d.blocked[:0]
 	room := scheduling.MaxFree(workers)
 	for id, j := range d.waiting[pool] {
 		if d.awaitsCheck(j.Job, unchecked) || bootclock.Now() < j.unstorableUntil {
@@ -134,7 +136,7 @@
 			delete(d.waiting[pool], id)
 		}
 	}
-	return wants
+	return d.appendBlocked(wants, workers, now)
 }
 
 // appendWants appends the ready steps of an occurrence that have waiting tasks. It reports whether there are any,
@@ -152,7 +154,10 @@
 		}
 		// Most steps of a full pool fit on no worker. They are skipped before anything is allocated for them.
 		if !s.Spec.Charge().Fits(room) {
-			waits = waits || waitingCount(s) > 0
+			if waitingCount(s) > 0 {
+				waits = true
+				d.noteBlocked(blockedStep{j, o, s})
+			}
 			continue
 		}
 		waiting := waitingTasks(s)
@@ -164,7 +169,7 @@
 			r := d.rank(j, o, q, now)
 			rank = &r
 		}
-		w := scheduling.PendingStep{Step: s, Tasks: waiting, Rank: *rank}
+		w := scheduling.PendingStep{Step: s, Tasks: waiting, Rank: *rank, Duration: d.expectedDuration(s)}
 		if q.Advice != nil {
 			if w.Tickets = d.tickets(s, workers); len(w.Tickets) == 0 {
 				continue
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -132,7 +132,7 @@
 		ProgressTopic: n.platform.ProgressTopic,
 		WorkerTopic:   n.platform.WorkerTopic, StatusTopic: n.platform.StatusTopic,
 		DecodeEntry: n.platform.DecodeEntry, WaveStatus: n.platform.WaveStatus,
-		Token: token, LastConfirmed: n.election.ConfirmedAt, Log: n.log,
+		Token: token, LastConfirmed: n.election.ConfirmedAt, Reservations: n.settings.Reservations, Log: n.log,
 	})
 	n.dispatcher.Store(d)
 	defer n.dispatcher.Store(nil)
--- a/internal/fleet/deployment.go
+++ b/internal/fleet/deployment.go
@@ -28,6 +28,8 @@
 	MemoryMB   int
 	MaxSockets int
 	Bounds     Bounds
+	// Reservations makes a leader keep workers free for tasks that fit on none yet.
+	Reservations bool
 }
 
 // Bounds holds the time limits and rates that the deployment has to observe.
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -28,6 +28,13 @@
 	Fillers, Servers int
 	// Leaving means that the worker will soon be stopped by a planned action.
 	Leaving bool
+	// Releases is what the runs on the worker are expected to return, in any order. It is needed only if a PendingStep
+	// fits on no worker.
+	Releases []Release
+
+	// reservation is made by Plan; nil if there is none. heldBack counts the tasks that it kept away.
+	reservation *reservation
+	heldBack    int
 }
 
 // PendingStep is a step with tasks that are waiting for a run.
@@ -38,6 +45,8 @@
 	Tickets map[string]string
 	// Rank is the scheduling order; a lower rank comes first.
 	Rank Rank
+	// Duration is the expected run time of a task; 0 if its end is not expected.
+	Duration time.Duration
 }
 
 // Placement assigns a task to a worker.
@@ -67,23 +76,29 @@
 	workers []*Worker
 	limits  Limits
 	now     time.Time
+	// reservationsLeft is how many reservations this decision may still make.
+	reservationsLeft int
 }
 
 // Plan places waiting tasks in the order of their ranks. It reduces the Free of workers and the limits of teams
-// accordingly.
+// accordingly. Tasks that fit on no worker get reservations, which tasks of lower rank leave free.
 func Plan(workers []*Worker, wants []PendingStep, limits Limits, now time.Time) []Placement {
 	slices.SortFunc(wants, func(a, b PendingStep) int { return a.Rank.compare(b.Rank) })
-	p := &planner{workers: workers, limits: limits, now: now}
+	p := &planner{workers: workers, limits: limits, now: now, reservationsLeft: reservationsFor(workers)}
 	var placed []Placement
 	room := MaxFree(workers)
 	for _, w := range wants {
 		if !w.Step.Spec.Charge().Fits(room) {
+			p.reserve(w, w.Tasks)
 			continue
 		}
 		some := p.place(w)
 		placed = append(placed, some...)
 		if len(some) < len(w.Tasks) {
 			room = MaxFree(workers) // a stale value can only be too large, which costs a needless search
+			if !w.Step.Spec.Charge().Fits(room) {
+				p.reserve(w, w.Tasks[len(some):])
+			}
 		}
 	}
 	return placed
@@ -119,7 +134,8 @@
 func (p *planner) placeNext(w PendingStep, t *workload.Task, use *stepUsage, placed []Placement) (Placement, bool) {
 	s := w.Step.Spec
 	if n := len(placed); n > 0 && !s.Filler && s.LatencyTarget == 0 && t.Failures == 0 {
-		if last := placed[n-1].Worker; !last.Probe && s.Charge().Fits(last.Free) && eligible(last, w, use) {
+		last := placed[n-1].Worker
+		if !last.Probe && s.Charge().Fits(last.Free) && eligible(last, w, use) && !p.delaysReservation(last, w) {
 			return p.placeAt(last, w, t, use)
 		}
 	}
@@ -146,8 +162,11 @@
 
 func (p *planner) rollBack(placed []Placement, w PendingStep) {
 	charge := w.Step.Spec.Charge()
-	for _, undone := range placed {
+	for _, undone := range slices.Backward(placed) {
 		undone.Worker.Free = undone.Worker.Free.Add(charge)
+		if w.Duration > 0 {
+			undone.Worker.Releases = undone.Worker.Releases[:len(undone.Worker.Releases)-1]
+		}
 		undone.Worker.Runs--
 		if l := p.limits[w.Step.Job.Team]; l != nil {
 			*l = l.Add(w.Step.Spec.Need)
@@ -165,7 +184,8 @@
 	var best *Worker
 	var bestCost float64
 	for _, c := range p.workers {
-		if !charge.Fits(c.Free) || !eligible(c, w, use) || retry.excludes(c) || c.Probe && c.Runs > 0 {
+		if !charge.Fits(c.Free) || !eligible(c, w, use) || retry.excludes(c) || c.Probe && c.Runs > 0 ||
+			p.delaysReservation(c, w) {
 			continue
 		}
 		if cost := cost(c, w.Step, use) + retry.cost(c); best == nil || cost < bestCost {
@@ -186,6 +206,9 @@
 	}
 	worker.Free = worker.Free.Sub(w.Step.Spec.Charge())
 	worker.Runs++
+	if w.Duration > 0 {
+		worker.Releases = append(worker.Releases, Release{At: p.now.Add(w.Duration), Amount: w.Step.Spec.Charge()})
+	}
 	if w.Step.Spec.Filler {
 		worker.Fillers++
 	}
