Idle instances of evacuated zones give way to pools that lack instances

Cause: switching them off took the platform's orders.

Ruled out: leaving the instances in their pools, because they are billed and can run nothing.

Change: they are switched off while no pool lacks instances, with a quarter of the moves of a decision.

--- a/internal/dispatch/evacuate_test.go
+++ b/internal/dispatch/evacuate_test.go
@@ -49,6 +49,7 @@
 // stops that are sent.
 type evacuationFixture struct {
 	*Dispatcher
+	unresponsiveWorkers
 	t        *testing.T
 	operator *operatorLog
 
@@ -112,17 +113,6 @@
 	x.eventually("the orders end", x.settled)
 }
 
-// workersOf returns the workers of a task's runs.
-func (x *evacuationFixture) workersOf(t *workload.Task) []string {
-	x.Dispatcher.mu.Lock()
-	defer x.Dispatcher.mu.Unlock()
-	var ids []string
-	for _, r := range t.Runs {
-		ids = append(ids, r.Worker)
-	}
-	return ids
-}
-
 func (x *evacuationFixture) Start(_ context.Context, to worker.Address, _ worker.Start) (int64, error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -140,14 +130,6 @@
 	return nil
 }
 
-func (*evacuationFixture) SetPace(context.Context, worker.Address, string, int, int, int64) error {
-	return nil
-}
-
-func (*evacuationFixture) Hold(context.Context, worker.Address, worker.Hold) (worker.Report, error) {
-	return worker.Report{}, worker.ErrUnknown
-}
-
 // TestNothingStartsInAnEvacuatedZone guards against a new task at a worker of an evacuated zone, against a running task
 // that an evacuation ends, and against a zone that gets nothing after its evacuation was taken back.
 func TestNothingStartsInAnEvacuatedZone(t *testing.T) {
@@ -179,13 +161,13 @@
 	x.agent("w1").cordoned = true
 	task := x.addJob("0011223344556677", oneTask).Task(0, 0, 0)
 	x.place()
-	is.Equal(x.workersOf(task), []string{"w0"})
+	is.Equal(task.Runs[0].Worker, "w0")
 	stored := x.collectBatch()
 	x.evacuate(true)
 	is.Equal(len(task.Runs), 0)
 	x.agent("w1").cordoned = false
 	x.place()
-	is.Equal(x.workersOf(task), []string{"w1"})
+	is.Equal(task.Runs[0].Worker, "w1")
 	x.applyCommitted(stored)
 	x.store()
 	is.Equal(x.starts, []string{"w1"})
@@ -226,7 +208,7 @@
 	x.applyReport(x.agent("w0"), worker.Report{ClockMillis: 2}, bootclock.Now())
 	x.place()
 	x.store()
-	is.Equal(x.workersOf(task), []string{"w1"})
+	is.Equal(task.Runs[0].Worker, "w1")
 	is.Equal(x.starts, []string{"w1"})
 }
 
--- a/internal/scheduling/balance.go
+++ b/internal/scheduling/balance.go
@@ -222,19 +222,23 @@
 	}
 }
 
-// releaseEvacuated switches off the idle instances of evacuated zones.
+// evacuatedReleaseShare is the part of the moves of a decision that may switch off instances of evacuated zones. The
+// other orders are left to pools whose work may need instances in the next decisions.
+const evacuatedReleaseShare = 0.25
+
+// releaseEvacuated switches off the idle instances of evacuated zones while no pool lacks instances.
 func (b *balance) releaseEvacuated() {
 	at := slices.IndexFunc(b.pools, func(p *BalancePool) bool { return p.Standby })
-	if at < 0 {
+	lacking := func(p *BalancePool) bool { return b.shortage(p) > 0 }
+	if at < 0 || slices.ContainsFunc(b.pools, lacking) {
 		return
 	}
+	left := min(int(evacuatedReleaseShare*float64(b.policy.MaxMoves)), b.policy.MaxMoves-len(b.moves))
 	for _, p := range b.pools {
-		if p.Standby {
-			continue
-		}
 		for _, x := range p.Evacuated {
-			if x.IdleFor >= b.policy.MinIdleTime && len(b.moves) < b.policy.MaxMoves {
+			if !p.Standby && x.IdleFor >= b.policy.MinIdleTime && left > 0 {
 				b.moves = append(b.moves, Move{Instance: x.ID, From: p.Name, To: b.pools[at].Name})
+				left--
 			}
 		}
 	}
--- a/internal/scheduling/balance_test.go
+++ b/internal/scheduling/balance_test.go
@@ -179,15 +179,20 @@
 	})
 }
 
-// TestEvacuatedInstancesAreSwitchedOff guards against instances of an evacuated zone that stay idle in a pool, or that
-// are lent to a pool whose work cannot start there.
+// TestEvacuatedInstancesAreSwitchedOff guards against instances of an evacuated zone that stay idle in a pool, that are
+// lent to a pool whose work cannot start there, or whose orders delay those for waiting work.
 func TestEvacuatedInstancesAreSwitchedOff(t *testing.T) {
 	is := is.New(t)
-	busy, calm, off := pool("busy", 4, 4, 0, 4*32000, 5*32000), pool("calm", 4, 3, 0, 32000, 0), pool("off", 0, 0, 0, 0, 0)
+	busy, calm, off := pool("busy", 4, 4, 0, 32000, 0), pool("calm", 4, 3, 0, 32000, 0), pool("off", 0, 0, 0, 0, 0)
 	off.Standby = true
-	calm.Evacuated = []BalanceInstance{{ID: "idle", Kind: "a", IdleFor: time.Minute}, {ID: "recent", Kind: "a"}}
+	for range 10 {
+		calm.Evacuated = append(calm.Evacuated, BalanceInstance{ID: "idle", Kind: "a", IdleFor: time.Minute})
+	}
+	calm.Evacuated[0] = BalanceInstance{ID: "recent", Kind: "a"}
 	moves := Balance([]*BalancePool{busy, calm, off}, DefaultBalance)
-	is.Equal(moves, []Move{{Instance: "idle", From: "calm", To: "off"}})
-	calm.Evacuated = []BalanceInstance{{ID: "idle", Kind: "a", IdleFor: time.Minute}}
+	is.Equal(len(moves), DefaultBalance.MaxMoves/4)
+	is.Equal(moves[0], Move{Instance: "idle", From: "calm", To: "off"})
 	is.Equal(len(Balance([]*BalancePool{busy, calm}, DefaultBalance)), 0) // nothing is switched off
+	busy.Waiting = 5 * 32000
+	is.Equal(len(Balance([]*BalancePool{busy, calm, off}, DefaultBalance)), 0)
 }
