--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -36,8 +36,8 @@
 	return encoded
 }
 
-// queueLoads returns the load of each queue with waiting work. Queues without any are left out: a deployment may have many,
-// and the state is read by all entry instances several times a second. Callers hold mu.
+// queueLoads returns the load of each queue with waiting work. Queues without any are left out: a deployment may have
+// many, and the state is read by all entry instances several times a second. Callers hold mu.
 func (d *Dispatcher) queueLoads() map[string]overload.QueueLoad {
 	loads := map[string]overload.QueueLoad{}
 	unchecked := d.uncheckedPools()
@@ -56,9 +56,9 @@
 	return loads
 }
 
-// drainTime returns the time that a pool takes for the work of its waiting jobs at its present capacity, and the queues of
-// these jobs. Work that has no value any more counts for nothing, as it comes after all other work. The time is 0 without a
-// usable worker: that is an outage, after which the accepted work goes on. Callers hold mu.
+// drainTime returns the time that a pool takes for the work of its waiting jobs at its present capacity, and the queues
+// of these jobs. Work that has no value any more counts for nothing, as it comes after all other work. The time is 0
+// without a usable worker: that is an outage, after which the accepted work goes on. Callers hold mu.
 func (d *Dispatcher) drainTime(pool string) (wait time.Duration, queues map[string]bool) {
 	now, work := d.now(), 0.0
 	queues = map[string]bool{}
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -180,8 +180,8 @@
 	is.True(useful > 0.99)
 }
 
-// TestBurstIsServedInPart guards against a burst that is served late as a whole because the work that has waited longest
-// comes first.
+// TestBurstIsServedInPart guards against a burst that is served late as a whole because the work that has waited
+// longest comes first.
 func TestBurstIsServedInPart(t *testing.T) {
 	is := is.New(t)
 	p := replay(during(4, 8, 80, 20), during(0, 0, 0, 0))
--- a/internal/overload/state.go
+++ b/internal/overload/state.go
@@ -40,29 +40,37 @@
 
 // Next returns the state that follows from the loads of the queues and the fractions of the teams' jobs that are beyond
 // their shares. A queue sheds the excess of such teams from the moment when the work that waits takes longer than a job
-// can wait: the excess comes after all other work, so it would only be done late.
+// can wait: the excess comes after all other work, so it would only be done late. What is within a share is not shed.
 func Next(previous State, loads map[string]QueueLoad, excess map[string]float64) State {
 	next := State{}
-	if len(excess) == 0 {
+	teams := refusedFractions(excess)
+	if len(teams) == 0 {
 		return next
 	}
 	for queue, load := range loads {
-		limit := load.OnTime
-		if _, shedding := previous[queue]; shedding {
-			limit = time.Duration(recoveredFraction * float64(limit))
-		}
-		if load.Wait <= limit {
-			continue
-		}
-		teams := map[string]float64{}
-		for team, fraction := range excess {
-			if fraction >= minFraction {
-				teams[team] = math.Round(fraction*100) / 100
-			}
-		}
-		if len(teams) > 0 {
+		_, shedding := previous[queue]
+		if load.Wait > waitLimit(load.OnTime, shedding) {
 			next[queue] = Shedding{Teams: teams, RetryMillis: load.Wait.Milliseconds()}
 		}
 	}
 	return next
 }
+
+// refusedFractions rounds the fractions, which keeps the published state short, and leaves out the negligible ones.
+func refusedFractions(excess map[string]float64) map[string]float64 {
+	refused := map[string]float64{}
+	for team, fraction := range excess {
+		if fraction >= minFraction {
+			refused[team] = math.Round(fraction*100) / 100
+		}
+	}
+	return refused
+}
+
+// waitLimit returns the wait above which a queue sheds work.
+func waitLimit(onTime time.Duration, shedding bool) time.Duration {
+	if shedding {
+		return time.Duration(recoveredFraction * float64(onTime))
+	}
+	return onTime
+}
--- a/internal/runtimes/model_test.go
+++ b/internal/runtimes/model_test.go
@@ -59,8 +59,8 @@
 	is.True(math.Abs(expected/sum-1) < 0.1)
 }
 
-// TestPriorFollowsTheEstimate guards against a leader that knows no run times at the start of its term: a run of a queue
-// without observations is expected to take about its estimate.
+// TestPriorFollowsTheEstimate guards against a leader that knows no run times at the start of its term: a run of a
+// queue without observations is expected to take about its estimate.
 func TestPriorFollowsTheEstimate(t *testing.T) {
 	is := is.New(t)
 	m := NewModel()
