--- /dev/null
+++ b/internal/dispatch/confirm_test.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/scheduling"
+	"pollenlead/internal/store"
+	"pollenlead/internal/worker"
+)
+
+// producerStore accepts appends as the store does: none of an earlier epoch. during is called while an append is under
+// way.
+type producerStore struct {
+	emptyStore
+	epoch   int64
+	appends []store.Append
+	during  func()
+}
+
+func (s *producerStore) Append(_ context.Context, a store.Append) (int64, error) {
+	if s.during != nil {
+		s.during()
+	}
+	if a.Producer == nil || a.Producer.Epoch < s.epoch {
+		return 0, store.ErrFenced
+	}
+	s.epoch = a.Producer.Epoch
+	s.appends = append(s.appends, a)
+	return 0, nil
+}
+
+// newWave returns a driver and a wave of one drained instance that was switched off.
+func newWave(d *Dispatcher) (*instanceDriver, *wave) {
+	w := newInstanceDriver(d)
+	w.listed = map[string]fleet.Instance{"m0": {ID: "m0", Phase: fleet.InstanceUp}}
+	return w, &wave{
+		request:   fleet.WaveRequest{Number: 1, MaxDown: 1},
+		instances: map[string]*waveInstance{"m0": {phase: scheduling.MaintenanceDraining}},
+	}
+}
+
+// TestOrderAfterSlowAppendNeedsATerm guards against two leaders that take instances of one wave down at once: a former
+// leader whose append of the wave's progress ended with an outage of the store sent the order that followed it.
+func TestOrderAfterSlowAppendNeedsATerm(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	service, slow := &slowInstances{}, &producerStore{}
+	d.Instances, d.Store = service, slow
+	confirmed := bootclock.Now()
+	d.LastConfirmed = func() time.Duration { return confirmed }
+	slow.during = func() { confirmed -= 2 * time.Second } // the outage
+	w, x := newWave(d)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drain(t.Context(), x)
+	is.Equal(len(slow.appends), 1)
+	is.Equal(service.orders.Load(), int32(0))
+	is.Equal(x.instances["m0"].phase, scheduling.MaintenanceDraining) // the planned order is given up
+	slow.during = nil
+	confirmed = bootclock.Now()
+	w.drain(t.Context(), x)
+	is.Equal(service.orders.Load(), int32(1))
+}
+
+// TestMoveNeedsATerm guards against a former leader that moves an instance away under the work which its successor has
+// started there, and against an instance that stays out of service after its move was given up.
+func TestMoveNeedsATerm(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	service := &slowInstances{}
+	d.Instances = service
+	d.LastConfirmed = func() time.Duration { return bootclock.Now() - 2*time.Second }
+	w := newInstanceDriver(d)
+	w.arrivals["m0"] = arrival{to: "desk", worker: "w0", until: bootclock.Now() + time.Minute}
+	w.cordon("w0")
+	w.move(t.Context(), scheduling.Move{Instance: "m0", From: "pool", To: "desk"}, "w0")
+	is.Equal(service.orders.Load(), int32(0))
+	is.Equal(len(w.arrivals), 0)
+	is.True(!d.agents["w0"].cordoned)
+}
+
+// TestFrozenOrderIsNotSent guards against an order that is written long after its term was checked, because the
+// process was frozen or the call waited for a connection.
+func TestFrozenOrderIsNotSent(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	confirmed := bootclock.Now()
+	d.LastConfirmed = func() time.Duration { return confirmed }
+	w := newInstanceDriver(d)
+	err := w.sendOrder(t.Context(), func(ctx context.Context) error {
+		is.NoErr(worker.MaySend(ctx))
+		confirmed -= 2 * time.Second // the process was frozen
+		return worker.MaySend(ctx)   // as the client does right before it writes
+	})
+	is.True(errors.Is(err, errUnconfirmed))
+}
+
+// TestFormerLeaderStoresNoWaves guards against progress of a wave that a former leader stores over that of its
+// successor: the next leader would not know of the instances that the successor has taken down.
+func TestFormerLeaderStoresNoWaves(t *testing.T) {
+	is := is.New(t)
+	shared := &producerStore{}
+	former, successor := newFixture(0), newFixture(0)
+	former.Store, former.Token, successor.Store, successor.Token = shared, 3, shared, 8
+	defer former.stop()
+	defer successor.stop()
+	stored := func(d *Dispatcher) bool {
+		w, x := newWave(d)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.store(t.Context(), x)
+	}
+	is.True(stored(former))
+	is.True(stored(successor))
+	is.True(!stored(former))
+	is.True(former.ctx.Err() != nil) // its term is over
+	is.True(successor.ctx.Err() == nil)
+}
+
+// TestHeldOrdersAreLoggedOnce guards against a line in the log for each step without a confirmed term.
+func TestHeldOrdersAreLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(0)
+	defer d.stop()
+	var log strings.Builder
+	d.Log = zerolog.New(&log)
+	confirmed := bootclock.Now()
+	d.LastConfirmed = func() time.Duration { return confirmed }
+	w := newInstanceDriver(d)
+	for _, age := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 0, 0} {
+		confirmed = bootclock.Now() - age
+		is.Equal(w.mayOrderNow(), age == 0)
+	}
+	is.Equal(strings.Count(log.String(), "orders_held"), 1)
+	is.Equal(strings.Count(log.String(), "orders_resumed"), 1)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,7 +33,7 @@
 	d.sendWithheld(unchecked)
 	now := d.now()
 	byPool := d.usableWorkers(now)
-	limits := d.limits()
+	limits := d.limits(unchecked)
 	for pool := range d.dirty {
 		workers := byPool[pool]
 		if len(workers) == 0 {
@@ -46,6 +46,7 @@
 		for _, p := range scheduling.Plan(workers, wants, limits, now) {
 			d.assign(p, now)
 		}
+		d.countReservations(workers)
 	}
 	clear(d.dirty)
 }
@@ -87,16 +88,18 @@
 	return a.incarnation == 0 || a.entry.Incarnation == 0 || a.entry.Incarnation == a.incarnation
 }
 
-// limits returns the resources that each team may still use. Callers hold mu.
-func (d *Dispatcher) limits() scheduling.Limits {
+// limits returns the resources that each team may still use, while runs that are not known may be on workers of the
+// unchecked pools. Callers hold mu.
+func (d *Dispatcher) limits(unchecked map[string]bool) scheduling.Limits {
 	limits := scheduling.Limits{}
 	c := d.Follower.Config()
 	if c == nil {
 		return limits
 	}
+	unheard := d.unheardUses(c.Teams, unchecked)
 	for i := range c.Teams {
 		t := &c.Teams[i]
-		left := t.UpperLimit.Sub(d.running[t.Name])
+		left := t.UpperLimit.Sub(d.running[t.Name]).Sub(unheard[t.Name])
 		replaceZeroLimit(&left.CPUMilli, t.UpperLimit.CPUMilli)
 		replaceZeroLimit(&left.MemoryMB, t.UpperLimit.MemoryMB)
 		replaceZeroLimit(&left.GPU, t.UpperLimit.GPU)
@@ -119,6 +122,7 @@
 	pool string, workers []*scheduling.Worker, unchecked map[string]bool, now time.Time,
 ) []scheduling.PendingStep {
 	var wants []scheduling.PendingStep
+	d.blocked = d.blocked[:0]
 	room := scheduling.MaxFree(workers)
 	for id, j := range d.waiting[pool] {
 		if d.awaitsCheck(j.Job, unchecked) || bootclock.Now() < j.unstorableUntil {
@@ -134,7 +138,7 @@
 			delete(d.waiting[pool], id)
 		}
 	}
-	return wants
+	return d.appendBlocked(wants, workers, now)
 }
 
 // appendWants appends the ready steps of an occurrence that have waiting tasks. It reports whether there are any,
@@ -152,7 +156,10 @@
 		}
 		// Most steps of a full pool fit on no worker. They are skipped before anything is allocated for them.
 		if !s.Spec.Charge().Fits(room) {
-			waits = waits || waitingCount(s) > 0
+			if waitingCount(s) > 0 {
+				waits = true
+				d.noteBlocked(blockedStep{j, o, s})
+			}
 			continue
 		}
 		waiting := waitingTasks(s)
@@ -164,8 +171,8 @@
 			r := d.rank(j, o, q, now)
 			rank = &r
 		}
-		w := scheduling.PendingStep{Step: s, Tasks: waiting, Rank: *rank}
-		if q.Advice != nil {
+		w := scheduling.PendingStep{Step: s, Tasks: waiting, Rank: *rank, Duration: d.expectedDuration(s)}
+		if needsTicket(j, q) {
 			if w.Tickets = d.tickets(s, workers); len(w.Tickets) == 0 {
 				continue
 			}
--- a/internal/scheduling/balance.go
+++ b/internal/scheduling/balance.go
@@ -11,6 +11,8 @@
 	ID string
 	// Kind is the instance kind. Pools exchange only instances of the same kind.
 	Kind string
+	// Labels are the labels of the instance, its kind and its rack among them.
+	Labels []string
 	// IdleFor is the time since the last run on the instance ended.
 	IdleFor time.Duration
 }
@@ -32,6 +34,8 @@
 	// Waiting is the CPU need of the tasks that are ready to start and do not fit on any worker. Inflow is the CPU
 	// that arriving work is expected to take.
 	Waiting, Inflow int64
+	// MissingLabels lists the labels that waiting tasks need and that no instance of the pool carries.
+	MissingLabels []string
 	// Idle lists the instances that may be moved.
 	Idle []BalanceInstance
 	// Evacuated lists the idle instances of evacuated availability zones. As nothing may start there, neither Size nor
@@ -70,6 +74,7 @@
 // that do not need them. It modifies the given pools.
 func Balance(pools []*BalancePool, policy BalancePolicy) []Move {
 	b := balance{pools: pools, policy: policy}
+	b.fillLabels()
 	b.fillShortages()
 	b.releaseIdle()
 	b.releaseEvacuated()
@@ -222,19 +227,23 @@
 	}
 }
 
-// releaseEvacuated switches off the idle instances of evacuated zones.
+// evacuatedReleaseShare is the part of the moves of a decision that may switch off instances of evacuated zones. The
+// other orders are left to pools whose work may need instances in the next decisions.
+const evacuatedReleaseShare = 0.25
+
+// releaseEvacuated switches off the idle instances of evacuated zones while no pool lacks instances.
 func (b *balance) releaseEvacuated() {
 	at := slices.IndexFunc(b.pools, func(p *BalancePool) bool { return p.Standby })
-	if at < 0 {
+	lacking := func(p *BalancePool) bool { return b.shortage(p) > 0 }
+	if at < 0 || slices.ContainsFunc(b.pools, lacking) {
 		return
 	}
+	left := min(int(evacuatedReleaseShare*float64(b.policy.MaxMoves)), b.policy.MaxMoves-len(b.moves))
 	for _, p := range b.pools {
-		if p.Standby {
-			continue
-		}
 		for _, x := range p.Evacuated {
-			if x.IdleFor >= b.policy.MinIdleTime && len(b.moves) < b.policy.MaxMoves {
+			if !p.Standby && x.IdleFor >= b.policy.MinIdleTime && left > 0 {
 				b.moves = append(b.moves, Move{Instance: x.ID, From: p.Name, To: b.pools[at].Name})
+				left--
 			}
 		}
 	}
