Bound the size of the published overload state

Each overloaded queue repeats all teams beyond their shares, so the state grows with the product of both: 300 teams and 300 queues take over a megabyte in each heartbeat, which the store may refuse, and a leader whose heartbeats are refused loses its term. A bound on queues alone does not help, as the number of teams is not bounded.

Encode leaves out teams and then queues until the state takes at most 8 KiB. What is left out is not refused. The test fails without the bound and passes with it.

--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +21,8 @@
 	maxRetry = 10 * time.Second
 	// hashSteps is the resolution of the fractions of refused jobs.
 	hashSteps = 10_000
+	// maxEncodedBytes bounds the published form, which all entry instances read with each heartbeat.
+	maxEncodedBytes = 8 << 10
 )
 
 // Refusal is the answer to a job that is refused because of overload.
@@ -82,14 +87,48 @@
 	return g.state
 }
 
-// Encode returns the published form of a state, or nil for the state that refuses nothing.
+// Encode returns the published form of a state, or nil for the state that refuses nothing. Of a state that takes more
+// than maxEncodedBytes it leaves out teams and queues, which then refuse nothing.
 func (s State) Encode() (json.RawMessage, error) {
-	if len(s) == 0 {
-		return nil, nil
+	for len(s) > 0 {
+		encoded, err := json.Marshal(s)
+		if err != nil {
+			return nil, fmt.Errorf("overload: encode state: %w", err)
+		}
+		if len(encoded) <= maxEncodedBytes {
+			return encoded, nil
+		}
+		s = s.reduced()
 	}
-	encoded, err := json.Marshal(s)
-	if err != nil {
-		return nil, fmt.Errorf("overload: encode state: %w", err)
+	return nil, nil
+}
+
+// reduced returns the state with half of its teams, those that are most beyond their shares, or with half of its queues,
+// those with the longest waits, if there are more queues than teams.
+func (s State) reduced() State {
+	teams := 0
+	for _, shedding := range s {
+		teams = max(teams, len(shedding.Teams))
+	}
+	if teams <= len(s) {
+		return largestHalf(s, func(x Shedding) float64 { return float64(x.RetryMillis) })
+	}
+	reduced := make(State, len(s))
+	for queue, shedding := range s {
+		shedding.Teams = largestHalf(shedding.Teams, func(fraction float64) float64 { return fraction })
+		reduced[queue] = shedding
+	}
+	return reduced
+}
+
+// largestHalf returns the half of the entries with the largest sizes. Names break ties, so that successive states agree.
+func largestHalf[V any](entries map[string]V, size func(V) float64) map[string]V {
+	names := slices.SortedFunc(maps.Keys(entries), func(a, b string) int {
+		return cmp.Or(cmp.Compare(size(entries[b]), size(entries[a])), cmp.Compare(a, b))
+	})
+	half := make(map[string]V, len(names)/2)
+	for _, name := range names[:len(names)/2] {
+		half[name] = entries[name]
 	}
-	return encoded, nil
+	return half
 }
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -114,3 +114,19 @@
 	is.Equal(len(Next(s, load(900*time.Millisecond), excess)), 1)
 	is.Equal(len(Next(s, load(400*time.Millisecond), excess)), 0)
 }
+
+// TestEncodedStateIsBounded guards against a heartbeat that the store refuses, or that loads all entry instances, because
+// many teams are beyond their shares at many queues, and against a bound that drops the whole state.
+func TestEncodedStateIsBounded(t *testing.T) {
+	is := is.New(t)
+	excess, loads := map[string]float64{}, map[string]QueueLoad{}
+	for i := range 300 {
+		excess[fmt.Sprintf("team-%03d", i)] = float64(i+1) / 400
+		loads[fmt.Sprintf("queue-%03d", i)] = QueueLoad{Wait: time.Duration(i+2) * time.Second, OnTime: time.Second}
+	}
+	encoded := encode(is, Next(nil, loads, excess))
+	is.True(len(encoded) <= maxEncodedBytes)
+	var s State
+	is.NoErr(json.Unmarshal(encoded, &s))
+	is.Equal(s["queue-299"].Teams["team-299"], 0.75) // the longest wait and the largest excess
+}
