Spread Retry-After also at the bounds of the expected wait

Cause: the jitter was added before the bounds were applied. With a wait of ten seconds or more every refused job got ten seconds, and with one of up to half a second every job got one second, so that the refused jobs returned together.

Ruled out: the hash; the fraction and the jitter use separate parts of it.

The wait is bounded first, and the range of the jitter is at least two seconds because the header has whole seconds. The test fails before and passes now for waits from zero to the largest value of a record.

--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -19,6 +19,9 @@
 	// minRetry and maxRetry bound the time after which a refused job may return.
 	minRetry = time.Second
 	maxRetry = 10 * time.Second
+	// minRetrySpread is the smallest range of these times. Retry-After has whole seconds, so a shorter range would give
+	// all jobs the same value.
+	minRetrySpread = 2 * time.Second
 	// hashSteps is the resolution of the fractions of refused jobs.
 	hashSteps = 10_000
 	// maxEncodedBytes bounds the published form, which all entry instances read with each heartbeat.
@@ -47,11 +50,11 @@
 }
 
 // retryAfter returns a time between one and two times that which the pool takes for the work that waits. It differs
-// from job to job, so that refused jobs do not return all at once.
+// from job to job, so that refused jobs do not return all at once, also where the bounds of the time apply.
 func (s Shedding) retryAfter(hash uint64) time.Duration {
-	wait := time.Duration(s.RetryMillis) * time.Millisecond
+	wait := time.Duration(min(max(s.RetryMillis, minRetry.Milliseconds()), maxRetry.Milliseconds()/2)) * time.Millisecond
 	jitter := float64(hash/hashSteps%hashSteps) / hashSteps
-	return min(max(wait+time.Duration(jitter*float64(wait)), minRetry), maxRetry)
+	return wait + time.Duration(jitter*float64(max(wait, minRetrySpread)))
 }
 
 // Gate decides on an entry instance which jobs are refused. Its methods are safe for concurrent use.
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -130,3 +131,23 @@
 	is.NoErr(json.Unmarshal(encoded, &s))
 	is.Equal(s["queue-299"].Teams["team-299"], 0.75) // the longest wait and the largest excess
 }
+
+// TestRetriesAreSpread guards against refused jobs that all return in the same second because the expected wait is
+// shorter or longer than the bounds of Retry-After.
+func TestRetriesAreSpread(t *testing.T) {
+	is := is.New(t)
+	for _, wait := range []time.Duration{0, time.Second, 3 * time.Second, 9 * time.Second, time.Minute, math.MaxInt64} {
+		s := State{"queue": {Teams: map[string]float64{"hot": 0.9}, RetryMillis: wait.Milliseconds()}}
+		refused, seconds := 0, map[float64]int{}
+		for i := range 1000 {
+			if x := s.Refuse("queue", "hot", fmt.Sprintf("%016x", i), 0); x != nil {
+				refused++
+				seconds[math.Ceil(x.RetryAfter.Seconds())]++
+				is.True(x.RetryAfter >= minRetry && x.RetryAfter <= maxRetry)
+			}
+		}
+		for _, n := range seconds {
+			is.True(n < refused*2/3)
+		}
+	}
+}
