Take the share of a team that submits hundreds of times its share

Cause: the refused fraction was rounded to the nearest hundredth, so a fraction of 0.995 or more became 1, and all jobs of the team were refused, among them those within its share, until the count of its excess had decayed.

Ruled out: the counts themselves; the fraction of 400 jobs a second with a share of one is 0.9975.

The fraction is rounded down. The test fails before and passes now.

--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -151,3 +151,15 @@
 		}
 	}
 }
+
+// TestShareOfAVeryHotTeamIsTaken guards against refusing all jobs of a team that submits hundreds of times its share.
+func TestShareOfAVeryHotTeamIsTaken(t *testing.T) {
+	is := is.New(t)
+	r := NewRates()
+	for i := range 4000 {
+		r.Admit("hot", 1, time.Duration(i)*time.Second/400)
+	}
+	loads := map[string]QueueLoad{"queue": {Wait: 2 * time.Second, OnTime: time.Second}}
+	fraction := Next(nil, loads, r.ExcessFractions(10*time.Second))["queue"].Teams["hot"]
+	is.True(fraction > 0.9 && fraction < 1)
+}
--- a/internal/overload/state.go
+++ b/internal/overload/state.go
@@ -56,12 +56,13 @@
 	return next
 }
 
-// refusedFractions rounds the fractions, which keeps the published state short, and leaves out the negligible ones.
+// refusedFractions rounds the fractions, which keeps the published state short, and leaves out the negligible ones. It
+// rounds down: a fraction of 1 would refuse also what is within the share of a team.
 func refusedFractions(excess map[string]float64) map[string]float64 {
 	refused := map[string]float64{}
 	for team, fraction := range excess {
 		if fraction >= minFraction {
-			refused[team] = math.Round(fraction*100) / 100
+			refused[team] = math.Floor(fraction*100) / 100
 		}
 	}
 	return refused
