Count the first job of a team with a share below one as within it

Cause: the bucket of a new team began with the share, but a job takes one token, so a team with a share below one job a second always began with excess. After a pause the bucket was already as large as one job.

Ruled out: the refill, which a share below one covers. The bucket begins full. The test fails before and passes now.

--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -163,3 +163,13 @@
 	fraction := Next(nil, loads, r.ExcessFractions(10*time.Second))["queue"].Teams["hot"]
 	is.True(fraction > 0.9 && fraction < 1)
 }
+
+// TestFirstJobOfASmallShare guards against counting the first job of a team as excess because its share is less than one
+// job per second.
+func TestFirstJobOfASmallShare(t *testing.T) {
+	is := is.New(t)
+	r := NewRates()
+	is.True(r.Admit("small", 0.5, time.Second))
+	is.True(!r.Admit("small", 0.5, 2*time.Second))
+	is.True(r.Admit("small", 0.5, 3*time.Second))
+}
--- a/internal/overload/rate.go
+++ b/internal/overload/rate.go
@@ -34,7 +34,7 @@
 	}
 	t := r.teams[team]
 	if t == nil {
-		t = &rate{tokens: share * burstWindow.Seconds(), at: now}
+		t = &rate{tokens: bucketSize(share), at: now}
 		r.teams[team] = t
 	}
 	t.advance(share, now)
@@ -47,11 +47,14 @@
 	return true
 }
 
+// bucketSize returns the number of jobs that a share covers at once after a pause.
+func bucketSize(share float64) float64 { return max(share*burstWindow.Seconds(), 1) }
+
 // advance adds the tokens of the time since the last job. An earlier time than that of the last job adds none.
 func (t *rate) advance(share float64, now time.Duration) {
 	elapsed := max(now-t.at, 0)
 	t.at = max(t.at, now)
-	t.tokens = min(t.tokens+share*elapsed.Seconds(), max(share*burstWindow.Seconds(), 1))
+	t.tokens = min(t.tokens+share*elapsed.Seconds(), bucketSize(share))
 	keep := decay(elapsed, arrivalWindow)
 	t.arrived *= keep
 	t.excess *= keep
