End the refusals of a team when it is within its share again

Cause: the refused fraction is the ratio of two numbers that decay alike, and it held until the excess had decayed to one job a second, which takes the longer the larger the excess was. After a burst of 100 jobs a second, a team with a share of 10 that then sent 8 had 18 of its next 25 jobs refused, for 3.1 s.

Ruled out: the bucket of tokens, which is full again in time; the entry instances, which use each state for one heartbeat.

A team without a job beyond its share within the last second has no fraction, as docs/design/overload.md says. During sustained overload some jobs beyond the share are taken all the time, so refusals go on. The test fails before and passes now.

--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -173,3 +173,34 @@
 	is.True(!r.Admit("small", 0.5, 2*time.Second))
 	is.True(r.Admit("small", 0.5, 3*time.Second))
 }
+
+// TestSheddingEndsWithTheExcess guards against refusing most jobs of a team for seconds after it has returned to its
+// share. Refused jobs are not counted, as the leader does not see them.
+func TestSheddingEndsWithTheExcess(t *testing.T) {
+	const (
+		share     = 10
+		burstEnd  = 5 * time.Second
+		heartbeat = 400 * time.Millisecond
+	)
+	is := is.New(t)
+	r, s := NewRates(), State{}
+	loads := map[string]QueueLoad{"queue": {Wait: 2 * time.Second, OnTime: time.Second}}
+	refusedInBurst, interval := 0, 10*time.Millisecond
+	for now, published := time.Duration(0), time.Duration(0); now < 2*burstEnd; now += interval {
+		if now >= burstEnd {
+			interval = 125 * time.Millisecond
+		}
+		if now >= published {
+			s, published = Next(s, loads, r.ExcessFractions(now)), now+heartbeat
+		}
+		if s.Refuse("queue", "hot", fmt.Sprintf("%016x", now), 0) == nil {
+			r.Admit("hot", share, now)
+			continue
+		}
+		if now < burstEnd {
+			refusedInBurst++
+		}
+		is.True(now <= burstEnd+arrivalWindow+2*heartbeat)
+	}
+	is.True(refusedInBurst > 200)
+}
--- a/internal/overload/rate.go
+++ b/internal/overload/rate.go
@@ -21,6 +21,8 @@
 	at     time.Duration
 	// arrived and excess are decaying numbers of jobs per second: all, and those that found the bucket empty.
 	arrived, excess float64
+	// excessAt is the time of the last job that found the bucket empty.
+	excessAt time.Duration
 }
 
 // NewRates returns the counts of teams that have submitted nothing.
@@ -41,6 +43,7 @@
 	t.arrived += 1 / arrivalWindow.Seconds()
 	if t.tokens < 1 {
 		t.excess += 1 / arrivalWindow.Seconds()
+		t.excessAt = t.at
 		return false
 	}
 	t.tokens--
@@ -60,12 +63,13 @@
 	t.excess *= keep
 }
 
-// ExcessFractions returns, for each team that has recently submitted more than its share, the fraction of its jobs that
-// was beyond it.
+// ExcessFractions returns, for each team that has submitted more than its share within the arrivalWindow, the fraction of
+// its jobs that was beyond it. Of a large excess the decaying number alone lasts for several times the arrivalWindow.
 func (r *Rates) ExcessFractions(now time.Duration) map[string]float64 {
 	fractions := map[string]float64{}
 	for team, t := range r.teams {
-		if excess := t.excess * decay(now-t.at, arrivalWindow); excess >= minExcess {
+		excess := t.excess * decay(now-t.at, arrivalWindow)
+		if excess >= minExcess && now-t.excessAt <= arrivalWindow {
 			fractions[team] = t.excess / t.arrived
 		}
 	}
