Ignore notes of a leader whose age is not known

Cause: the age of a note counts from its receipt. An entry instance that has just started, or that reads again after it was cut off from the store, receives the newest record whatever its age, and refused work for 1.2 s by the note of a leader that may be long gone.

Ruled out: the clock; the time of the store's record is not known, and the clocks of entry instances differ.

The first read, a read after trimmed records and the read after a failed one keep no note; the next heartbeat, some 0.4 s later, brings one. TestNoteOfUnknownAgeIsNotUsed fails before and passes now.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -274,10 +274,13 @@
 	if err != nil {
 		return err
 	}
-	e.lastReadOK = true
 	for _, r := range page.Records {
 		e.observe(r)
 	}
+	if !e.lastReadOK { // the records may have waited for as long as reads have failed
+		e.keepNote(nil)
+	}
+	e.lastReadOK = true
 	if page.End < e.nextOffset { // the history of the topic was replaced
 		e.nextOffset = -1
 	}
@@ -319,6 +322,7 @@
 			e.observe(r)
 		}
 	}
+	e.keepNote(nil) // the newest record may be of any age
 	e.nextOffset = page.End
 	return nil
 }
@@ -346,7 +350,8 @@
 }
 
 // Note returns the note of the leader's newest heartbeat and the time since its receipt. A record without a note, as it
-// begins and ends a term, removes the former one.
+// begins and ends a term, removes the former one. There is none after a read that may return records of any age: the
+// first one, and the one after a failed read.
 func (e *Election) Note() (json.RawMessage, time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
