Heartbeats do not wait for a busy dispatcher

Cause: the overload state in the heartbeat is worked out under the dispatcher's mutex, which a new leader holds while it restores all jobs. Each heartbeat waited for that, and a term without heartbeats for 1.5 s is taken over.

Ruled out: a time limit on the append, which begins only after the state has been worked out.

OverloadState waits at most 50 ms, then returns the previous state if that is at most 0.8 s old, and otherwise none. The test fails with an unbounded wait and passes now.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -120,6 +121,8 @@
 	wake chan struct{}
 	lag  lagMeter
 
+	publishedOverload atomic.Pointer[publishedOverload]
+
 	mu             sync.Mutex // guards the fields below
 	loaded         bool
 	loadedJobs     map[string]*loadedJob        // submissions by job ID; nil once the jobs are loaded
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -11,13 +11,53 @@
 	"pollenlead/internal/workload"
 )
 
-// maxDrainTime bounds the drain time of a pool with hardly any usable worker.
-const maxDrainTime = time.Minute
+const (
+	// maxDrainTime bounds the drain time of a pool with hardly any usable worker.
+	maxDrainTime = time.Minute
+	// stateLockTimeout bounds for how long the overload state, and with it the heartbeat, waits for the dispatcher.
+	stateLockTimeout  = 50 * time.Millisecond
+	stateLockInterval = time.Millisecond
+	// maxStateReuse is the age up to which the overload state is published again while the dispatcher is busy.
+	maxStateReuse = 800 * time.Millisecond
+)
+
+// publishedOverload is an encoded overload state and the boot clock at which it was worked out.
+type publishedOverload struct {
+	encoded json.RawMessage
+	at      time.Duration
+}
 
-// OverloadState returns what the entry instances refuse at present, encoded. It is nil if they refuse nothing.
+// OverloadState returns what the entry instances refuse at present, encoded. It is nil if they refuse nothing. It does
+// not wait until a busy dispatcher, which may be restoring all jobs, is done: the leader's heartbeat contains the state,
+// and a late heartbeat ends the term.
 func (d *Dispatcher) OverloadState() json.RawMessage {
-	d.mu.Lock()
+	if !d.lockWithin(stateLockTimeout) {
+		last := d.publishedOverload.Load()
+		if last == nil || bootclock.Now()-last.at > maxStateReuse {
+			return nil
+		}
+		return last.encoded
+	}
 	defer d.mu.Unlock()
+	encoded := d.nextOverload()
+	d.publishedOverload.Store(&publishedOverload{encoded: encoded, at: bootclock.Now()})
+	return encoded
+}
+
+// lockWithin locks mu unless that takes longer than the timeout. It reports whether it has locked it.
+func (d *Dispatcher) lockWithin(timeout time.Duration) bool {
+	for until := bootclock.Now() + timeout; ; time.Sleep(stateLockInterval) {
+		if d.mu.TryLock() {
+			return true
+		}
+		if bootclock.Now() >= until {
+			return false
+		}
+	}
+}
+
+// nextOverload works out what the entry instances refuse at present. Callers hold mu.
+func (d *Dispatcher) nextOverload() json.RawMessage {
 	if !d.loaded {
 		return nil
 	}
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -127,3 +127,34 @@
 	}
 	is.Equal(d.OverloadState(), nil)
 }
+
+// TestBusyDispatcherDoesNotDelayHeartbeats guards against a leader that loses its term because its heartbeat waits until
+// the dispatcher has restored all jobs, and against a state of any age that is published meanwhile.
+func TestBusyDispatcherDoesNotDelayHeartbeats(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	defer d.stop()
+	d.Follower = followConfig(t, shareConfig(t))
+	busyState := func() json.RawMessage {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		state := make(chan json.RawMessage, 1)
+		go func() { state <- d.OverloadState() }()
+		select {
+		case s := <-state:
+			return s
+		case <-time.After(2 * time.Second):
+			t.Fatal("the overload state waits for the dispatcher")
+			return nil
+		}
+	}
+	is.Equal(busyState(), nil) // none has been worked out
+	for n := range 100 {
+		d.applyJobRecord(0, submission(t, "hot", n, d.now()))
+	}
+	published := d.OverloadState()
+	is.True(len(published) > 0)
+	is.Equal(busyState(), published)
+	d.publishedOverload.Load().at -= maxStateReuse
+	is.Equal(busyState(), nil)
+}
