Time left of runs that hang for thousands of times their run time

Cause: the share of runs that go on for longer was subtracted from 1, from which so small a share does not differ, so the quantile became that of the smallest number. For an estimate of 10 ms, a run of one minute had 31 years left by the model, and for one of 100 ms a run of 20 minutes had minus 292 years.

Ruled out: the power law above the highest quantile, and the expected time left, which does not use the quantile.

The quantile is found from the share above it, without the subtraction. The test fails before and passes now.

--- a/internal/runtimes/distribution.go
+++ b/internal/runtimes/distribution.go
@@ -64,9 +64,10 @@
 	return &d.table
 }
 
-func (d *distribution) survival(x float64) float64   { return d.current().survival(x) }
-func (d *distribution) quantile(p float64) float64   { return d.current().quantile(p) }
-func (d *distribution) meanExcess(x float64) float64 { return d.current().meanExcess(x) }
+func (d *distribution) survival(x float64) float64      { return d.current().survival(x) }
+func (d *distribution) quantile(p float64) float64      { return d.current().quantile(p) }
+func (d *distribution) upperQuantile(s float64) float64 { return d.current().upperQuantile(s) }
+func (d *distribution) meanExcess(x float64) float64    { return d.current().meanExcess(x) }
 
 // table is a distribution function that is linear between some quantiles, with a power law above the highest.
 type table struct {
@@ -110,14 +111,18 @@
 }
 
 // quantile returns the value that a share p of all values does not exceed.
-func (t *table) quantile(p float64) float64 {
+func (t *table) quantile(p float64) float64 { return t.upperQuantile(1 - p) }
+
+// upperQuantile returns the value that a share of all values exceeds. The share may be too small for 1 minus it to differ
+// from 1.
+func (t *table) upperQuantile(share float64) float64 {
 	const last = tablePoints - 1
-	at := p*tablePoints - 0.5
+	at := (1-share)*tablePoints - 0.5
 	switch {
 	case at >= last:
-		return t.points[last] * math.Pow(pointSurvival(last)/max(1-p, math.SmallestNonzeroFloat32), 1.0/tailExponent)
+		return t.points[last] * math.Pow(pointSurvival(last)/max(share, math.SmallestNonzeroFloat64), 1.0/tailExponent)
 	case at < 0:
-		return t.points[0] * max(p, 0) / (1 - pointSurvival(0))
+		return t.points[0] * max(1-share, 0) / (1 - pointSurvival(0))
 	}
 	i := int(at)
 	return t.points[i] + (at-float64(i))*(t.points[i+1]-t.points[i])
--- a/internal/runtimes/model.go
+++ b/internal/runtimes/model.go
@@ -66,7 +66,7 @@
 	q := m.queue(queue)
 	unit := float64(q.reference.predict(estimate))
 	from := float64(elapsed) / unit
-	to := q.factors.quantile(1 - (1-p)*q.factors.survival(from))
+	to := q.factors.upperQuantile((1 - p) * q.factors.survival(from))
 	return time.Duration(unit * max(to-from, 0))
 }
 
--- a/internal/runtimes/model_test.go
+++ b/internal/runtimes/model_test.go
@@ -129,3 +129,14 @@
 		}
 	})
 }
+
+// TestTimeLeftOfAHangingRun guards against a time left that is wrong by orders of magnitude, or negative, because a run
+// has been running for thousands of times its expected run time.
+func TestTimeLeftOfAHangingRun(t *testing.T) {
+	is := is.New(t)
+	m := NewModel()
+	for _, elapsed := range []time.Duration{time.Minute, time.Hour, 24 * time.Hour} {
+		left := m.TimeLeftQuantile("queue", 100*time.Millisecond, elapsed, 0.5)
+		is.True(left > elapsed/10 && left < elapsed/4) // the median of the power law above the time elapsed
+	}
+}
