No reservation for a step that needs tickets by its acceptance

Cause: a step without tickets was left out of the reservations only while its queue has advice now, but a job needs tickets also if its queue demanded them when it was accepted. Its reservation could be at a worker that must not run it.

Ruled out: a start without a ticket; a reservation starts nothing.

--- a/internal/dispatch/reserve_test.go
+++ b/internal/dispatch/reserve_test.go
@@ -108,3 +108,16 @@
 		})
 	}
 }
+
+// TestNoReservationWithoutTickets guards against a reservation at a worker that must not run the task, for a job that was
+// accepted while its queue demanded tickets, and whose queue no longer does.
+func TestNoReservationWithoutTickets(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(4)
+	defer d.stop()
+	j := d.addJob("0000000000000001", runningStep(1, 28))
+	d.noteBlocked(blockedStep{j, j.Occurrences[0], j.Occurrences[0].Steps[0]})
+	is.Equal(len(d.firstBlocked(1, d.now())), 1)
+	j.NeedsTicket = true
+	is.Equal(len(d.firstBlocked(1, d.now())), 0)
+}
