Work beyond a team's upper limit does not make a pool overloaded

Cause: the drain time of a pool counted all that waits against its whole capacity, also what a team's upper limit puts off. With 300 jobs of a team that may run one at a time, the jobs of another team beyond its share were refused although 29 of 30 workers were idle.

Ruled out: counting free workers; there are some whenever jobs have been read and not placed yet.

Within the drain time a team's work counts up to what its limit lets run. The work of a team beyond its share counts in full as before, so that its own excess is still refused while its limit makes it wait. Limits of memory and of GPUs are not considered.

--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -14,6 +15,8 @@
 const (
 	// maxDrainTime bounds the drain time of a pool with hardly any usable worker.
 	maxDrainTime = time.Minute
+	// drainSteps is the number of steps in which the drain time is approached from above.
+	drainSteps = 10
 	// stateLockTimeout bounds for how long the overload state, and with it the heartbeat, waits for the dispatcher.
 	stateLockTimeout  = 50 * time.Millisecond
 	stateLockInterval = time.Millisecond
@@ -28,8 +31,8 @@
 }
 
 // OverloadState returns what the entry instances refuse at present, encoded. It is nil if they refuse nothing. It does
-// not wait until a busy dispatcher, which may be restoring all jobs, is done: the leader's heartbeat contains the state,
-// and a late heartbeat ends the term.
+// not wait until a busy dispatcher, which may be restoring all jobs, is done: the leader's heartbeat contains the
+// state, and a late heartbeat ends the term.
 func (d *Dispatcher) OverloadState() json.RawMessage {
 	if !d.lockWithin(stateLockTimeout) {
 		last := d.publishedOverload.Load()
@@ -64,7 +67,7 @@
 	excess := d.rates.ExcessFractions(bootclock.Now())
 	var loads map[string]overload.QueueLoad
 	if len(excess) > 0 {
-		loads = d.queueLoads()
+		loads = d.queueLoads(excess)
 	}
 	next := overload.Next(d.overload, loads, excess)
 	d.logOverload(next)
@@ -78,14 +81,14 @@
 
 // queueLoads returns the load of each queue with waiting work. Queues without any are left out: a deployment may have
 // many, and the state is read by all entry instances several times a second. Callers hold mu.
-func (d *Dispatcher) queueLoads() map[string]overload.QueueLoad {
+func (d *Dispatcher) queueLoads(excess map[string]float64) map[string]overload.QueueLoad {
 	loads := map[string]overload.QueueLoad{}
 	unchecked := d.uncheckedPools()
 	for pool := range d.waiting {
 		if unchecked[pool] {
 			continue
 		}
-		wait, queues := d.drainTime(pool)
+		wait, queues := d.drainTime(pool, excess)
 		if wait == 0 {
 			continue
 		}
@@ -99,15 +102,17 @@
 // drainTime returns the time that a pool takes for the work of its waiting jobs at its present capacity, and the queues
 // of these jobs. Work that has no value any more counts for nothing, as it comes after all other work. The time is 0
 // without a usable worker: that is an outage, after which the accepted work goes on. Callers hold mu.
-func (d *Dispatcher) drainTime(pool string) (wait time.Duration, queues map[string]bool) {
-	now, work := d.now(), 0.0
+func (d *Dispatcher) drainTime(
+	pool string, excess map[string]float64,
+) (wait time.Duration, queues map[string]bool) {
+	now, work := d.now(), map[string]float64{}
 	queues = map[string]bool{}
 	for _, j := range d.waiting[pool] {
 		for _, o := range j.Occurrences {
 			if j.Spec.LongRunning() || d.rank(j, o, d.queue(j.Queue), now).Tier == scheduling.TierExpired {
 				continue
 			}
-			work += d.estimates.waitingWork(o)
+			work[j.Team] += d.estimates.waitingWork(o)
 			queues[j.Queue] = true
 		}
 	}
@@ -115,10 +120,38 @@
 	if capacity == 0 {
 		return 0, nil
 	}
-	seconds := min(work/float64(capacity), maxDrainTime.Seconds())
+	seconds := min(d.drainSeconds(work, excess, float64(capacity)), maxDrainTime.Seconds())
 	return time.Duration(seconds * float64(time.Second)), queues
 }
 
+// drainSeconds returns the time that a capacity takes for the work of each team, except for what the teams' upper
+// limits put off until later: it keeps nobody else waiting. The work of a team beyond its share counts in full, so that
+// a team at its upper limit has its own excess refused. Callers hold mu.
+func (d *Dispatcher) drainSeconds(work, excess map[string]float64, capacity float64) float64 {
+	seconds := math.Inf(1)
+	for range drainSteps {
+		sum := 0.0
+		for team, w := range work {
+			if limit := d.cpuLimit(team); limit > 0 && excess[team] == 0 {
+				w = min(w, float64(limit)*seconds)
+			}
+			sum += w
+		}
+		seconds = sum / capacity
+	}
+	return seconds
+}
+
+// cpuLimit returns the upper limit of a team's CPU, or 0 if there is none. Callers hold mu.
+func (d *Dispatcher) cpuLimit(team string) int64 {
+	if c := d.Follower.Config(); c != nil {
+		if t := c.Team(team); t != nil {
+			return t.UpperLimit.CPUMilli
+		}
+	}
+	return 0
+}
+
 // usableCPU returns the CPU capacity of the workers of a pool that may get tasks. Callers hold mu.
 func (d *Dispatcher) usableCPU(pool string, now time.Time) int64 {
 	sum, boot := int64(0), bootclock.Now()
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -128,8 +128,8 @@
 	is.Equal(d.OverloadState(), nil)
 }
 
-// TestBusyDispatcherDoesNotDelayHeartbeats guards against a leader that loses its term because its heartbeat waits until
-// the dispatcher has restored all jobs, and against a state of any age that is published meanwhile.
+// TestBusyDispatcherDoesNotDelayHeartbeats guards against a leader that loses its term because its heartbeat waits
+// until the dispatcher has restored all jobs, and against a state of any age that is published meanwhile.
 func TestBusyDispatcherDoesNotDelayHeartbeats(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(2)
@@ -158,3 +158,32 @@
 	d.publishedOverload.Load().at -= maxStateReuse
 	is.Equal(busyState(), nil)
 }
+
+// TestLimitedTeamOverloadsNobody guards against refusing work of other teams while the pool is idle, because a team has
+// far more waiting than its upper limit lets it run.
+func TestLimitedTeamOverloadsNobody(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(30)
+	defer d.stop()
+	config := shareConfig(t)
+	config.Teams = append(config.Teams, fleet.Team{Name: "few", UpperLimit: fleet.Resources{CPUMilli: 32_000}})
+	d.Follower = followConfig(t, config)
+	for n := range 300 {
+		d.applyJobRecord(0, submission(t, "few", n, d.now()))
+	}
+	for n := range 15 {
+		d.applyJobRecord(0, submission(t, "hot", n, d.now()))
+	}
+	is.Equal(d.OverloadState(), nil)
+	for n := range 100 {
+		d.applyJobRecord(0, submission(t, "hot", 15+n, d.now()))
+	}
+	var s overload.State
+	is.NoErr(json.Unmarshal(d.OverloadState(), &s))
+	is.True(s["queue"].Teams["hot"] > 0.8) // its own work takes longer than it can wait
+	config = shareConfig(t)
+	config.Teams[0].UpperLimit = fleet.Resources{CPUMilli: 32_000}
+	d.Follower = followConfig(t, config)
+	is.NoErr(json.Unmarshal(d.OverloadState(), &s))
+	is.True(s["queue"].Teams["hot"] > 0.8) // an upper limit does not make it wait less
+}
