Ignore an overload state with impossible fractions

Cause: a note of another writer that decodes, but has fractions above 1, refused all jobs of the teams that it names. Only notes that do not decode were ignored.

The test of stale states has two more cases; it fails before and passes now.

--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -67,7 +67,8 @@
 	state   State
 }
 
-// Refuse returns the refusal of a job, or nil if the job is taken. A state that cannot be decoded refuses nothing.
+// Refuse returns the refusal of a job, or nil if the job is taken. A state that no leader has published refuses
+// nothing.
 func (g *Gate) Refuse(queue, team, job string) *Refusal {
 	encoded, age := g.Published()
 	if len(encoded) == 0 {
@@ -84,12 +85,24 @@
 		return g.state
 	}
 	g.encoded, g.state = encoded, nil
-	if err := json.Unmarshal(encoded, &g.state); err != nil {
+	if err := json.Unmarshal(encoded, &g.state); err != nil || !g.state.valid() {
 		g.state = nil
 	}
 	return g.state
 }
 
+// valid reports whether a leader may have published the state.
+func (s State) valid() bool {
+	for _, shedding := range s {
+		for _, fraction := range shedding.Teams {
+			if fraction < 0 || fraction > 1 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Encode returns the published form of a state, or nil for the state that refuses nothing. Of a state that takes more
 // than maxEncodedBytes it leaves out teams and queues, which then refuse nothing.
 func (s State) Encode() (json.RawMessage, error) {
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -80,7 +80,7 @@
 }
 
 // TestStaleStateRefusesNothing guards against refusals without a leader: after its death, while an entry instance is
-// cut off from the store, and after a record that cannot be decoded.
+// cut off from the store, and after a record that no leader has written.
 func TestStaleStateRefusesNothing(t *testing.T) {
 	is := is.New(t)
 	refusals := func(encoded json.RawMessage, age time.Duration) int {
@@ -97,6 +97,8 @@
 	is.Equal(refusals(encode(is, shedHalf), maxAge+time.Millisecond), 0)
 	is.Equal(refusals(nil, 0), 0)
 	is.Equal(refusals(json.RawMessage(`["queue"]`), 0), 0)
+	is.Equal(refusals(json.RawMessage(`{"queue":{"teams":{"hot":5}}}`), 0), 0)
+	is.Equal(refusals(json.RawMessage(`{"queue":{"teams":{"hot":0.5,"calm":-1}}}`), 0), 0)
 	is.Equal(encode(is, State{}), nil)
 }
 
