Start no renewal in the test of a forgotten worker's cordon

Cause: TestCordonOutlastsAForgottenWorker panicked in some runs of the package: the worker's entry started a renewal, and the fixture has no client for workers. Change: the fixture has no context while the entry is applied, so that no renewal is started. What the test checks is unchanged.

--- a/internal/dispatch/cordon_test.go
+++ b/internal/dispatch/cordon_test.go
@@ -43,6 +43,7 @@
 	d.expireLeases()
 	is.Equal(d.agents["w0"], nil)
 
+	d.ctx = nil // renewals are not started
 	d.updateEntry(entry)
 	d.agents["w0"].contacted, d.agents["w0"].clockAt = true, bootclock.Now()
 	is.True(!d.usable(d.agents["w0"], d.now(), bootclock.Now()))
