--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -114,3 +115,92 @@
 	is.Equal(len(Next(s, load(900*time.Millisecond), excess)), 1)
 	is.Equal(len(Next(s, load(400*time.Millisecond), excess)), 0)
 }
+
+// TestEncodedStateIsBounded guards against a heartbeat that the store refuses, or that loads all entry instances, because
+// many teams are beyond their shares at many queues, and against a bound that drops the whole state.
+func TestEncodedStateIsBounded(t *testing.T) {
+	is := is.New(t)
+	excess, loads := map[string]float64{}, map[string]QueueLoad{}
+	for i := range 300 {
+		excess[fmt.Sprintf("team-%03d", i)] = float64(i+1) / 400
+		loads[fmt.Sprintf("queue-%03d", i)] = QueueLoad{Wait: time.Duration(i+2) * time.Second, OnTime: time.Second}
+	}
+	encoded := encode(is, Next(nil, loads, excess))
+	is.True(len(encoded) <= maxEncodedBytes)
+	var s State
+	is.NoErr(json.Unmarshal(encoded, &s))
+	is.Equal(s["queue-299"].Teams["team-299"], 0.75) // the longest wait and the largest excess
+}
+
+// TestRetriesAreSpread guards against refused jobs that all return in the same second because the expected wait is
+// shorter or longer than the bounds of Retry-After.
+func TestRetriesAreSpread(t *testing.T) {
+	is := is.New(t)
+	for _, wait := range []time.Duration{0, time.Second, 3 * time.Second, 9 * time.Second, time.Minute, math.MaxInt64} {
+		s := State{"queue": {Teams: map[string]float64{"hot": 0.9}, RetryMillis: wait.Milliseconds()}}
+		refused, seconds := 0, map[float64]int{}
+		for i := range 1000 {
+			if x := s.Refuse("queue", "hot", fmt.Sprintf("%016x", i), 0); x != nil {
+				refused++
+				seconds[math.Ceil(x.RetryAfter.Seconds())]++
+				is.True(x.RetryAfter >= minRetry && x.RetryAfter <= maxRetry)
+			}
+		}
+		for _, n := range seconds {
+			is.True(n < refused*2/3)
+		}
+	}
+}
+
+// TestShareOfAVeryHotTeamIsTaken guards against refusing all jobs of a team that submits hundreds of times its share.
+func TestShareOfAVeryHotTeamIsTaken(t *testing.T) {
+	is := is.New(t)
+	r := NewRates()
+	for i := range 4000 {
+		r.Admit("hot", 1, time.Duration(i)*time.Second/400)
+	}
+	loads := map[string]QueueLoad{"queue": {Wait: 2 * time.Second, OnTime: time.Second}}
+	fraction := Next(nil, loads, r.ExcessFractions(10*time.Second))["queue"].Teams["hot"]
+	is.True(fraction > 0.9 && fraction < 1)
+}
+
+// TestFirstJobOfASmallShare guards against counting the first job of a team as excess because its share is less than one
+// job per second.
+func TestFirstJobOfASmallShare(t *testing.T) {
+	is := is.New(t)
+	r := NewRates()
+	is.True(r.Admit("small", 0.5, time.Second))
+	is.True(!r.Admit("small", 0.5, 2*time.Second))
+	is.True(r.Admit("small", 0.5, 3*time.Second))
+}
+
+// TestSheddingEndsWithTheExcess guards against refusing most jobs of a team for seconds after it has returned to its
+// share. Refused jobs are not counted, as the leader does not see them.
+func TestSheddingEndsWithTheExcess(t *testing.T) {
+	const (
+		share     = 10
+		burstEnd  = 5 * time.Second
+		heartbeat = 400 * time.Millisecond
+	)
+	is := is.New(t)
+	r, s := NewRates(), State{}
+	loads := map[string]QueueLoad{"queue": {Wait: 2 * time.Second, OnTime: time.Second}}
+	refusedInBurst, interval := 0, 10*time.Millisecond
+	for now, published := time.Duration(0), time.Duration(0); now < 2*burstEnd; now += interval {
+		if now >= burstEnd {
+			interval = 125 * time.Millisecond
+		}
+		if now >= published {
+			s, published = Next(s, loads, r.ExcessFractions(now)), now+heartbeat
+		}
+		if s.Refuse("queue", "hot", fmt.Sprintf("%016x", now), 0) == nil {
+			r.Admit("hot", share, now)
+			continue
+		}
+		if now < burstEnd {
+			refusedInBurst++
+		}
+		is.True(now <= burstEnd+arrivalWindow+2*heartbeat)
+	}
+	is.True(refusedInBurst > 200)
+}
--- a/internal/overload/rate.go
+++ b/internal/overload/rate.go
@@ -21,6 +21,8 @@
 	at     time.Duration
 	// arrived and excess are decaying numbers of jobs per second: all, and those that found the bucket empty.
 	arrived, excess float64
+	// excessAt is the time of the last job that found the bucket empty.
+	excessAt time.Duration
 }
 
 // NewRates returns the counts of teams that have submitted nothing.
@@ -34,35 +36,40 @@
 	}
 	t := r.teams[team]
 	if t == nil {
-		t = &rate{tokens: share * burstWindow.Seconds(), at: now}
+		t = &rate{tokens: bucketSize(share), at: now}
 		r.teams[team] = t
 	}
 	t.advance(share, now)
 	t.arrived += 1 / arrivalWindow.Seconds()
 	if t.tokens < 1 {
 		t.excess += 1 / arrivalWindow.Seconds()
+		t.excessAt = t.at
 		return false
 	}
 	t.tokens--
 	return true
 }
 
+// bucketSize returns the number of jobs that a share covers at once after a pause.
+func bucketSize(share float64) float64 { return max(share*burstWindow.Seconds(), 1) }
+
 // advance adds the tokens of the time since the last job. An earlier time than that of the last job adds none.
 func (t *rate) advance(share float64, now time.Duration) {
 	elapsed := max(now-t.at, 0)
 	t.at = max(t.at, now)
-	t.tokens = min(t.tokens+share*elapsed.Seconds(), max(share*burstWindow.Seconds(), 1))
+	t.tokens = min(t.tokens+share*elapsed.Seconds(), bucketSize(share))
 	keep := decay(elapsed, arrivalWindow)
 	t.arrived *= keep
 	t.excess *= keep
 }
 
-// ExcessFractions returns, for each team that has recently submitted more than its share, the fraction of its jobs that
-// was beyond it.
+// ExcessFractions returns, for each team that has submitted more than its share within the arrivalWindow, the fraction of
+// its jobs that was beyond it. Of a large excess the decaying number alone lasts for several times the arrivalWindow.
 func (r *Rates) ExcessFractions(now time.Duration) map[string]float64 {
 	fractions := map[string]float64{}
 	for team, t := range r.teams {
-		if excess := t.excess * decay(now-t.at, arrivalWindow); excess >= minExcess {
+		excess := t.excess * decay(now-t.at, arrivalWindow)
+		if excess >= minExcess && now-t.excessAt <= arrivalWindow {
 			fractions[team] = t.excess / t.arrived
 		}
 	}
