Keep the epochs of appends on instances exact, and apart between terms

An epoch was the token times 2^30. A store that reads numbers as JSON does then rounds them: two appends of one term get the same epoch and sequence, and the second is answered as a repeat and dropped. The number of appends of a term had no bound either.

Epochs are now the token times 2^22, exact for 2^31 tokens, and a term that has used its epochs ends. The producer has a new name, because partitions that have seen the larger epochs would refuse the smaller ones.

Ruled out: one epoch for each term with a rising sequence, as an append whose outcome is unknown leaves the next sequence unknown; refusals by the leader's own later appends, as home sizes are stored before the first wave is advanced and records of waves one after the other.

TestEpochsOfAppends fails without the change (epoch not below 2^53) and passes with it; go test -race ./internal/dispatch passes.

--- a/internal/dispatch/confirm.go
+++ b/internal/dispatch/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -65,15 +66,23 @@
 
 const (
 	// instanceProducerName identifies the leader's appends on instances.
-	instanceProducerName = "instances"
-	// appendsPerTerm bounds the appends on instances in one term.
-	appendsPerTerm = 1 << 30
+	instanceProducerName = "instance-records"
+	// appendsPerTerm is the number of epochs of one term. Tokens are offsets in the topic of heartbeats and rise by some
+	// hundred thousand a day; an epoch has to stay below 2^53, up to which numbers of JSON are exact.
+	appendsPerTerm = 1 << 22
 )
 
+// errNoEpochLeft means that the term has used all its epochs for appends on instances.
+var errNoEpochLeft = errors.New("dispatch: no epoch left in this term for appends on instances")
+
 // nextProducer returns the producer of the next append on instances. Each append has an epoch of its own, in the order
-// of the terms: the store then refuses one that arrives after a later append of this leader or of its successor.
-// Callers hold mu.
-func (w *instanceDriver) nextProducer() *store.Producer {
+// of the terms: the store then refuses one that arrives after a later append of this leader or of its successor. The
+// epochs of a term end before those of the next. Callers hold mu.
+func (w *instanceDriver) nextProducer() (*store.Producer, error) {
+	if w.appends+1 >= appendsPerTerm {
+		return nil, errNoEpochLeft
+	}
 	w.appends++
-	return &store.Producer{Name: instanceProducerName, Epoch: w.d.Token*appendsPerTerm + w.appends, Sequence: 1}
+	epoch := w.d.Token*appendsPerTerm + w.appends
+	return &store.Producer{Name: instanceProducerName, Epoch: epoch, Sequence: 1}, nil
 }
--- a/internal/dispatch/confirm_test.go
+++ b/internal/dispatch/confirm_test.go
@@ -129,6 +129,30 @@
 	is.True(successor.ctx.Err() == nil)
 }
 
+// TestEpochsOfAppends guards against progress of a wave that the store takes for a repeat and drops, because it has
+// rounded the epochs of two appends to the same number, and against a term whose epochs reach into those of its
+// successor, whose appends would be refused.
+func TestEpochsOfAppends(t *testing.T) {
+	is := is.New(t)
+	const exactNumbers = 1 << 53 // of JSON
+	const heartbeatsPerYear = int64(365 * 24 * time.Hour / (400 * time.Millisecond))
+	d := newFixture(0)
+	defer d.stop()
+	shared := &producerStore{}
+	d.Store, d.Token = shared, 10*heartbeatsPerYear
+	w, x := newWave(d)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.appends = appendsPerTerm - 2
+	is.True(w.store(t.Context(), x))
+	is.True(shared.epoch < exactNumbers)
+	is.True(shared.epoch < (d.Token+1)*appendsPerTerm)
+	is.True(d.ctx.Err() == nil)
+	is.True(!w.store(t.Context(), x))
+	is.Equal(len(shared.appends), 1)
+	is.True(d.ctx.Err() != nil) // the next term has epochs of its own
+}
+
 // TestHeldOrdersAreLoggedOnce guards against a line in the log for each step without a confirmed term.
 func TestHeldOrdersAreLoggedOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -378,17 +378,19 @@
 }
 
 // append stores one record and reports whether that succeeded. A store that has an append of a later leader ends the
-// term. Callers hold mu.
+// term, and so does the end of the term's epochs. Callers hold mu.
 func (w *instanceDriver) append(ctx context.Context, topic string, r store.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	a := store.Append{Topic: topic, Records: []store.Record{r}, Producer: w.nextProducer()}
-	var err error
-	w.unlocked(func() { _, err = w.d.Store.Append(ctx, a) })
+	producer, err := w.nextProducer()
+	if err == nil {
+		a := store.Append{Topic: topic, Records: []store.Record{r}, Producer: producer}
+		w.unlocked(func() { _, err = w.d.Store.Append(ctx, a) })
+	}
 	if err != nil {
 		w.d.Log.Info().Str("event", "wave_not_stored").Str("key", r.Key).Err(err).Msg("wave record could not be stored")
 	}
-	if errors.Is(err, store.ErrFenced) {
+	if errors.Is(err, store.ErrFenced) || errors.Is(err, errNoEpochLeft) {
 		w.d.stop()
 	}
 	return err == nil
