Make no reservation for a job that needs advice after its queue was removed

A reservation was withheld by what the queue demands now. The job keeps its demand when the queue is changed or removed, so it could get a reservation at a worker that must not run it. The demand kept with the job now decides here too.

Ruled out: the same in starts and tickets, which ask needsTicket already; no other use of the queue's advice is left in internal/dispatch.

TestNoReservationWithoutAdvice fails without the change (one reservation) and passes with it.

--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -63,7 +63,7 @@
 	var first []scheduling.PendingStep
 	for _, b := range d.blocked {
 		// Advice is asked for when a task can start, and without it a reservation may be at a worker that must not run it.
-		if b.step.Spec.Gang || d.queue(b.job.Queue).Advice != nil {
+		if b.step.Spec.Gang || needsTicket(b.job, d.queue(b.job.Queue)) {
 			continue
 		}
 		w := scheduling.PendingStep{Step: b.step, Rank: d.rankOf(b, now)}
--- a/internal/dispatch/reserve_test.go
+++ b/internal/dispatch/reserve_test.go
@@ -108,3 +108,17 @@
 		})
 	}
 }
+
+// TestNoReservationWithoutAdvice guards against a reservation at a worker that must not run the task: the queue that
+// demanded advice on the job has been removed since.
+func TestNoReservationWithoutAdvice(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(1)
+	defer d.stop()
+	j := d.addJob("0000000000000001", runningStep(1, 28))
+	o := j.Occurrences[0]
+	d.blocked = []blockedStep{{j, o, o.Steps[0]}}
+	is.Equal(len(d.firstBlocked(1, d.now())), 1)
+	j.NeedsTicket = true
+	is.Equal(len(d.firstBlocked(1, d.now())), 0)
+}
