Count cancelled and failed jobs that may run on unheard workers against the limits of teams

The bound on what a team may have running on workers that have not answered was taken over open jobs only. A job that is cancelled after a change of leader, or whose cancellation the new leader reads at its start, leaves the open jobs at once, but a run of it that is not stored goes on until its worker is told or its lease ends. Meanwhile the team started other work up to its whole limit. Jobs that end without success in a term are now counted until all workers have answered.

Ruled out: runs that the leader knows, which stay attached and counted until the worker reports them gone; jobs that are done, whose tasks have all ended.

The new cases of TestUnheardUseIsBounded fail without the change (0 instead of 4000) and pass with it; go test -race ./internal/dispatch passes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -136,6 +136,7 @@
 	routing        *fleet.Config           // the configuration by which open jobs were last assigned to pools
 	evacuated      []string                // evacuated availability zones, as last applied to the assignments
 	running        map[string]fleet.Resources
+	endedUnheard   map[string]*job               // jobs that were cancelled or failed before all workers had answered
 	ordersInFlight map[*workload.Run]bool        // runs with a start or stop in flight
 	advice         map[string]*advice            // by step
 	dirty          map[string]bool               // pools to examine in the next decision
@@ -203,6 +204,7 @@
 		active: map[string]map[string]*job{}, waiting: map[string]map[string]*job{},
 		changed: map[string]*job{}, pendingCancels: map[string]cancellation{}, agents: map[string]*agent{},
 		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{},
+		endedUnheard:   map[string]*job{},
 		ordersInFlight: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{},
 		spareEnds: map[string]*spareEnd{}, unpublished: map[*job]bool{}, withheld: map[*workload.Run]bool{},
 		storedWorkers:    map[string]string{},
@@ -326,6 +328,7 @@
 	if j.State.Ended() {
 		delete(d.active[j.Pool], j.ID)
 		delete(d.waiting[j.Pool], j.ID)
+		d.noteEnded(j)
 		if !j.published.Ended() {
 			d.unpublished[j] = true
 		}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -263,8 +263,9 @@
 	if c, ok := d.pendingCancels[id]; ok {
 		delete(d.pendingCancels, id)
 		j.partitions |= c.partitions
-		if w.Team == c.team {
+		if w.Team == c.team && !w.State.Ended() {
 			w.Cancel(now)
+			d.noteEnded(j)
 		}
 	}
 	j.published = w.State
--- a/internal/dispatch/unheard.go
+++ b/internal/dispatch/unheard.go
@@ -28,6 +28,7 @@
 // are known. Callers hold mu.
 func (d *Dispatcher) unheardUses(teams []fleet.Team, unchecked map[string]bool) map[string]fleet.Resources {
 	if len(unchecked) == 0 {
+		clear(d.endedUnheard)
 		return nil
 	}
 	uses := map[string]*unheardUse{}
@@ -37,13 +38,17 @@
 		}
 	}
 	room := d.uncheckedRoom(uses)
-	for _, jobs := range d.active {
+	addJobs := func(jobs map[string]*job) {
 		for _, j := range jobs {
 			if u := uses[j.Team]; u != nil && !u.reachesLimit(room) && d.awaitsCheck(j.Job, unchecked) {
 				u.addJob(j.Job, d.occurrenceClock(j).Add(maxClockSkew+d.Bounds.EarlyStart/2))
 			}
 		}
 	}
+	for _, jobs := range d.active {
+		addJobs(jobs)
+	}
+	addJobs(d.endedUnheard)
 	most := make(map[string]fleet.Resources, len(uses))
 	for name, u := range uses {
 		most[name] = smaller(u.bounded, room.Sub(u.known)).Add(u.fillers)
@@ -51,6 +56,14 @@
 	return most
 }
 
+// noteEnded records that a job was cancelled or has failed in this term. Its tasks may run on unchecked workers until
+// these have answered. Callers hold mu.
+func (d *Dispatcher) noteEnded(j *job) {
+	if j.State != workload.StateDone {
+		d.endedUnheard[j.ID] = j
+	}
+}
+
 // uncheckedRoom returns the capacity of the unchecked workers, and adds the runs that are known there to the uses of
 // their teams. Callers hold mu.
 func (d *Dispatcher) uncheckedRoom(uses map[string]*unheardUse) (room fleet.Resources) {
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -75,7 +76,8 @@
 
 // TestUnheardUseIsBounded guards against a team that can start nothing while one worker is silent, although that
 // worker has room for a part of the limit only, and against a part that is too small: runs that are known count
-// already, filler tasks take no room, and a scheduled occurrence may have begun by the clock of the earlier leader.
+// already, filler tasks take no room, a scheduled occurrence may have begun by the clock of the earlier leader, and
+// what has been cancelled runs until its worker is told.
 func TestUnheardUseIsBounded(t *testing.T) {
 	cpu := func(milli int64) fleet.Resources { return fleet.Resources{CPUMilli: milli} }
 	for name, c := range map[string]struct {
@@ -105,6 +107,17 @@
 		"due later": {func(_ *Dispatcher, far *job) {
 			far.Spec.Times, far.Spec.Every, far.Spec.FirstAt = 2, time.Minute, time.Now()
 		}, 4000},
+		"cancelled": {func(d *Dispatcher, far *job) { d.applyCancellation(far.ID, far.Team) }, 4000},
+		"cancelled before the term": {func(d *Dispatcher, far *job) {
+			d.pendingCancels[far.ID] = cancellation{team: far.Team}
+			submission, err := json.Marshal(workload.Submission{
+				Queue: far.Queue, Pool: far.Pool, Team: far.Team, Spec: far.Spec, AtMillis: far.Submitted.UnixMilli(),
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.adoptJob(d.restoreJob(far.ID, submission, nil, d.now()))
+		}, 4000},
 		"answered": {func(d *Dispatcher, _ *job) { d.endCheck(d.agent("w1"), checkAnswered) }, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
