Store what a job demands with its progress

A submission may be repeated seconds after its 2xx. If its queue has changed in between, the repeat is stored with the new number of attempts and without the former demand for a ticket, and it replaces the first record if it reaches the same partition. The leader that knows the job ignores it, but the next one reads only the repeat: the job could fail after fewer attempts than it was accepted with. The progress record now holds both demands, and they prevail.

Ruled out: a repeat in another partition, which a leader that has read the first one ignores; a refusal of the repeat, as the store answers a repeated claim like the first one.

--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -119,10 +119,14 @@
 // Progress is the stored record of a job's progress. It leaves out tasks that never ran. If the job is stored in parts,
 // its tasks are in records of their own.
 type Progress struct {
-	State         State                `json:"state"`
-	EndedAtMillis int64                `json:"ended_ms,omitempty"`
-	Next          int                  `json:"next"`
-	Occurrences   []occurrenceProgress `json:"occ,omitempty"`
+	State         State `json:"state"`
+	EndedAtMillis int64 `json:"ended_ms,omitempty"`
+	Next          int   `json:"next"`
+	// Attempts and NeedsTicket are those of the job. A repeated submission, perhaps to a changed queue, may have replaced
+	// the one with which the job was accepted. A record of an earlier version lacks them.
+	Attempts    int                  `json:"attempts,omitempty"`
+	NeedsTicket bool                 `json:"needs_ticket,omitempty"`
+	Occurrences []occurrenceProgress `json:"occ,omitempty"`
 	// InParts means that the job is stored in parts. Open then holds the occurrences in progress instead of Occurrences.
 	InParts bool              `json:"parts,omitempty"`
 	Open    []occurrenceRange `json:"open,omitempty"`
@@ -162,7 +166,7 @@
 
 // Progress returns the record of the job's current progress, with its tasks unless the job is stored in parts.
 func (j *Job) Progress() Progress {
-	p := Progress{State: j.State, Next: j.NextOccurrence}
+	p := Progress{State: j.State, Next: j.NextOccurrence, Attempts: j.Attempts, NeedsTicket: j.NeedsTicket}
 	if j.State.Ended() {
 		p.EndedAtMillis = j.EndedAt.UnixMilli()
 	}
@@ -241,6 +245,10 @@
 		return fmt.Errorf("progress of job %s: state %q or next occurrence %d is out of range", j.ID, p.State, p.Next)
 	}
 	j.State, j.NextOccurrence = p.State, p.Next
+	if p.Attempts > 0 {
+		j.Attempts = p.Attempts
+	}
+	j.NeedsTicket = j.NeedsTicket || p.NeedsTicket
 	if p.EndedAtMillis != 0 {
 		j.EndedAt = time.UnixMilli(p.EndedAtMillis)
 	}
