--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -83,7 +83,8 @@
 	}
 	d.advance(j)
 	d.Log.Info().Str("event", "job_seen").Str("job", id).Str("queue", w.Queue).Str("team", w.Team).Str("pool", w.Pool).
-		Int("steps", len(w.Spec.Steps)).Bool("excess", j.excess).Int64("offset", r.Offset).Dur("age", time.Since(w.Submitted)).
+		Int("steps", len(w.Spec.Steps)).Bool("excess", j.excess).Int64("offset", r.Offset).
+		Dur("age", time.Since(w.Submitted)).
 		Msg("job read from the store")
 	d.markWaiting(j)
 	d.signal()
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -218,12 +218,12 @@
 		Int64("offset", r.progress.Offset).Int("runs", runs)
 }
 
-// maxRestoredPerLine bounds the jobs in one log line. One line for each job would take the place of other lines under the
-// limit of the log, as several hundred jobs may be open.
+// maxRestoredPerLine bounds the jobs in one log line. One line for each job would take the place of other lines under
+// the limit of the log, as several hundred jobs may be open.
 const maxRestoredPerLine = 50
 
-// logRestored logs what this leader believes about the open jobs of each pool at the beginning of its term. Callers hold
-// mu.
+// logRestored logs what this leader believes about the open jobs of each pool at the beginning of its term. Callers
+// hold mu.
 func (d *Dispatcher) logRestored(open map[string][]restoredJob) {
 	for pool, jobs := range open {
 		for part := range slices.Chunk(jobs, maxRestoredPerLine) {
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -28,8 +28,8 @@
 }
 
 // OverloadState returns what the entry instances refuse at present, encoded. It is nil if they refuse nothing. It does
-// not wait until a busy dispatcher, which may be restoring all jobs, is done: the leader's heartbeat contains the state,
-// and a late heartbeat ends the term.
+// not wait until a busy dispatcher, which may be restoring all jobs, is done: the leader's heartbeat contains the
+// state, and a late heartbeat ends the term.
 func (d *Dispatcher) OverloadState() json.RawMessage {
 	if !d.lockWithin(stateLockTimeout) {
 		last := d.publishedOverload.Load()
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -128,8 +128,8 @@
 	is.Equal(d.OverloadState(), nil)
 }
 
-// TestBusyDispatcherDoesNotDelayHeartbeats guards against a leader that loses its term because its heartbeat waits until
-// the dispatcher has restored all jobs, and against a state of any age that is published meanwhile.
+// TestBusyDispatcherDoesNotDelayHeartbeats guards against a leader that loses its term because its heartbeat waits
+// until the dispatcher has restored all jobs, and against a state of any age that is published meanwhile.
 func TestBusyDispatcherDoesNotDelayHeartbeats(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(2)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -15,7 +15,8 @@
 	step       *workload.Step
 }
 
-// maxRankAge is the age up to which the rank of a blocked step is not worked out again. A backlog has thousands of them.
+// maxRankAge is the age up to which the rank of a blocked step is not worked out again. A backlog has thousands of
+// them.
 const maxRankAge = time.Second
 
 // blockedRank is the rank of a blocked step at a time.
@@ -42,8 +43,8 @@
 	return r
 }
 
-// appendBlocked appends the blocked steps of the highest ranks, as many as can get reservations, and fills what the runs
-// on the workers are expected to return. Callers hold mu.
+// appendBlocked appends the blocked steps of the highest ranks, as many as can get reservations, and fills what the
+// runs on the workers are expected to return. Callers hold mu.
 func (d *Dispatcher) appendBlocked(
 	wants []scheduling.PendingStep, workers []*scheduling.Worker, now time.Time,
 ) []scheduling.PendingStep {
--- a/internal/dispatch/reserve_test.go
+++ b/internal/dispatch/reserve_test.go
@@ -60,8 +60,8 @@
 	d.dirty["pool"] = true
 }
 
-// TestLargeTaskStartsAmongSmallOnes guards against large tasks that wait for as long as there are small ones: each end of
-// a small task leaves room for another one only.
+// TestLargeTaskStartsAmongSmallOnes guards against large tasks that wait for as long as there are small ones: each end
+// of a small task leaves room for another one only.
 func TestLargeTaskStartsAmongSmallOnes(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(4)
@@ -85,8 +85,8 @@
 	is.True(ends <= 2*slots) // the large task waited for longer than the small ones before it
 }
 
-// BenchmarkPlaceBacklogOfLargePool measures one decision of a leader with 860 instances in five pools and 16,000 waiting
-// tasks, for the pool in which most of them wait: some are too large for what is free on any worker.
+// BenchmarkPlaceBacklogOfLargePool measures one decision of a leader with 860 instances in five pools and 16,000
+// waiting tasks, for the pool in which most of them wait: some are too large for what is free on any worker.
 func BenchmarkPlaceBacklogOfLargePool(b *testing.B) {
 	for _, on := range []bool{false, true} {
 		b.Run(fmt.Sprint("reservations-", on), func(b *testing.B) {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -48,8 +48,8 @@
 	readHeaderTimeout = 3 * time.Second
 	// readBodyTimeout is several times the longest deadline of a request.
 	readBodyTimeout = 10 * time.Second
-	// writeTimeout bounds a request from the end of its header: the transfer of its body, its deadline, and the transfer of
-	// its response.
+	// writeTimeout bounds a request from the end of its header: the transfer of its body, its deadline, and the transfer
+	// of its response.
 	writeTimeout   = 20 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 16 << 10
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -97,9 +97,9 @@
 	return n, err
 }
 
-// appendBuffered adds p to the buffer, and drops the buffer once it would exceed maxReplayBytes or there is no memory for
-// it. After that no further attempt can start, so the offset of the current one is not used any more. The caller must
-// hold the lock.
+// appendBuffered adds p to the buffer, and drops the buffer once it would exceed maxReplayBytes or there is no memory
+// for it. After that no further attempt can start, so the offset of the current one is not used any more. The caller
+// must hold the lock.
 func (b *replayableBody) appendBuffered(p []byte) {
 	if b.overflow {
 		return
--- a/internal/leader/handover_test.go
+++ b/internal/leader/handover_test.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// TestSmallLeaderHandsOverSoon guards against a small leader that keeps its term until the next regular announcements of
-// larger entry instances, although they run: with a saturated processor it starts hardly anything meanwhile.
+// TestSmallLeaderHandsOverSoon guards against a small leader that keeps its term until the next regular announcements
+// of larger entry instances, although they run: with a saturated processor it starts hardly anything meanwhile.
 func TestSmallLeaderHandsOverSoon(t *testing.T) {
 	is := is.New(t)
 	s := &memoryStore{topics: map[string][]store.Record{}}
--- a/internal/leader/members.go
+++ b/internal/leader/members.go
@@ -109,8 +109,8 @@
 	}
 }
 
-// wait waits until the given boot clock, for a shorter time while this entry instance seeks a successor, until a term of
-// this entry instance begins, or until an announcement is asked for, in which case it returns true.
+// wait waits until the given boot clock, for a shorter time while this entry instance seeks a successor, until a term
+// of this entry instance begins, or until an announcement is asked for, in which case it returns true.
 func (m *members) wait(ctx context.Context, until time.Duration) (prompted bool) {
 	left := until - bootclock.Now()
 	if m.seeksSuccessor() {
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -106,8 +106,8 @@
 	return nil, nil
 }
 
-// reduced returns the state with half of its teams, those that are most beyond their shares, or with half of its queues,
-// those with the longest waits, if there are more queues than teams.
+// reduced returns the state with half of its teams, those that are most beyond their shares, or with half of its
+// queues, those with the longest waits, if there are more queues than teams.
 func (s State) reduced() State {
 	teams := 0
 	for _, shedding := range s {
@@ -124,7 +124,8 @@
 	return reduced
 }
 
-// largestHalf returns the half of the entries with the largest sizes. Names break ties, so that successive states agree.
+// largestHalf returns the half of the entries with the largest sizes. Names break ties, so that successive states
+// agree.
 func largestHalf[V any](entries map[string]V, size func(V) float64) map[string]V {
 	names := slices.SortedFunc(maps.Keys(entries), func(a, b string) int {
 		return cmp.Or(cmp.Compare(size(entries[b]), size(entries[a])), cmp.Compare(a, b))
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -116,8 +116,8 @@
 	is.Equal(len(Next(s, load(400*time.Millisecond), excess)), 0)
 }
 
-// TestEncodedStateIsBounded guards against a heartbeat that the store refuses, or that loads all entry instances, because
-// many teams are beyond their shares at many queues, and against a bound that drops the whole state.
+// TestEncodedStateIsBounded guards against a heartbeat that the store refuses, or that loads all entry instances,
+// because many teams are beyond their shares at many queues, and against a bound that drops the whole state.
 func TestEncodedStateIsBounded(t *testing.T) {
 	is := is.New(t)
 	excess, loads := map[string]float64{}, map[string]QueueLoad{}
@@ -164,8 +164,8 @@
 	is.True(fraction > 0.9 && fraction < 1)
 }
 
-// TestFirstJobOfASmallShare guards against counting the first job of a team as excess because its share is less than one
-// job per second.
+// TestFirstJobOfASmallShare guards against counting the first job of a team as excess because its share is less than
+// one job per second.
 func TestFirstJobOfASmallShare(t *testing.T) {
 	is := is.New(t)
 	r := NewRates()
--- a/internal/overload/rate.go
+++ b/internal/overload/rate.go
@@ -63,8 +63,9 @@
 	t.excess *= keep
 }
 
-// ExcessFractions returns, for each team that has submitted more than its share within the arrivalWindow, the fraction of
-// its jobs that was beyond it. Of a large excess the decaying number alone lasts for several times the arrivalWindow.
+// ExcessFractions returns, for each team that has submitted more than its share within the arrivalWindow, the fraction
+// of its jobs that was beyond it. Of a large excess the decaying number alone lasts for several times the
+// arrivalWindow.
 func (r *Rates) ExcessFractions(now time.Duration) map[string]float64 {
 	fractions := map[string]float64{}
 	for team, t := range r.teams {
--- a/internal/runtimes/distribution.go
+++ b/internal/runtimes/distribution.go
@@ -113,8 +113,8 @@
 // quantile returns the value that a share p of all values does not exceed.
 func (t *table) quantile(p float64) float64 { return t.upperQuantile(1 - p) }
 
-// upperQuantile returns the value that a share of all values exceeds. The share may be too small for 1 minus it to differ
-// from 1.
+// upperQuantile returns the value that a share of all values exceeds. The share may be too small for 1 minus it to
+// differ from 1.
 func (t *table) upperQuantile(share float64) float64 {
 	const last = tablePoints - 1
 	at := (1-share)*tablePoints - 0.5
--- a/internal/scheduling/plan_test.go
+++ b/internal/scheduling/plan_test.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// TestTasksPreferWorkersThatStay guards against tasks on the fullest worker although a wave will drain it: the wave waits
-// for them, or they are stopped and begin again.
+// TestTasksPreferWorkersThatStay guards against tasks on the fullest worker although a wave will drain it: the wave
+// waits for them, or they are stopped and begin again.
 func TestTasksPreferWorkersThatStay(t *testing.T) {
 	is := is.New(t)
 	leaving, stays := newWorker("leaving", 4000), newWorker("stays", 32000)
--- a/internal/scheduling/reserve.go
+++ b/internal/scheduling/reserve.go
@@ -70,8 +70,8 @@
 	return MaxReservations(workers)
 }
 
-// reserve reserves workers for the tasks of a PendingStep that fit nowhere now: for each the worker on which it fits the
-// soonest. A gang gets none, because its members would hold workers until the last one fits.
+// reserve reserves workers for the tasks of a PendingStep that fit nowhere now: for each the worker on which it fits
+// the soonest. A gang gets none, because its members would hold workers until the last one fits.
 func (p *planner) reserve(w PendingStep, tasks []*workload.Task) {
 	if w.Step.Spec.Gang {
 		return
@@ -94,8 +94,8 @@
 	}
 }
 
-// latestWait returns how long a reservation may wait for room. Work that would miss its objective meanwhile holds no room
-// for it.
+// latestWait returns how long a reservation may wait for room. Work that would miss its objective meanwhile holds no
+// room for it.
 func latestWait(w PendingStep) time.Duration {
 	if w.Rank.Tier == TierOnTime {
 		return min(w.Rank.Slack, maxReservationWait)
--- a/internal/scheduling/reserve_test.go
+++ b/internal/scheduling/reserve_test.go
@@ -11,7 +11,8 @@
 	"pollenlead/internal/fleet"
 )
 
-// busyWorker returns a worker of 32 cores on which runs of the given amounts end after one second, two seconds and so on.
+// busyWorker returns a worker of 32 cores on which runs of the given amounts end after one second, two seconds and so
+// on.
 func busyWorker(id string, running ...int64) *Worker {
 	w := newWorker(id, 32000)
 	for i, cpu := range running {
@@ -38,8 +39,8 @@
 	return ids
 }
 
-// TestReservationHoldsBackWhatWouldDelay guards against small tasks that fill the room for which a large task waits, and
-// against reservations that keep out tasks that would not delay it.
+// TestReservationHoldsBackWhatWouldDelay guards against small tasks that fill the room for which a large task waits,
+// and against reservations that keep out tasks that would not delay it.
 func TestReservationHoldsBackWhatWouldDelay(t *testing.T) {
 	is := is.New(t)
 	workers := []*Worker{busyWorker("w", 26000)} // 6 cores are free, all 32 in one second
