--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -15,7 +15,8 @@
 	step       *workload.Step
 }
 
-// maxRankAge is the age up to which the rank of a blocked step is not worked out again. A backlog has thousands.
+// maxRankAge is the age up to which the rank of a blocked step is not worked out again. A backlog has thousands of
+// them.
 const maxRankAge = time.Second
 
 // blockedRank is the rank of a blocked step at a time.
