Add pollenctl preview, which tells where a job would go now and why

Cause: an operator who wants to know why work of a team would wait had only log lines of jobs that were submitted already, and had to submit one to learn where it goes.

Ruled out: a second set of rules in pollenctl or in the entry instance, which would drift from the leader's; the name explain, which shows log lines of a job and stays as it is; asking the advice service, because a preview sends nothing.

Change: POST /preview at the metrics address decodes a job and asks the leader, which answers under its lock from copies of the workers' scheduling state. The checks of a worker now return a reason (Dispatcher.unusability, planner.exclusion, ineligibility), and placement uses the same functions. Explain places the waiting work of higher rank first, as Plan does. Model of run times: reading a queue without observations no longer adds it to the model, so that a preview leaves no trace in the metrics.

Limits: the expected time is the earliest one. Reservations of the preview may include those for the rest of a step that fits in part, which a decision without blocked steps doesn't make. A scheduled job is examined as if it were due.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -46,6 +46,7 @@
 	Wave     WaveCmd     `cmd:"" help:"Plan, start and control maintenance waves."`
 	Evacuate EvacuateCmd `cmd:"" help:"Evacuate an availability zone of the users' platform, or take that back."`
 	Explain  ExplainCmd  `cmd:"" help:"Show the log lines of entry instances that concern one job, in order of time."`
+	Preview  PreviewCmd  `cmd:"" help:"Show where a job would go now and why, without submitting it."`
 	Key      KeyCmd      `cmd:"" help:"Create API keys."`
 	Replay   ReplayCmd   `cmd:"" help:"Replay a recorded trace and compare it with its expected outcomes. Exits with 7 at the first difference."`
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -59,27 +59,49 @@
 		if a.entry == nil || !d.dirty[a.entry.Pool] || !d.usable(a, now, boot) {
 			continue
 		}
-		byPool[a.entry.Pool] = append(byPool[a.entry.Pool], &scheduling.Worker{
-			ID: a.id, Rack: a.entry.Rack, Labels: a.entry.Labels, Capacity: a.entry.Capacity, Free: a.entry.Capacity.Sub(a.used),
-			Probe: a.health.probing(now), Runs: len(a.runs), Fillers: a.fillers, Servers: a.servers, Leaving: a.leaving,
-		})
+		byPool[a.entry.Pool] = append(byPool[a.entry.Pool], a.schedulingWorker(now))
 	}
 	return byPool
 }
 
+// schedulingWorker returns the scheduling state of a listed worker. Callers hold mu.
+func (a *agent) schedulingWorker(now time.Time) *scheduling.Worker {
+	return &scheduling.Worker{
+		ID: a.id, Rack: a.entry.Rack, Labels: a.entry.Labels,
+		Capacity: a.entry.Capacity, Free: a.entry.Capacity.Sub(a.used),
+		Probe: a.health.probing(now), Runs: len(a.runs), Fillers: a.fillers, Servers: a.servers, Leaving: a.leaving,
+	}
+}
+
 // usable reports whether a listed worker may get tasks. Callers hold mu.
 func (d *Dispatcher) usable(a *agent, now time.Time, boot time.Duration) bool {
-	if len(a.unclaimedRuns) > 0 { // what they use is not counted yet
-		return false
-	}
-	if a.entry.Draining || a.cordoned || !a.contacted || a.silentSince != 0 || !a.health.usable(now) {
-		return false
-	}
-	if !a.kindKnown() || d.evacuating(a) {
-		return false
-	}
+	return d.unusability(a, now, boot) == ""
+}
+
+// unusability returns why a listed worker may not get tasks; "" if it may. Callers hold mu.
+func (d *Dispatcher) unusability(a *agent, now time.Time, boot time.Duration) scheduling.Exclusion {
+	switch {
+	case len(a.unclaimedRuns) > 0: // what they use is not counted yet
+		return "unclaimed_runs"
+	case a.entry.Draining:
+		return "draining"
+	case a.cordoned:
+		return "cordoned"
+	case !a.contacted:
+		return "not_contacted"
+	case a.silentSince != 0:
+		return "silent"
+	case !a.health.usable(now):
+		return "backing_off"
+	case !a.kindKnown():
+		return "kind_unknown"
+	case d.evacuating(a):
+		return "zone_evacuated"
 	// After this period the renewal of the worker is overdue.
-	return boot-a.clockAt <= idleHoldWait+d.lag.timeout(holdAnswerTimeout)+holdRetryDelay
+	case boot-a.clockAt > idleHoldWait+d.lag.timeout(holdAnswerTimeout)+holdRetryDelay:
+		return "renewal_overdue"
+	}
+	return ""
 }
 
 // kindKnown reports whether the worker's entry is of its present incarnation. The worker may be of another kind since a
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -32,6 +32,7 @@
 	"pollenlead/internal/leader"
 	"pollenlead/internal/leaderrpc"
 	"pollenlead/internal/overload"
+	"pollenlead/internal/preview"
 	"pollenlead/internal/relay"
 	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
@@ -200,6 +201,7 @@
 
 // listen binds the listeners, starts serving on them and returns the server for callers.
 func (n *Node) listen(ctx context.Context) (*http.Server, error) {
+	asked := &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log}
 	handler := &front.Handler{
 		Config: n.follower,
 		Jobs: store.NewBatchers(
@@ -210,7 +212,7 @@
 			Store: n.platform.Store, Topics: n.platform.ClaimTopics, Partitions: n.settings.StorePartitions,
 		},
 		Codec:         n.platform.Codec,
-		Leader:        &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log},
+		Leader:        asked,
 		Overload:      &overload.Gate{Published: n.election.Note},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
 	}
@@ -218,6 +220,9 @@
 	ready.HandleFunc("/readyz", n.ready)
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", expvar.Handler())
+	metrics.Handle("POST /preview", &preview.Handler{
+		Config: n.follower.Config, Job: n.platform.Codec.Job, Key: n.platform.Codec.Key, Explain: asked.Explain,
+	})
 	callers := newServer(handler)
 	guard := ingress.New(callerLimits(n.settings), n.log)
 	guard.Protect(callers)
--- a/internal/leaderrpc/leaderrpc.go
+++ b/internal/leaderrpc/leaderrpc.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"pollenlead/internal/dispatch"
+	"pollenlead/internal/fleet"
 	"pollenlead/internal/workload"
 )
 
@@ -22,12 +23,14 @@
 const (
 	methodJobState    = "job_state"
 	methodPendingJobs = "pending_jobs"
+	methodExplain     = "explain"
 )
 
 // The error codes.
 const (
 	codeNotLeading  = -32001
 	codeJobNotFound = -32002
+	codeNoQueue     = -32003
 )
 
 const (
@@ -58,10 +61,17 @@
 	Pending int `json:"pending"`
 }
 
+type explainParams struct {
+	Queue string         `json:"queue"`
+	Team  string         `json:"team"`
+	Spec  *fleet.JobSpec `json:"spec"`
+}
+
 // Jobs answers queries about jobs.
 type Jobs interface {
 	JobState(queue, team, id string) (workload.State, error)
 	PendingJobs(queue string) (int, error)
+	Explain(queue, team string, spec *fleet.JobSpec) (*dispatch.Explanation, error)
 }
 
 // Server answers the queries of the other entry instances while this one leads.
@@ -117,6 +127,13 @@
 		}
 		n, err := jobs.PendingJobs(p.Queue)
 		return pendingResult{Pending: n}, encodeError(err)
+	case methodExplain:
+		var p explainParams
+		if err := json.Unmarshal(*r.Params, &p); err != nil || p.Spec == nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "invalid parameters of explain"}
+		}
+		x, err := jobs.Explain(p.Queue, p.Team, p.Spec)
+		return x, encodeError(err)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 }
@@ -127,6 +144,8 @@
 		return nil
 	case errors.Is(err, dispatch.ErrNoJob):
 		return &jsonrpc2.Error{Code: codeJobNotFound, Message: err.Error()}
+	case errors.Is(err, dispatch.ErrNoQueue):
+		return &jsonrpc2.Error{Code: codeNoQueue, Message: err.Error()}
 	default:
 		return &jsonrpc2.Error{Code: codeNotLeading, Message: err.Error()}
 	}
@@ -168,6 +187,21 @@
 	return r.Pending, err
 }
 
+// Explain returns where the leader would place a job. Its errors are ErrNoLeader and dispatch.ErrNoQueue. The result is
+// decoded by the reader of the response only.
+func (c *Client) Explain(ctx context.Context, queue, team string, spec *fleet.JobSpec) (json.RawMessage, error) {
+	if jobs := c.Local(); jobs != nil {
+		x, err := jobs.Explain(queue, team, spec)
+		if err != nil {
+			return nil, decodeError(encodeError(err))
+		}
+		return json.Marshal(x)
+	}
+	var r json.RawMessage
+	err := c.call(ctx, methodExplain, explainParams{Queue: queue, Team: team, Spec: spec}, &r)
+	return r, err
+}
+
 func (c *Client) call(ctx context.Context, method string, params, result any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
@@ -191,6 +225,8 @@
 		return nil
 	case errors.As(err, &rpcErr) && rpcErr.Code == codeJobNotFound:
 		return dispatch.ErrNoJob
+	case errors.As(err, &rpcErr) && rpcErr.Code == codeNoQueue:
+		return dispatch.ErrNoQueue
 	default:
 		return fmt.Errorf("%w: %w", ErrNoLeader, err)
 	}
--- a/internal/overload/rate.go
+++ b/internal/overload/rate.go
@@ -76,3 +76,14 @@
 	}
 	return fractions
 }
+
+// WouldAdmit reports whether Admit would count a job of the team as within its share now. It counts no job.
+func (r *Rates) WouldAdmit(team string, share float64, now time.Duration) bool {
+	t := r.teams[team]
+	if t == nil || share <= 0 {
+		return true
+	}
+	next := *t
+	next.advance(share, now)
+	return next.tokens >= 1
+}
--- a/internal/runtimes/model.go
+++ b/internal/runtimes/model.go
@@ -7,7 +7,11 @@
 
 // Model holds the distributions of the run times of all queues. A queue without observations has a prior: the estimate
 // times a distribution of common errors of estimates.
-type Model struct{ queues map[string]*queueModel }
+type Model struct {
+	queues map[string]*queueModel
+	// prior answers for the queues without observations.
+	prior *queueModel
+}
 
 // queueModel predicts the run time of a queue's tasks as a reference time, which depends on the estimate, times a
 // random factor.
@@ -19,15 +23,16 @@
 }
 
 // NewModel returns a model without observations.
-func NewModel() *Model { return &Model{queues: map[string]*queueModel{}} }
+func NewModel() *Model { return &Model{queues: map[string]*queueModel{}, prior: newQueueModel()} }
+
+func newQueueModel() *queueModel { return &queueModel{factors: newDistribution()} }
 
+// queue returns the model that answers for a queue.
 func (m *Model) queue(name string) *queueModel {
-	q := m.queues[name]
-	if q == nil {
-		q = &queueModel{factors: newDistribution()}
-		m.queues[name] = q
+	if q := m.queues[name]; q != nil {
+		return q
 	}
-	return q
+	return m.prior
 }
 
 // Observe records that a task of the queue with the given estimate was done after the time took. An estimate of 0 means
@@ -36,7 +41,11 @@
 	if took <= 0 {
 		return
 	}
-	q := m.queue(queue)
+	q := m.queues[queue]
+	if q == nil {
+		q = newQueueModel()
+		m.queues[queue] = q
+	}
 	predicted := q.reference.predict(estimate)
 	q.errors.observe(estimate, predicted, q.reference.typical(), took)
 	q.factors.observe(float64(took) / float64(predicted))
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -85,8 +85,13 @@
 func Plan(workers []*Worker, wants []PendingStep, limits Limits, now time.Time) []Placement {
 	slices.SortFunc(wants, func(a, b PendingStep) int { return a.Rank.compare(b.Rank) })
 	p := &planner{workers: workers, limits: limits, now: now, reservationsLeft: reservationsFor(workers)}
+	return p.placeAll(wants)
+}
+
+// placeAll places steps that are in the order of their ranks, and reserves workers for what fits nowhere.
+func (p *planner) placeAll(wants []PendingStep) []Placement {
 	var placed []Placement
-	room := MaxFree(workers)
+	room := MaxFree(p.workers)
 	for _, w := range wants {
 		if !w.Step.Spec.Charge().Fits(room) {
 			p.reserve(w, w.Tasks)
@@ -95,7 +100,7 @@
 		some := p.place(w)
 		placed = append(placed, some...)
 		if len(some) < len(w.Tasks) {
-			room = MaxFree(workers) // a stale value can only be too large, which costs a needless search
+			room = MaxFree(p.workers) // a stale value can only be too large, which costs a needless search
 			if !w.Step.Spec.Charge().Fits(room) {
 				p.reserve(w, w.Tasks[len(some):])
 			}
@@ -180,12 +185,10 @@
 		return Placement{}, false
 	}
 	retry := p.newRetry(w, t, use)
-	charge := w.Step.Spec.Charge()
 	var best *Worker
 	var bestCost float64
 	for _, c := range p.workers {
-		if !charge.Fits(c.Free) || !eligible(c, w, use) || retry.excludes(c) || c.Probe && c.Runs > 0 ||
-			p.delaysReservation(c, w) {
+		if p.exclusion(c, w, use, retry) != "" {
 			continue
 		}
 		if cost := cost(c, w.Step, use) + retry.cost(c); best == nil || cost < bestCost {
@@ -223,19 +226,7 @@
 }
 
 // eligible reports whether the worker may run a task of the step once it has room.
-func eligible(c *Worker, w PendingStep, use *stepUsage) bool {
-	s := w.Step.Spec
-	if !s.Charge().Fits(c.Capacity) {
-		return false
-	}
-	if s.RequiredLabel != "" && !slices.Contains(c.Labels, s.RequiredLabel) {
-		return false
-	}
-	if s.MaxPerWorker > 0 && use.byWorker[c.ID] >= s.MaxPerWorker {
-		return false
-	}
-	return w.Tickets == nil || w.Tickets[c.ID] != ""
-}
+func eligible(c *Worker, w PendingStep, use *stepUsage) bool { return ineligibility(c, w, use) == "" }
 
 // Weights of the cost of a placement. The unit is a worker's whole CPU capacity.
 const (
--- a/internal/scheduling/rank.go
+++ b/internal/scheduling/rank.go
@@ -35,6 +35,11 @@
 	TierExpired
 )
 
+// MarshalText implements encoding.TextMarshaler.
+func (t Tier) MarshalText() ([]byte, error) { return []byte(tierNames[t]), nil }
+
+var tierNames = [...]string{"serving", "on_time", "late", "excess", "expired"}
+
 const (
 	// onTimeProbability is the probability of meeting the objective from which on work counts as on time. The work that
 	// is nearest to its limit comes first, so under overload every job that is started has about this chance. It is below
