Plain names and doc comments in the code of waves, claims, ingress, overload and preview

A reader who is new to the code met names with two meanings (place, drained, held) and figurative ones (next life, outlived, saved), exported fields without a description, and three log lines that did not say what they count or wait for.

Rack of an instance and the order of ranks are used where they stood twice. No change of logic; event names and fields of log lines stay.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -24,7 +24,7 @@
 	majority = 2
 	// replicaTimeout bounds one append of a claim. A slow store answers within it.
 	replicaTimeout = 1400 * time.Millisecond
-	// spareDelay is the time after which the last replica is asked because one of the others has not answered.
+	// spareDelay is the time without a decision after which the last replica is asked as well.
 	spareDelay = 300 * time.Millisecond
 	// claimEpoch is the epoch of all claims; the sequence number tells the owners apart.
 	claimEpoch = 1
@@ -41,6 +41,7 @@
 
 // Claims reserves IDs.
 type Claims struct {
+	// Store holds the topics.
 	Store store.Store
 	// Topics hold the claims, in Partitions partitions each. Records may expire there. A partition processes one append
 	// at a time, and claims cannot share one, so many partitions keep claims from waiting at a slow store.
@@ -55,9 +56,9 @@
 	defer cancel()
 	number := ownerNumber(owner)
 	answers := make(chan error, replicas)
-	ask := func(p place) { go func() { answers <- c.append(ctx, p, id, number) }() }
-	places := c.places(id)
-	for _, p := range places[:majority] {
+	ask := func(p replica) { go func() { answers <- c.append(ctx, p, id, number) }() }
+	targets := c.replicasOf(id)
+	for _, p := range targets[:majority] {
 		ask(p)
 	}
 	spare := time.NewTimer(spareDelay)
@@ -75,14 +76,14 @@
 			return err
 		}
 		if asked < replicas && t.needsSpare() {
-			ask(places[asked])
+			ask(targets[asked])
 			asked++
 		}
 	}
 }
 
 // append claims the ID at one replica.
-func (c *Claims) append(ctx context.Context, p place, id string, owner int64) error {
+func (c *Claims) append(ctx context.Context, p replica, id string, owner int64) error {
 	_, err := c.Store.Append(ctx, store.Append{
 		Topic: p.topic, Partition: p.partition, Records: []store.Record{{Key: id, Value: []byte{1}}},
 		Producer: &store.Producer{Name: id, Epoch: claimEpoch, Sequence: owner},
@@ -128,20 +129,20 @@
 // needsSpare reports whether the last replica has to be asked.
 func (t *tally) needsSpare() bool { return t.late || t.taken > 0 || t.failed > 0 }
 
-// place is the partition of one replica.
-type place struct {
+// replica is one partition that holds a claim of an ID.
+type replica struct {
 	topic     string
 	partition int
 }
 
-// places returns the replicas of an ID. They differ in topic and partition as far as there are enough of them.
-func (c *Claims) places(id string) [replicas]place {
+// replicasOf returns the replicas of an ID. They differ in topic and partition as far as there are enough of them.
+func (c *Claims) replicasOf(id string) [replicas]replica {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
 	first := int(h.Sum64() % uint64(len(c.Topics)*c.Partitions))
-	var list [replicas]place
+	var list [replicas]replica
 	for n := range list {
-		list[n] = place{c.Topics[(first+n)%len(c.Topics)], (first/len(c.Topics) + n) % c.Partitions}
+		list[n] = replica{c.Topics[(first+n)%len(c.Topics)], (first/len(c.Topics) + n) % c.Partitions}
 	}
 	return list
 }
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -21,16 +21,16 @@
 	mu      sync.Mutex
 	last    map[string]int64
 	calls   int
-	failing map[place]error
-	silent  map[place]bool
+	failing map[replica]error
+	silent  map[replica]bool
 }
 
 func newPartitions() *partitions {
-	return &partitions{last: map[string]int64{}, failing: map[place]error{}, silent: map[place]bool{}}
+	return &partitions{last: map[string]int64{}, failing: map[replica]error{}, silent: map[replica]bool{}}
 }
 
 func (s *partitions) Append(ctx context.Context, a store.Append) (int64, error) {
-	p := place{a.Topic, a.Partition}
+	p := replica{a.Topic, a.Partition}
 	s.mu.Lock()
 	s.calls++
 	silent := s.silent[p]
@@ -54,7 +54,7 @@
 }
 
 // setFailing replaces the errors of the failing partitions. Claims that are decided may still have appends under way.
-func (s *partitions) setFailing(faults map[place]error) {
+func (s *partitions) setFailing(faults map[replica]error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failing = faults
@@ -89,9 +89,9 @@
 				s := newPartitions()
 				c := newClaims(s)
 				if fault == nil {
-					s.silent[c.places(id)[n]] = true
+					s.silent[c.replicasOf(id)[n]] = true
 				} else {
-					s.failing[c.places(id)[n]] = fault
+					s.failing[c.replicasOf(id)[n]] = fault
 				}
 				began := time.Now()
 				is.NoErr(c.Claim(t.Context(), id, "one"))
@@ -109,8 +109,8 @@
 	s := newPartitions()
 	c := newClaims(s)
 	is.NoErr(c.Claim(t.Context(), id, "one"))
-	places, faults := c.places(id), map[place]error{}
-	for _, p := range places[:majority] {
+	targets, faults := c.replicasOf(id), map[replica]error{}
+	for _, p := range targets[:majority] {
 		faults[p] = store.ErrBusy
 	}
 	s.setFailing(faults)
@@ -127,8 +127,8 @@
 		c := newClaims(s)
 		holder := ""
 		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
-			faults := map[place]error{}
-			for _, p := range c.places(id) {
+			faults := map[replica]error{}
+			for _, p := range c.replicasOf(id) {
 				if rapid.Bool().Draw(t, "fails") {
 					faults[p] = rapid.SampledFrom([]error{store.ErrBusy, store.ErrUnknown}).Draw(t, "fault")
 				}
--- a/internal/ctl/preview.go
+++ b/internal/ctl/preview.go
@@ -21,7 +21,8 @@
 	File  string `arg:"" help:"File with the job's body, or - for standard input."`
 }
 
-// PreviewResponse is the JSON output of the preview command.
+// PreviewResponse is the JSON output of the preview command: the dispatch.Explanation in the answer of the entry
+// instance, which describes its fields.
 type PreviewResponse struct {
 	Queue           string                       `json:"queue"`
 	Pool            string                       `json:"pool"`
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -245,7 +245,7 @@
 		return
 	}
 	if _, moving := w.arrivals[id]; a.cordoned && !moving {
-		w.uncordonListed(id, "its instance is not ordered away")
+		w.uncordonListed(id, "no order for its instance is pending")
 	}
 	if a.cordoned {
 		return
@@ -337,7 +337,7 @@
 // notInWave reports whether no wave drains or maintains the instance.
 func (w *instanceDriver) notInWave(id string) bool {
 	for _, x := range w.waves {
-		if i := x.instances[id]; i != nil && i.taken() {
+		if i := x.instances[id]; i != nil && i.inMaintenance() {
 			return false
 		}
 	}
--- a/internal/dispatch/confirm.go
+++ b/internal/dispatch/confirm.go
@@ -18,7 +18,8 @@
 // successor counts, or ends the work that the successor has started there.
 
 // confirmationTTL is how long after the last confirmation of the term orders are sent. It is shorter than the silence
-// after which another entry instance claims leadership; the difference covers the way of an order.
+// after which another entry instance claims leadership; the difference covers the
+// transmission of an order.
 const confirmationTTL = time.Second
 
 // errUnconfirmed means that an order was not sent because the term was not confirmed recently.
@@ -33,16 +34,16 @@
 // mayOrderNow reports whether instances may be ordered, and logs when that changes. Callers hold mu.
 func (w *instanceDriver) mayOrderNow() bool {
 	confirmed := w.d.termConfirmed()
-	if confirmed != w.held {
+	if confirmed != w.ordersHeld {
 		return confirmed
 	}
-	w.held = !confirmed
-	if w.held {
+	w.ordersHeld = !confirmed
+	if w.ordersHeld {
 		w.d.Log.Info().Str("event", "orders_held").Int64("token", w.d.Token).
-			Msg("term is not confirmed: planned orders for instances are given up")
+			Msg("store has not confirmed the term recently: planned orders for instances are given up")
 	} else {
 		w.d.Log.Info().Str("event", "orders_resumed").Int64("token", w.d.Token).
-			Msg("term is confirmed: instances are ordered again")
+			Msg("store has confirmed the term: instances are ordered again")
 	}
 	return confirmed
 }
@@ -67,8 +68,8 @@
 const (
 	// instanceProducerName identifies the leader's appends on instances.
 	instanceProducerName = "instance-records"
-	// appendsPerTerm is the number of epochs of one term. Tokens are offsets in the topic of heartbeats and rise by some
-	// hundred thousand a day; an epoch has to stay below 2^53, up to which numbers of JSON are exact.
+	// appendsPerTerm is the number of epochs of one term. Tokens are offsets in the topic of heartbeats. An
+	// epoch has to stay below 2^53, up to which numbers of JSON are exact, which leaves tokens up to 2^31.
 	appendsPerTerm = 1 << 22
 )
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -121,6 +121,7 @@
 	wake chan struct{}
 	lag  lagMeter
 
+	// publishedOverload is the last overload state, which a heartbeat repeats while mu is not available.
 	publishedOverload atomic.Pointer[publishedOverload]
 
 	mu             sync.Mutex // guards the fields below
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -90,7 +90,7 @@
 	d.counters.evacuationWaits.Set(int64(waiting))
 	if (waiting == 0) != (before == 0) {
 		d.Log.Info().Str("event", "evacuation_waits").Int("tasks", waiting).
-			Msg("tasks wait for workers of evacuated zones, no other worker has their label and capacity")
+			Msg("number of waiting tasks that only workers of evacuated zones may run")
 	}
 }
 
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -17,6 +17,7 @@
 
 // Explanation tells where a job would go if it were submitted now.
 type Explanation struct {
+	// Queue, Pool and Team are those of the job.
 	Queue string `json:"queue"`
 	Pool  string `json:"pool"`
 	Team  string `json:"team"`
@@ -24,18 +25,20 @@
 	LimitLeft map[string]int64 `json:"limit_left,omitempty"`
 	// RefusedFraction is the fraction of the team's jobs that the entry instances refuse because of overload. They
 	// refuse no scheduled and no long-running jobs.
-	RefusedFraction float64         `json:"refused_fraction"`
-	Tier            scheduling.Tier `json:"tier"`
-	Priority        int             `json:"priority"`
-	SlackMillis     int64           `json:"slack_ms"`
+	RefusedFraction float64 `json:"refused_fraction"`
+	// Tier, Priority and SlackMillis are the job's rank; see scheduling.Rank.
+	Tier        scheduling.Tier `json:"tier"`
+	Priority    int             `json:"priority"`
+	SlackMillis int64           `json:"slack_ms"`
 	// TasksAhead is the number of waiting tasks of the pool that come before the job.
 	TasksAhead int `json:"tasks_ahead"`
 	// NeedsAdvice means that the advice service has to allow each worker. It has not been asked.
 	NeedsAdvice bool `json:"needs_advice"`
 	// Unusable holds the workers of the pool that may get no task of any job, and Usable is the number of the others.
-	Unusable scheduling.Exclusions        `json:"unusable"`
-	Usable   int                          `json:"usable"`
-	Steps    []scheduling.StepExplanation `json:"steps"`
+	Unusable scheduling.Exclusions `json:"unusable"`
+	Usable   int                   `json:"usable"`
+	// Steps holds the job's steps in the order of its submission.
+	Steps []scheduling.StepExplanation `json:"steps"`
 }
 
 // Explain tells where a job would go if it were submitted now. A scheduled job is examined as if it were due. Nothing
--- a/internal/dispatch/instances.go
+++ b/internal/dispatch/instances.go
@@ -50,8 +50,8 @@
 	// stopsAllowedFrom is the boot clock from which runs may be stopped to empty an instance. A run that an earlier
 	// leader has just stopped is listed as running until it has ended, and must not be counted as running.
 	stopsAllowedFrom time.Duration
-	// held means that orders are held back because the term is not confirmed.
-	held bool
+	// ordersHeld means that orders are held back because the term is not confirmed.
+	ordersHeld bool
 	// appends is the number of records on instances that this leader has tried to store.
 	appends int64
 }
--- a/internal/dispatch/listverdict.go
+++ b/internal/dispatch/listverdict.go
@@ -36,25 +36,26 @@
 	before  map[string]fleet.Instance
 	// mayReturn reports whether the worker of an instance without a worker may come back under its ID.
 	mayReturn func(fleet.Instance) bool
-	// crashed holds the places with an instance whose worker may come back.
-	crashed map[place]bool
+	// crashed holds the pools and racks with an instance whose worker may come back.
+	crashed map[poolRack]bool
 }
 
-// place is where a worker that crashed may come back: an instance stays in its rack and, without an order, in its pool.
-type place struct{ pool, rack string }
+// poolRack names where a worker that crashed may come back: an instance stays in its rack and, without an order, in its
+// pool.
+type poolRack struct{ pool, rack string }
 
 func newInstanceList(
 	listed, before map[string]fleet.Instance, requested, previous time.Duration, mayReturn func(fleet.Instance) bool,
 ) *instanceList {
 	l := &instanceList{
 		requested: requested, previous: previous, instances: listed, before: before, workers: map[string]bool{},
-		mayReturn: mayReturn, crashed: map[place]bool{},
+		mayReturn: mayReturn, crashed: map[poolRack]bool{},
 	}
 	for _, x := range listed {
 		if x.Worker != "" {
 			l.workers[x.Worker] = true
 		} else if mayReturn(x) {
-			l.crashed[place{x.Pool, x.Rack()}] = true
+			l.crashed[poolRack{x.Pool, x.Rack()}] = true
 		}
 	}
 	return l
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -119,8 +119,8 @@
 }
 
 // drainInstance stops the runs of a draining instance that may be stopped, and reports whether nothing runs there and
-// no end is lost with its worker. Runs that cannot be saved have to end by themselves within the time left, or are
-// stopped if that costs less than an instance that is late.
+// no end is lost with its worker. Runs that cannot continue elsewhere have to end by themselves within the time left,
+// or are stopped if that costs less than an instance that is late.
 func (w *instanceDriver) drainInstance(i *waveInstance, left time.Duration) bool {
 	if i.worker == "" {
 		return true
@@ -129,16 +129,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.agent(i.worker)
-	w.stopSaved(a)
+	w.stopResumable(a)
 	w.stopLate(a, left)
 	// An earlier leader may have started runs there that are not stored, and only the worker's report shows their ends.
 	read := a.contacted || d.leaseExpired(a, bootclock.Now())
 	return read && a.vacant()
 }
 
-// stopSaved stops the runs that continue elsewhere where they were, and the long-running ones that may be away. Callers
-// hold the dispatcher's mu.
-func (w *instanceDriver) stopSaved(a *agent) {
+// stopResumable stops the runs that can continue elsewhere from a checkpoint, and the long-running ones that may be out
+// of service now. Callers hold the dispatcher's mu.
+func (w *instanceDriver) stopResumable(a *agent) {
 	for _, r := range a.runs {
 		spec := r.Task.Step.Spec
 		if r.Phase != workload.RunActive || spec.Gang {
@@ -228,7 +228,7 @@
 	i.confirmed = err == nil
 	i.orderedAt = bootclock.Now() // a list that was requested before the answer may show the state before the order
 	if i.confirmed {
-		w.awaitNextLife(i)
+		w.awaitNextIncarnation(i)
 	}
 	if i.worker == "" && refused != nil && refused.Reason == instances.RefusedBusy {
 		i.phase, i.refusedOff = scheduling.MaintenancePending, true
@@ -237,9 +237,9 @@
 		Str("worker", i.worker).Err(err).Msg("maintenance of an instance ordered")
 }
 
-// awaitNextLife asks the worker of an instance that was ordered again: the order has ended its incarnation, unless the
-// maintenance had been done before.
-func (w *instanceDriver) awaitNextLife(i *waveInstance) {
+// awaitNextIncarnation treats the worker of an instance whose order was answered as silent, so that it is asked again.
+// The order has ended its incarnation, unless the maintenance had been done before.
+func (w *instanceDriver) awaitNextIncarnation(i *waveInstance) {
 	w.d.mu.Lock()
 	defer w.d.mu.Unlock()
 	if a := w.d.agents[i.worker]; a != nil {
@@ -248,9 +248,9 @@
 	}
 }
 
-// outlived reports whether the worker of an ordered instance has answered since the answer to the order. The order ends
-// what runs on the instance at once, so the maintenance had been done before.
-func (w *instanceDriver) outlived(i *waveInstance) bool {
+// answeredAfterOrder reports whether the incarnation that the worker had when the order was answered has answered
+// since. An order ends what runs on the instance at once, so the maintenance had been done before.
+func (w *instanceDriver) answeredAfterOrder(i *waveInstance) bool {
 	w.d.mu.Lock()
 	defer w.d.mu.Unlock()
 	a := w.d.agents[i.worker]
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -15,7 +15,7 @@
 const (
 	// maxDrainTime bounds the drain time of a pool with hardly any usable worker.
 	maxDrainTime = time.Minute
-	// drainSteps is the number of steps in which the drain time is approached from above.
+	// drainSteps is the number of iterations in which drainSeconds approaches the drain time from above.
 	drainSteps = 10
 	// stateLockTimeout bounds for how long the overload state, and with it the heartbeat, waits for the dispatcher.
 	stateLockTimeout  = 50 * time.Millisecond
@@ -124,9 +124,10 @@
 	return time.Duration(seconds * float64(time.Second)), queues
 }
 
-// drainSeconds returns the time that a capacity takes for the work of each team, except for what the teams' upper
-// limits put off until later: it keeps nobody else waiting. The work of a team beyond its share counts in full, so that
-// a team at its upper limit has its own excess refused. Callers hold mu.
+// drainSeconds returns the time that a capacity takes for the work of all teams. Of a team with an upper limit, only
+// what it may run within that time counts: the rest keeps nobody else waiting. As that depends on the result, the time
+// is iterated. The work of a team beyond its share counts in full, so that a team at its upper limit has its own excess
+// refused. Callers hold mu.
 func (d *Dispatcher) drainSeconds(work, excess map[string]float64, capacity float64) float64 {
 	seconds := math.Inf(1)
 	for range drainSteps {
--- a/internal/dispatch/replaced_test.go
+++ b/internal/dispatch/replaced_test.go
@@ -217,7 +217,7 @@
 }
 
 // TestAnswerToAMoveKeepsTheNextLife guards against a move that is answered after its worker has started again under its
-// ID. The runs of the next life were dropped, and their tasks started elsewhere while they ran.
+// ID. The runs of the next incarnation were dropped, and their tasks started elsewhere while they ran.
 func TestAnswerToAMoveKeepsTheNextLife(t *testing.T) {
 	for name, restarts := range map[string]bool{"restarted": true, "not restarted": false} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/dispatch/unheard.go
+++ b/internal/dispatch/unheard.go
@@ -8,8 +8,9 @@
 )
 
 // An earlier leader may have started tasks without storing them. They count against the limits of their teams, in
-// whichever pool they run, but are not known before their workers have answered. Until then a new leader counts the
-// most that a team may have running there.
+// whichever pool they run, but are not known before their workers have answered. Such workers are called unchecked or
+// unheard, and so are pools with one. Until they have answered, a new leader counts the most that a team may have
+// running there.
 
 // unboundedRoom stands for the capacity of a worker whose entry is not known.
 const unboundedRoom = 1 << 60
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -60,8 +60,8 @@
 	missingAt time.Duration
 }
 
-// taken reports whether the wave drains or maintains the instance.
-func (i *waveInstance) taken() bool {
+// inMaintenance reports whether the wave drains or maintains the instance.
+func (i *waveInstance) inMaintenance() bool {
 	return i.phase == scheduling.MaintenanceDraining || i.phase == scheduling.MaintenanceOrdered
 }
 
@@ -149,7 +149,7 @@
 	cordons := map[string]bool{}
 	for _, x := range w.waves {
 		for _, i := range x.instances {
-			if i.worker != "" && i.taken() {
+			if i.worker != "" && i.inMaintenance() {
 				cordons[i.worker] = true
 			}
 		}
@@ -228,7 +228,7 @@
 	if listed.Worker != i.worker {
 		return false
 	}
-	if listed.Worker != "" && w.outlived(i) {
+	if listed.Worker != "" && w.answeredAfterOrder(i) {
 		return true
 	}
 	// The instance was switched off and still is, or its maintenance had been done before the order and it was not
@@ -324,9 +324,7 @@
 		}
 		i := disruption.Instance{ID: id, Live: listed.Phase == fleet.InstanceUp, Moving: listed.Phase == fleet.InstanceMoving}
 		i.Live = i.Live && !w.d.Follower.Evacuating(listed.Zone)
-		if n := len(listed.Labels); n > 0 {
-			i.Rack = listed.Labels[n-1]
-		}
+		i.Rack = listed.Rack()
 		i.Down = !w.notInWave(id)
 		p.Instances = append(p.Instances, i)
 	}
@@ -377,8 +375,8 @@
 	return w.append(ctx, w.d.StatusTopic, store.Record{Key: key, Value: value})
 }
 
-// append stores one record and reports whether that succeeded. A store that has an append of a later leader ends the
-// term, and so does the end of the term's epochs. Callers hold mu.
+// append stores one record and reports whether that succeeded. It ends the term if the store has an append of a later
+// leader, or if the term has no epoch left. Callers hold mu.
 func (w *instanceDriver) append(ctx context.Context, topic string, r store.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -201,7 +201,7 @@
 
 // listen binds the listeners, starts serving on them and returns the server for callers.
 func (n *Node) listen(ctx context.Context) (*http.Server, error) {
-	asked := &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log}
+	leaderClient := &leaderrpc.Client{Leader: n.leaderAddress, Local: n.jobs, Log: n.log}
 	handler := &front.Handler{
 		Config: n.follower,
 		Jobs: store.NewBatchers(
@@ -212,7 +212,7 @@
 			Store: n.platform.Store, Topics: n.platform.ClaimTopics, Partitions: n.settings.StorePartitions,
 		},
 		Codec:         n.platform.Codec,
-		Leader:        asked,
+		Leader:        leaderClient,
 		Overload:      &overload.Gate{Published: n.election.Note},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
 	}
@@ -221,7 +221,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", expvar.Handler())
 	metrics.Handle("POST /preview", &preview.Handler{
-		Config: n.follower.Config, Job: n.platform.Codec.Job, Key: n.platform.Codec.Key, Explain: asked.Explain,
+		Config: n.follower.Config, Job: n.platform.Codec.Job, Key: n.platform.Codec.Key, Explain: leaderClient.Explain,
 	})
 	callers := newServer(handler)
 	guard := ingress.New(callerLimits(n.settings), n.log)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -32,8 +32,8 @@
 	// The guard's mu protects the fields below.
 	phase    phase
 	reserved int64
-	// draining is what the connection held when it was shed, until the server has ended it.
-	draining int64
+	// closing is what the connection held when it was shed, until the server has ended it.
+	closing int64
 	// progressAt is when the client last sent something.
 	progressAt time.Time
 	// streams is the number of its HTTP/2 requests that are being handled.
@@ -104,7 +104,7 @@
 func (c *conn) Close() error {
 	c.guard.mu.Lock()
 	c.guard.remove(c)
-	c.guard.drained(c)
+	c.guard.ended(c)
 	c.guard.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -158,16 +158,16 @@
 }
 
 // grow reserves bytes for a body. It reports false if there is no memory for them. It waits until the server has ended
-// the connections that were shed for them, at most for maxDrainWait.
+// the connections that were shed for them, at most for maxCloseWait.
 func (c *conn) grow(bytes int64) bool {
 	g := c.guard
-	timeout := time.NewTimer(maxDrainWait)
+	timeout := time.NewTimer(maxCloseWait)
 	defer timeout.Stop()
 	for {
 		g.mu.Lock()
 		victims, ok := g.reserve(c, bytes)
-		drained := g.drainedSome
-		wait := ok && g.overDrained()
+		ended := g.someEnded
+		wait := ok && g.exceedsWithClosing()
 		if wait {
 			c.release(bytes)
 		}
@@ -177,7 +177,7 @@
 			return ok
 		}
 		select {
-		case <-drained:
+		case <-ended:
 		case <-timeout.C:
 			return false
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -40,8 +40,8 @@
 	// discardTime is how long the server reads the rest of a body after the handler has returned. A client that is still
 	// sending reads the response only then.
 	discardTime = 500 * time.Millisecond
-	// maxDrainWait bounds the wait of a body for the memory of connections that were shed.
-	maxDrainWait      = time.Second
+	// maxCloseWait bounds the wait of a body for the memory of connections that were shed.
+	maxCloseWait      = time.Second
 	retryAfterSeconds = 1
 	// sheddingEndsAfter is the time without a shed connection after which shedding counts as ended.
 	sheddingEndsAfter = 5 * time.Second
@@ -65,17 +65,17 @@
 	mu       sync.Mutex // protects the fields below and the state of the connections
 	conns    map[*conn]struct{}
 	reserved int64
-	// draining is the memory of the connections that were shed and that the server has not ended yet. drainedSome is
+	// closing is the memory of the connections that were shed and that the server has not ended yet. someEnded is
 	// closed and replaced when it becomes less.
-	draining    int64
-	drainedSome chan struct{}
+	closing   int64
+	someEnded chan struct{}
 	// endShedding fires sheddingEndsAfter after the last shed connection; nil while nothing is shed.
 	endShedding *time.Timer
 }
 
 // New returns a Guard.
 func New(l Limits, log zerolog.Logger) *Guard {
-	return &Guard{limits: l, log: log, conns: map[*conn]struct{}{}, drainedSome: make(chan struct{})}
+	return &Guard{limits: l, log: log, conns: map[*conn]struct{}{}, someEnded: make(chan struct{})}
 }
 
 // Protect makes a server report the connections of Listener to the Guard. It must be called after the server's handler
@@ -188,28 +188,28 @@
 	return victims, true
 }
 
-// overDrained reports whether the memory of connections that are still being ended exceeds what is left of the limit. A
-// handler keeps its buffer until it has noticed that its connection is closed. Callers hold mu.
-func (g *Guard) overDrained() bool {
-	return g.limits.Memory > 0 && g.draining > 0 && g.reserved+g.draining > g.limits.Memory
+// exceedsWithClosing reports whether the limit is exceeded with the memory of the connections that are still being
+// ended. A handler keeps its buffer until it has noticed that its connection is closed. Callers hold mu.
+func (g *Guard) exceedsWithClosing() bool {
+	return g.limits.Memory > 0 && g.closing > 0 && g.reserved+g.closing > g.limits.Memory
 }
 
-// drained forgets what a shed connection held, because the server has ended it. Callers hold mu.
-func (g *Guard) drained(c *conn) {
-	if c.draining == 0 {
+// ended stops counting what a shed connection held, because the server has ended it. Callers hold mu.
+func (g *Guard) ended(c *conn) {
+	if c.closing == 0 {
 		return
 	}
-	g.draining -= c.draining
-	c.draining = 0
-	close(g.drainedSome)
-	g.drainedSome = make(chan struct{})
+	g.closing -= c.closing
+	c.closing = 0
+	close(g.someEnded)
+	g.someEnded = make(chan struct{})
 }
 
 // shed forgets a connection that is to be closed, but counts what it holds until the server has ended it. Callers hold
 // mu.
 func (g *Guard) shed(c *conn) {
-	c.draining = c.reserved
-	g.draining += c.reserved
+	c.closing = c.reserved
+	g.closing += c.reserved
 	g.remove(c)
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -255,12 +255,12 @@
 	select {
 	case <-grown:
 		t.Fatal("the memory was given away while the shed connection held it")
-	case <-time.After(maxDrainWait / 10):
+	case <-time.After(maxCloseWait / 10):
 	}
 	is.NoErr(first.Close()) // the handler of the shed connection has returned
 	is.True(<-grown)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	is.Equal(g.draining, int64(0))
+	is.Equal(g.closing, int64(0))
 	is.True(g.reserved <= limit)
 }
--- a/internal/ingress/shed.go
+++ b/internal/ingress/shed.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// minIdle is added to the time since a connection's last progress, so that of connections that have just sent something
-// the one that holds the most is shed first.
-const minIdle = 10 * time.Millisecond
+// idleOffset is added to the time since a connection's last progress, so that of connections that have just sent
+// something the one that holds the most is shed first.
+const idleOffset = 10 * time.Millisecond
 
 // candidate is a connection that may be shed.
 type candidate struct {
@@ -70,7 +70,7 @@
 			continue
 		}
 		idle := now.Sub(x.progressAt)
-		list = append(list, candidate{x, idle, float64(x.reserved) * float64(idle+minIdle)})
+		list = append(list, candidate{x, idle, float64(x.reserved) * float64(idle+idleOffset)})
 	}
 	return list
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -33,7 +33,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.remove(stream)
-	g.drained(stream)
+	g.ended(stream)
 	c.streams--
 	if c.streams == 0 {
 		c.phase, c.progressAt = phaseResponse, time.Now()
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -78,7 +78,7 @@
 	s.conns[other] = struct{}{}
 	s.mu.Unlock()
 	is.True(other.grow(larger))
-	s.await(t, "the memory of the others is released", func() bool { return len(s.conns) == 1 && s.draining == 0 })
+	s.await(t, "the memory of the others is released", func() bool { return len(s.conns) == 1 && s.closing == 0 })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	is.Equal(s.reserved, int64(larger))
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -100,7 +100,8 @@
 	// leaderNote is the note of the newest record, and notedAt the boot clock of its receipt.
 	leaderNote json.RawMessage
 	notedAt    time.Duration
-	note       func() json.RawMessage
+	// note returns the note of this entry instance; see Options.
+	note func() json.RawMessage
 
 	// The following fields are used only by the goroutine of Run.
 	nextOffset int64         // end of the partition, as far as read
@@ -358,6 +359,7 @@
 	return e.leaderNote, bootclock.Now() - e.notedAt
 }
 
+// keepNote replaces the note of the leader's newest heartbeat; nil removes it.
 func (e *Election) keepNote(note json.RawMessage) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/leader/members.go
+++ b/internal/leader/members.go
@@ -31,7 +31,8 @@
 	maxMemberLead = time.Hour
 	// maxCPUShare is more than any entry instance has. A record with a larger share would make every leader hand over.
 	maxCPUShare = 1024
-	// handOverReadInterval is the interval at which a leader reads the members that is small beside a listed one.
+	// handOverReadInterval is the interval at which a leader reads the members while a listed one has a much larger CPU
+	// share.
 	handOverReadInterval = 500 * time.Millisecond
 	// promptDelay is the delay of an announcement that a new leader prompts. It is longer than the leader's first read of
 	// the members takes, because only later announcements count for the hand-over.
@@ -145,7 +146,7 @@
 	}
 }
 
-// seeksSuccessor reports whether this entry instance leads and is small beside a listed member.
+// seeksSuccessor reports whether this entry instance leads and has a much smaller CPU share than a listed member.
 func (m *members) seeksSuccessor() bool {
 	return m.isLeading() && m.self.CPUShare < handOverFraction*m.largest()
 }
--- a/internal/preview/preview.go
+++ b/internal/preview/preview.go
@@ -18,9 +18,12 @@
 // Handler answers POST requests with a job's body, and with host, path and team in the query. Without a team, the key
 // in the Authorization header selects it.
 type Handler struct {
-	Config  func() *fleet.Config
-	Job     func(body []byte) (*fleet.JobSpec, error)
-	Key     func(authorization string) string
+	// Config returns the configuration in force, or nil before one was read.
+	Config func() *fleet.Config
+	// Job decodes a job's body, and Key returns the API key of an Authorization header.
+	Job func(body []byte) (*fleet.JobSpec, error)
+	Key func(authorization string) string
+	// Explain asks the leader and returns its encoded dispatch.Explanation.
 	Explain func(ctx context.Context, queue, team string, spec *fleet.JobSpec) (json.RawMessage, error)
 }
 
--- a/internal/runtimes/model_test.go
+++ b/internal/runtimes/model_test.go
@@ -87,7 +87,7 @@
 	for range 3000 {
 		m.Observe(queue, time.Second, time.Second)
 	}
-	for range 4 * memory {
+	for range 4 * averagedRuns {
 		m.Observe(queue, time.Second, 4*time.Second)
 	}
 	is.True(math.Abs(m.Mean(queue, time.Second).Seconds()-4) < 0.4)
--- a/internal/runtimes/path.go
+++ b/internal/runtimes/path.go
@@ -4,6 +4,7 @@
 
 // Stage is one of the steps that a job still has to pass through, one after the other. Its tasks run side by side.
 type Stage struct {
+	// Estimate is the estimated run time of a task; 0 if there is none.
 	Estimate time.Duration
 	// Elapsed is how long the tasks have been running.
 	Elapsed time.Duration
--- a/internal/runtimes/reference.go
+++ b/internal/runtimes/reference.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// memory is the number of recent runs over which the relation of run times to estimates is averaged.
-	memory = 400
+	// averagedRuns is the number of recent runs over which the relation of run times to estimates is averaged.
+	averagedRuns = 400
 	// priorRuns is the weight, in runs, of the assumption that run times are proportional to estimates.
 	priorRuns = 20
 	// priorVariance is the assumed variance of the logarithms of estimates.
@@ -28,7 +28,7 @@
 // observe records a run. A task without an estimate counts with the typical run time as its estimate.
 func (r *reference) observe(estimate, took time.Duration) {
 	x, y := r.logEstimate(estimate), math.Log(took.Seconds())
-	const keep = 1 - 1.0/memory
+	const keep = 1 - 1.0/averagedRuns
 	r.weight = r.weight*keep + 1
 	dx := x - r.meanEstimate
 	r.meanEstimate += dx / r.weight
@@ -79,7 +79,7 @@
 	if estimate <= 0 || typical <= 0 {
 		return
 	}
-	e.runs = min(e.runs+1, memory)
+	e.runs = min(e.runs+1, averagedRuns)
 	add := func(mean *float64, prediction time.Duration) {
 		*mean += (math.Abs(math.Log(float64(took)/float64(prediction))) - *mean) / e.runs
 	}
--- a/internal/scheduling/exclusion.go
+++ b/internal/scheduling/exclusion.go
@@ -7,14 +7,22 @@
 
 // The reasons that concern the step. The state of a worker may rule it out before.
 const (
-	ExcludedTooSmall     Exclusion = "too_small"
-	ExcludedLabel        Exclusion = "label_missing"
+	// ExcludedTooSmall means that the task exceeds the worker's capacity.
+	ExcludedTooSmall Exclusion = "too_small"
+	// ExcludedLabel means that the worker lacks the label that the step requires.
+	ExcludedLabel Exclusion = "label_missing"
+	// ExcludedMaxPerWorker means that the worker has as many tasks of the step as it may have.
 	ExcludedMaxPerWorker Exclusion = "max_per_worker"
-	ExcludedTicket       Exclusion = "no_ticket"
-	ExcludedFull         Exclusion = "full"
-	ExcludedRetry        Exclusion = "failed_there"
-	ExcludedProbe        Exclusion = "probing"
-	ExcludedReserved     Exclusion = "reserved"
+	// ExcludedTicket means that the advice service has given no ticket for the worker.
+	ExcludedTicket Exclusion = "no_ticket"
+	// ExcludedFull means that the task exceeds what is free on the worker.
+	ExcludedFull Exclusion = "full"
+	// ExcludedRetry means that the task has failed, and that another worker than this one is tried first.
+	ExcludedRetry Exclusion = "failed_there"
+	// ExcludedProbe means that the worker is on probation and has a run already.
+	ExcludedProbe Exclusion = "probing"
+	// ExcludedReserved means that the task would delay the one for which the worker is reserved.
+	ExcludedReserved Exclusion = "reserved"
 )
 
 // exclusion returns why a task of the step is not placed on the worker now. Most workers of a loaded pool are full, so
--- a/internal/scheduling/explain.go
+++ b/internal/scheduling/explain.go
@@ -34,12 +34,13 @@
 
 // StepExplanation tells where the tasks of a step would be placed now.
 type StepExplanation struct {
+	// Tasks is the number of tasks of the step.
 	Tasks int `json:"tasks"`
 	// DependsOn holds the steps that have to be done first. Such a step is not placed now.
 	DependsOn []int `json:"depends_on,omitempty"`
 	// OverLimit means that one task exceeds what is left of the team's limit.
 	OverLimit bool `json:"over_limit"`
-	// Candidates is the number of workers that may get the first task now.
+	// Candidates is the number of workers that may get the first task now, and Excluded holds the others.
 	Candidates int        `json:"candidates"`
 	Excluded   Exclusions `json:"excluded"`
 	// Placed is the number of tasks that would be placed now, and Worker the one of the first task.
--- a/internal/scheduling/plan.go
+++ b/internal/scheduling/plan.go
@@ -83,7 +83,7 @@
 // Plan places waiting tasks in the order of their ranks. It reduces the Free of workers and the limits of teams
 // accordingly. Tasks that fit on no worker get reservations, which tasks of lower rank leave free.
 func Plan(workers []*Worker, wants []PendingStep, limits Limits, now time.Time) []Placement {
-	slices.SortFunc(wants, func(a, b PendingStep) int { return a.Rank.compare(b.Rank) })
+	slices.SortFunc(wants, CompareRanks)
 	p := &planner{workers: workers, limits: limits, now: now, reservationsLeft: reservationsFor(workers)}
 	return p.placeAll(wants)
 }
--- a/internal/scheduling/reserve.go
+++ b/internal/scheduling/reserve.go
@@ -16,8 +16,9 @@
 	maxReservationWait = 4 * time.Second
 )
 
-// Release is capacity that a run is expected to return.
+// Release is capacity that a run is expected to return when it ends.
 type Release struct {
+	// At is the expected end of the run.
 	At     time.Time
 	Amount fleet.Resources
 }
@@ -30,7 +31,7 @@
 }
 
 // Reservations counts what the reservations of a decision did: how many were made, and how often a worker was not given
-// to a task because of one.
+// to a task because of one. A task counts each time a reserved worker is ruled out for it.
 type Reservations struct{ Made, HeldBack int }
 
 // CompareRanks orders steps by their ranks.
@@ -152,8 +153,8 @@
 	return free
 }
 
-// delaysReservation reports whether a task of the PendingStep would delay the task for which the worker is reserved.
-// Long-running work is owed at any time and is never held back.
+// delaysReservation reports whether a task of the PendingStep would delay the task for which the worker is reserved,
+// and counts it as held back if so. Long-running work is owed at any time and is never held back.
 func (p *planner) delaysReservation(c *Worker, w PendingStep) bool {
 	r := c.reservation
 	if r == nil || w.Step.Spec.LongRunning {
