--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -140,8 +140,8 @@
 	return inTime / jobs, useful / jobs
 }
 
-// replay plays arrivals at the given rates, in jobs per second, of a calm and of a hot team. The pool can serve 40 jobs
-// per second. The hot team has a share of 5 jobs per second.
+// replay simulates arrivals at the given rates, in jobs per second, of a calm and of a hot team. The pool can serve 40
+// jobs per second. The hot team has a share of 5 jobs per second.
 func replay(calm, hot func(second float64) float64) *pool {
 	r := rand.New(rand.NewPCG(5, 6))
 	p := newPool(28)
--- a/internal/scheduling/reserve_replay_test.go
+++ b/internal/scheduling/reserve_replay_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 )
 
-// loadReplay plays a load of large tasks among small ones on a virtual clock.
+// loadReplay simulates a load of large tasks among small ones on a virtual clock.
 type loadReplay struct {
 	random   *rand.Rand
 	workers  []*Worker
@@ -48,8 +48,8 @@
 	meanWork = (1-replayLargeShare)*3000 + replayLargeShare*24000
 )
 
-// playReplay returns the waits of small and of large tasks.
-func playReplay(seed uint64, reserves bool) (small, large []time.Duration) {
+// simulateLoad returns the waits of small and of large tasks.
+func simulateLoad(seed uint64, reserves bool) (small, large []time.Duration) {
 	r := &loadReplay{
 		random: rand.New(rand.NewPCG(seed, 0)), running: map[*Worker][]scheduledRun{}, waits: map[bool][]time.Duration{},
 		now: moment, reserves: reserves,
@@ -144,8 +144,8 @@
 func TestLargeTasksWaitNoLongerThanTheirShare(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(3) {
-		smallBefore, largeBefore := playReplay(seed, false)
-		small, large := playReplay(seed, true)
+		smallBefore, largeBefore := simulateLoad(seed, false)
+		small, large := simulateLoad(seed, true)
 		t.Logf("seed %d, mean waits: large %v of %v, small %v of %v", seed, mean(large), mean(largeBefore), mean(small),
 			mean(smallBefore))
 		is.True(mean(large) < mean(largeBefore)) // large tasks wait as long as without reservations
--- a/internal/scheduling/wavepace_test.go
+++ b/internal/scheduling/wavepace_test.go
@@ -103,7 +103,7 @@
 	return time.Duration(x * float64(time.Second))
 }
 
-// replayRun is a run of the replay; times are from the begin of the wave.
+// replayRun is a run of the replay; times are from the beginning of the wave.
 type replayRun struct{ began, ends time.Duration }
 
 // drainReplay is a wave over busy instances whose runs have heavy tails, on a virtual clock.
