--- a/internal/preview/preview.go
+++ b/internal/preview/preview.go
@@ -46,7 +46,7 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		http.Error(w, err.Error(), bodyStatus(err))
 		return
 	}
 	spec, err := h.Job(body)
@@ -81,3 +81,12 @@
 	}
 	return http.StatusServiceUnavailable
 }
+
+// bodyStatus returns the status for a body that could not be read.
+func bodyStatus(err error) int {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
