--- /dev/null
+++ b/internal/dispatch/cancel_test.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pollenlead/internal/fleet"
+	"pollenlead/internal/store"
+	"pollenlead/internal/workload"
+)
+
+const sharedID = "00000000000a0042"
+
+// submissionRecord returns the record of a submission under sharedID.
+func submissionRecord(t *testing.T, queue, team, address string) store.Record {
+	t.Helper()
+	value, err := json.Marshal(workload.Submission{
+		Queue: queue, Pool: "pool", Team: team, Address: address,
+		Spec: &fleet.JobSpec{Steps: []fleet.Step{{Count: 1}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.Record{Key: workload.SubmissionKey(sharedID), Value: value}
+}
+
+// cancelRecord returns the record of a cancellation of sharedID.
+func cancelRecord(t *testing.T, c workload.Cancellation) store.Record {
+	t.Helper()
+	value, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.Record{Key: workload.CancelKey(sharedID), Value: value}
+}
+
+// newCancelFixture returns a dispatcher whose configuration has the queues "orders" and "audits", but no "removed".
+func newCancelFixture(t *testing.T) *Dispatcher {
+	t.Helper()
+	d := newFixture(1)
+	t.Cleanup(d.stop)
+	d.Workers = &unresponsiveWorkers{}
+	d.Follower = followConfig(t, &fleet.Config{
+		Version: 1, Pools: []fleet.Pool{{Name: "pool"}},
+		Queues: []fleet.Queue{
+			{Name: "orders", Host: "h", PathPrefix: "/orders/", Pool: "pool", Attempts: 1, Stretch: 1},
+			{Name: "audits", Host: "h", PathPrefix: "/audits/", Pool: "pool", Attempts: 1, Stretch: 1},
+		},
+	})
+	return d
+}
+
+// arrivals are the orders in which a leader may read a submission and cancellations of its ID.
+var arrivals = map[string]func(d *Dispatcher, submission store.Record, cancellations []store.Record){
+	"after the submission": func(d *Dispatcher, submission store.Record, cancellations []store.Record) {
+		d.applyJobRecord(0, submission)
+		for _, c := range cancellations {
+			d.applyJobRecord(0, c)
+		}
+	},
+	"before the submission": func(d *Dispatcher, submission store.Record, cancellations []store.Record) {
+		for _, c := range cancellations {
+			d.applyJobRecord(0, c)
+		}
+		d.applyJobRecord(0, submission)
+	},
+	"before the term": func(d *Dispatcher, submission store.Record, cancellations []store.Record) {
+		d.loaded, d.loadedJobs = false, map[string]*loadedJob{}
+		for _, c := range cancellations {
+			d.applyJobRecord(0, c)
+		}
+		d.applyJobRecord(0, submission)
+		d.restore(nil)
+	},
+}
+
+// TestCancellationAppliesToItsQueue guards against a job that a client of another queue cancels by using the same ID.
+// A GET at that queue answers that there is no such job, and nobody has cancelled the one that ends.
+func TestCancellationAppliesToItsQueue(t *testing.T) {
+	orders, other := fleet.Queue{Host: "h", PathPrefix: "/orders/"}, fleet.Queue{Host: "h", PathPrefix: "/removed/"}
+	for name, x := range map[string]struct {
+		queue, team, address string // of the job
+		cancellation         workload.Cancellation
+		cancels              bool
+	}{
+		"own queue":        {"orders", "shop", orders.Address(), workload.Cancellation{Queue: "orders", Team: "shop"}, true},
+		"other queue":      {"orders", "shop", orders.Address(), workload.Cancellation{Queue: "audits", Team: "shop"}, false},
+		"other team":       {"orders", "shop", orders.Address(), workload.Cancellation{Queue: "orders", Team: "mill"}, false},
+		"own public queue": {"orders", "", orders.Address(), workload.Cancellation{Queue: "orders"}, true},
+		"public queues":    {"orders", "", orders.Address(), workload.Cancellation{Queue: "audits"}, false},
+		"renamed queue":    {"removed", "shop", orders.Address(), workload.Cancellation{Queue: "orders", Team: "shop"}, true},
+		"removed queue":    {"removed", "shop", other.Address(), workload.Cancellation{Queue: "orders", Team: "shop"}, false},
+		"renamed twice": {"removed", "shop", other.Address(), workload.Cancellation{
+			Queue: "removed since", Team: "shop", Address: other.Address(),
+		}, true},
+		"own queue remains": {"orders", "shop", orders.Address(), workload.Cancellation{
+			Queue: "removed since", Team: "shop", Address: orders.Address(),
+		}, false},
+		"unknown address": {"removed", "shop", "", workload.Cancellation{Queue: "orders", Team: "shop"}, true},
+	} {
+		for when, read := range arrivals {
+			t.Run(name+" "+when, func(t *testing.T) {
+				is := is.New(t)
+				d := newCancelFixture(t)
+				read(d, submissionRecord(t, x.queue, x.team, x.address), []store.Record{cancelRecord(t, x.cancellation)})
+				is.Equal(d.jobs[sharedID].State == workload.StateCancelled, x.cancels)
+			})
+		}
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -199,7 +199,7 @@
 
 // cancellation is a cancellation whose job has not been read yet.
 type cancellation struct {
-	team string
+	workload.Cancellation
 	// partitions is a bit set of the partitions in which the cancellation was read.
 	partitions uint64
 	// readAt is the boot clock at which it was read first, and removalSentAt that at which its removal was last sent; 0 if
--- a/internal/dispatch/jobmemory.go
+++ b/internal/dispatch/jobmemory.go
@@ -66,7 +66,7 @@
 		h.Teams[j.Team] += j.Bytes()
 	}
 	for _, c := range d.pendingCancels {
-		h.Teams[c.team] += pendingCancelBytes
+		h.Teams[c.Team] += pendingCancelBytes
 	}
 	if c := d.Follower.Config(); c != nil {
 		h.Shares = c.Shares()
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -36,7 +36,7 @@
 			d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("cancellation cannot be decoded")
 			return
 		}
-		d.applyCancellation(id, c.Team)
+		d.applyCancellation(id, &c)
 		d.notePartition(id, partition)
 	case workload.KeyWave, workload.KeyHomeSizes:
 		d.applyInstanceRecord(kind, id, r.Value)
@@ -82,7 +82,7 @@
 	if c, ok := d.pendingCancels[id]; ok {
 		delete(d.pendingCancels, id)
 		j.partitions |= c.partitions
-		defer d.applyCancellation(id, c.team)
+		defer d.applyCancellation(id, &c.Cancellation)
 	}
 	d.advance(j)
 	d.Log.Info().Str("event", "job_seen").Str("job", id).Str("queue", w.Queue).Str("team", w.Team).Str("pool", w.Pool).
@@ -93,25 +93,26 @@
 	d.signal()
 }
 
-// applyCancellation cancels a job for a team. Callers hold mu.
-func (d *Dispatcher) applyCancellation(id, team string) {
+// applyCancellation cancels a job if the cancellation is one of it. Callers hold mu.
+func (d *Dispatcher) applyCancellation(id string, c *workload.Cancellation) {
 	j := d.jobs[id]
 	if j == nil {
-		c, known := d.pendingCancels[id]
-		if known && c.team == team { // a repeated one, perhaps in another partition
+		pending, known := d.pendingCancels[id]
+		if known && pending.Cancellation == *c { // a repeated one, perhaps in another partition
 			return
 		}
 		if len(d.pendingCancels) < maxPendingCancels || !d.loaded {
-			d.pendingCancels[id] = cancellation{team: team, readAt: bootclock.Now()}
+			d.pendingCancels[id] = cancellation{Cancellation: *c, readAt: bootclock.Now()}
 		}
 		return
 	}
-	if j.Team != team || j.State.Ended() {
+	if j.State.Ended() || !d.cancels(c, j) {
 		return
 	}
 	j.Cancel(d.now())
 	j.published = j.State
-	d.Log.Info().Str("event", "job_cancelled").Str("job", id).Str("team", team).Msg("job cancelled")
+	d.Log.Info().Str("event", "job_cancelled").Str("job", id).Str("queue", c.Queue).Str("team", c.Team).
+		Msg("job cancelled")
 	d.markChanged(j)
 	d.stopRuns(j)
 }
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -264,7 +264,7 @@
 	if c, ok := d.pendingCancels[id]; ok {
 		delete(d.pendingCancels, id)
 		j.partitions |= c.partitions
-		if w.Team == c.team && !w.State.Ended() {
+		if !w.State.Ended() && d.cancels(&c.Cancellation, j) {
 			w.Cancel(now)
 			d.noteEnded(j)
 		}
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -60,6 +60,21 @@
 	return c.Queue(queue)
 }
 
+// cancels reports whether a cancellation is one of the job: its client has the job's team, and the queue that it named
+// answers requests for the job. The queue may have been removed since, so the address that it had decides where the job's
+// own queue is gone. A cancellation of an earlier version has no address. Callers hold mu.
+func (d *Dispatcher) cancels(c *workload.Cancellation, j *job) bool {
+	if c.Team != j.Team {
+		return false
+	}
+	if d.answersFor(c.Queue, j) {
+		return true
+	}
+	config := d.Follower.Config()
+	ownQueueIsGone := config == nil || config.Queue(j.Queue) == nil
+	return ownQueueIsGone && c.Address != "" && c.Address == j.Address
+}
+
 // shownState returns the state of the job for clients. A run that an earlier leader assigned may be at work, so its job
 // counts as running until its worker has shown the outcome of the start. Callers hold mu.
 func (j *job) shownState() workload.State {
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -107,9 +107,13 @@
 		"due later": {func(_ *Dispatcher, far *job) {
 			far.Spec.Times, far.Spec.Every, far.Spec.FirstAt = 2, time.Minute, time.Now()
 		}, 4000},
-		"cancelled": {func(d *Dispatcher, far *job) { d.applyCancellation(far.ID, far.Team) }, 4000},
+		"cancelled": {func(d *Dispatcher, far *job) {
+			d.applyCancellation(far.ID, &workload.Cancellation{Queue: far.Queue, Team: far.Team})
+		}, 4000},
 		"cancelled before the term": {func(d *Dispatcher, far *job) {
-			d.pendingCancels[far.ID] = cancellation{team: far.Team}
+			d.pendingCancels[far.ID] = cancellation{
+				Cancellation: workload.Cancellation{Queue: far.Queue, Team: far.Team},
+			}
 			submission, err := json.Marshal(workload.Submission{
 				Queue: far.Queue, Pool: far.Pool, Team: far.Team, Spec: far.Spec, AtMillis: far.Submitted.UnixMilli(),
 			})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -310,14 +310,16 @@
 
 // cancel stores a cancellation and confirms it.
 func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request) {
-	value, err := json.Marshal(workload.Cancellation{Queue: q.queue.Name, Team: q.team})
+	value, err := json.Marshal(workload.Cancellation{
+		Queue: q.queue.Name, Team: q.team, Address: q.queue.Address(),
+	})
 	if err != nil {
 		h.refuse(w, r, q, &refusal{status: http.StatusBadRequest, reason: err.Error()})
 		return
 	}
 	if h.append(ctx, w, r, q, store.Record{Key: workload.CancelKey(q.id), Value: value}) {
 		counters.cancelled.Add(1)
-		h.Log.Info().Str("event", "cancel_accepted").Str("job", q.id).Str("team", q.team).
+		h.Log.Info().Str("event", "cancel_accepted").Str("job", q.id).Str("queue", q.queue.Name).Str("team", q.team).
 			Int64("config_version", q.version).Msg("cancellation stored")
 		respond(w, http.StatusOK, []byte("{}"))
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -211,3 +211,18 @@
 	is.Equal(submit("s").Code, http.StatusOK)
 	is.Equal(s.records.Load(), int32(1))
 }
+
+// TestCancellationNamesItsQueue guards against a stored cancellation that cannot be told from one of a job of another
+// queue under the same ID, also after its queue has been renamed.
+func TestCancellationNamesItsQueue(t *testing.T) {
+	is := is.New(t)
+	s := &countingStore{}
+	h := newHandler(t, s, oneQueue{})
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodDelete, "http://a.example/0011223344556677", nil))
+	is.Equal(w.Code, http.StatusOK)
+	var c workload.Cancellation
+	is.NoErr(json.Unmarshal(s.last.Load().Value, &c))
+	queue := h.Config.Config().Queues[0]
+	is.Equal(c, workload.Cancellation{Queue: queue.Name, Address: queue.Address()})
+}
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -470,10 +470,13 @@
 	return KeyUnknown, ""
 }
 
-// Cancellation is the stored record of a cancelled job. Team is the team whose key authenticated the request.
+// Cancellation is the stored record of a cancelled job. Queue is the one that the client named, and Team that whose key
+// authenticated the request. The job is another one if they are not its own: clients choose the IDs.
 type Cancellation struct {
 	Queue string `json:"queue"`
 	Team  string `json:"team,omitempty"`
+	// Address is that of the queue at the cancellation. A record of an earlier version lacks it.
+	Address string `json:"address,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler. A record without a queue is not one of an entry instance; without a team,
