Judge a cancellation by its address, not by the leader's configuration

An entry instance may know a version that renames the queue before the leader does; the leader then took the cancellation for one of another queue and did not carry it out, although it was acknowledged. Found by reading, before any release.

Change: the names of the queues or the addresses at the submission and at the cancellation decide, as for the claim of the ID. The configuration is asked only where an address is not known: in records of earlier versions.

--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -95,9 +95,15 @@
 		"renamed twice": {"removed", "shop", other.Address(), workload.Cancellation{
 			Queue: "removed since", Team: "shop", Address: other.Address(),
 		}, true},
-		"own queue remains": {"orders", "shop", orders.Address(), workload.Cancellation{
-			Queue: "removed since", Team: "shop", Address: orders.Address(),
+		"renamed in a version that the leader has not read": {"orders", "shop", orders.Address(), workload.Cancellation{
+			Queue: "new", Team: "shop", Address: orders.Address(),
+		}, true},
+		"added in a version that the leader has not read": {"orders", "shop", orders.Address(), workload.Cancellation{
+			Queue: "new", Team: "shop", Address: other.Address(),
 		}, false},
+		"moved": {"orders", "shop", other.Address(), workload.Cancellation{
+			Queue: "orders", Team: "shop", Address: orders.Address(),
+		}, true},
 		"unknown address": {"removed", "shop", "", workload.Cancellation{Queue: "orders", Team: "shop"}, true},
 	} {
 		for when, read := range arrivals {
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -60,19 +60,20 @@
 	return c.Queue(queue)
 }
 
-// cancels reports whether a cancellation is one of the job: its client has the job's team, and the queue that it named
-// answers requests for the job. The queue may have been removed since, so the address that it had decides where the job's
-// own queue is gone. A cancellation of an earlier version has no address. Callers hold mu.
+// cancels reports whether a cancellation is one of the job: its client has the job's team, and has named the job's queue
+// or the address of its submission. The configuration does not count, because the leader may read a version later than
+// the entry instance that stored the cancellation. It decides only where an address is not known, as in a record of an
+// earlier version. Callers hold mu.
 func (d *Dispatcher) cancels(c *workload.Cancellation, j *job) bool {
-	if c.Team != j.Team {
+	switch {
+	case c.Team != j.Team:
 		return false
-	}
-	if d.answersFor(c.Queue, j) {
+	case c.Queue == j.Queue:
 		return true
+	case c.Address != "" && j.Address != "":
+		return c.Address == j.Address
 	}
-	config := d.Follower.Config()
-	ownQueueIsGone := config == nil || config.Queue(j.Queue) == nil
-	return ownQueueIsGone && c.Address != "" && c.Address == j.Address
+	return d.answersFor(c.Queue, j)
 }
 
 // shownState returns the state of the job for clients. A run that an earlier leader assigned may be at work, so its job
