--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -1,7 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -36,6 +40,23 @@
 	return store.Record{Key: workload.CancelKey(sharedID), Value: value}
 }
 
+// keptCancellations returns what the store keeps of cancellations of sharedID that entry instances write to one partition
+// one after the other: the newest record of each key.
+func keptCancellations(t *testing.T, written ...workload.Cancellation) []store.Record {
+	t.Helper()
+	newest := map[string]store.Record{}
+	for i, c := range written {
+		r := cancelRecord(t, c)
+		r.Offset = int64(i)
+		for _, r.Key = range []string{c.Key(sharedID), workload.CancelKey(sharedID)} {
+			newest[r.Key] = r
+		}
+	}
+	return slices.SortedFunc(maps.Values(newest), func(a, b store.Record) int {
+		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Key, b.Key))
+	})
+}
+
 // newCancelFixture returns a dispatcher whose configuration has the queues "orders" and "audits", but no "removed".
 func newCancelFixture(t *testing.T) *Dispatcher {
 	t.Helper()
@@ -116,3 +137,42 @@
 		}
 	}
 }
+
+// TestCancellationOutlastsThoseOfOthers guards against an acknowledged cancellation that is forgotten because another
+// client cancels the same ID before a leader has read the first: the job goes on.
+func TestCancellationOutlastsThoseOfOthers(t *testing.T) {
+	own := workload.Cancellation{Queue: "orders", Team: "shop", Address: "h/orders/"}
+	for name, other := range map[string]workload.Cancellation{
+		"team":  {Queue: "orders", Team: "mill", Address: "h/orders/"},
+		"queue": {Queue: "audits", Team: "shop", Address: "h/audits/"},
+	} {
+		for when, read := range arrivals {
+			for order, written := range map[string][]workload.Cancellation{
+				"last": {own, other}, "first": {other, own}, "between": {other, own, other},
+			} {
+				t.Run(fmt.Sprint("other ", name, " ", order, " ", when), func(t *testing.T) {
+					is := is.New(t)
+					d := newCancelFixture(t)
+					read(d, submissionRecord(t, own.Queue, own.Team, own.Address), keptCancellations(t, written...))
+					is.Equal(d.jobs[sharedID].State, workload.StateCancelled)
+				})
+			}
+		}
+	}
+}
+
+// TestCancellationsInTwoPartitions guards against a cancellation that is forgotten because a leader reads one of another
+// client from another partition after it.
+func TestCancellationsInTwoPartitions(t *testing.T) {
+	own := workload.Cancellation{Queue: "orders", Team: "shop"}
+	other := workload.Cancellation{Queue: "orders", Team: "mill"}
+	for _, order := range [][]workload.Cancellation{{own, other}, {other, own}} {
+		is := is.New(t)
+		d := newCancelFixture(t)
+		for partition, c := range order {
+			d.applyJobRecord(partition, cancelRecord(t, c))
+		}
+		d.applyJobRecord(0, submissionRecord(t, own.Queue, own.Team, ""))
+		is.Equal(d.jobs[sharedID].State, workload.StateCancelled)
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -101,6 +101,8 @@
 	failures int
 	// partitions is a bit set of the partitions in which the job's submission or cancellation was read.
 	partitions uint64
+	// cancelKeys holds the keys of the job's own cancellations in the store.
+	cancelKeys []string
 	// excess means that the job is beyond its team's share of jobs per second.
 	excess bool
 	// endedBefore means that the job had ended when the term began.
@@ -138,7 +140,7 @@
 	waiting        map[string]map[string]*job // by pool and ID: jobs with a task that may wait for a run
 	blocked        []blockedStep              // of the decision in progress
 	changed        map[string]*job            // jobs whose progress has to be stored, or removed if nil
-	pendingCancels map[string]cancellation    // cancellations that were read before their submission
+	pendingCancels pendingCancels
 	agents         map[string]*agent
 	queues         map[string]*fleet.Queue // including queues removed from the configuration
 	routing        *fleet.Config           // the configuration by which open jobs were last assigned to pools
@@ -197,16 +199,6 @@
 	homeSizes map[string]int
 }
 
-// cancellation is a cancellation whose job has not been read yet.
-type cancellation struct {
-	workload.Cancellation
-	// partitions is a bit set of the partitions in which the cancellation was read.
-	partitions uint64
-	// readAt is the boot clock at which it was read first, and removalSentAt that at which its removal was last sent; 0 if
-	// it was not.
-	readAt, removalSentAt time.Duration
-}
-
 // New returns a dispatcher for one term.
 func New(o Options) *Dispatcher {
 	if o.StoreLimits == (store.Limits{}) {
@@ -215,7 +207,7 @@
 	d := &Dispatcher{
 		Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{},
 		active: map[string]map[string]*job{}, waiting: map[string]map[string]*job{},
-		changed: map[string]*job{}, pendingCancels: map[string]cancellation{}, agents: map[string]*agent{},
+		changed: map[string]*job{}, pendingCancels: pendingCancels{byID: map[string][]cancellation{}}, agents: map[string]*agent{},
 		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{},
 		endedUnheard:   map[string]*job{},
 		ordersInFlight: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{},
--- a/internal/dispatch/jobmemory.go
+++ b/internal/dispatch/jobmemory.go
@@ -8,7 +8,7 @@
 	"pollenlead/internal/jobbudget"
 )
 
-// pendingCancelBytes is a cancellation whose job is not known.
+// pendingCancelBytes is a cancellation that applies to no known job.
 const pendingCancelBytes = 192
 
 // JobBudget tells how much memory the state of jobs may take.
@@ -65,8 +65,10 @@
 	for _, j := range d.jobs {
 		h.Teams[j.Team] += j.Bytes()
 	}
-	for _, c := range d.pendingCancels {
-		h.Teams[c.Team] += pendingCancelBytes
+	for _, list := range d.pendingCancels.byID {
+		for i := range list {
+			h.Teams[list[i].by.Value().Team] += pendingCancelBytes
+		}
 	}
 	if c := d.Follower.Config(); c != nil {
 		h.Shares = c.Shares()
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"encoding/json"
 	"time"
 
 	"pollenlead/internal/bootclock"
@@ -9,9 +8,6 @@
 	"pollenlead/internal/workload"
 )
 
-// maxPendingCancels bounds the stored cancellations of unknown jobs.
-const maxPendingCancels = 10_000
-
 // applyJobRecord applies a record of a job that an entry instance has written.
 func (d *Dispatcher) applyJobRecord(partition int, r store.Record) {
 	kind, id := workload.ParseKey(r.Key)
@@ -22,7 +18,7 @@
 		case workload.KeySubmission:
 			d.noteRemoval(id, partition)
 		case workload.KeyCancel:
-			d.noteCancelRemoval(id, partition)
+			d.noteCancelRemoval(id, r.Key, partition)
 		}
 		return
 	}
@@ -31,13 +27,7 @@
 		d.addSubmission(id, r)
 		d.notePartition(id, partition)
 	case workload.KeyCancel:
-		var c workload.Cancellation
-		if err := json.Unmarshal(r.Value, &c); err != nil {
-			d.Log.Warn().Err(err).Str("event", "bad_record").Str("key", r.Key).Msg("cancellation cannot be decoded")
-			return
-		}
-		d.applyCancellation(id, &c)
-		d.notePartition(id, partition)
+		d.readCancellation(id, r, partition)
 	case workload.KeyWave, workload.KeyHomeSizes:
 		d.applyInstanceRecord(kind, id, r.Value)
 	}
@@ -51,10 +41,6 @@
 	if read := d.loadedJobs[id]; read != nil {
 		read.partitions |= 1 << partition
 	}
-	if c, ok := d.pendingCancels[id]; ok {
-		c.partitions |= 1 << partition
-		d.pendingCancels[id] = c
-	}
 }
 
 // addSubmission adds a job. A repeated submission of a known job has no effect. Callers hold mu.
@@ -79,10 +65,8 @@
 	j := d.insert(w)
 	j.readAfter = max(d.now().Sub(w.Submitted), 0)
 	d.noteSubmission(j, bootclock.Now())
-	if c, ok := d.pendingCancels[id]; ok {
-		delete(d.pendingCancels, id)
-		j.partitions |= c.partitions
-		defer d.applyCancellation(id, &c.Cancellation)
+	if d.takeCancellations(j) {
+		defer d.cancelJob(j)
 	}
 	d.advance(j)
 	d.Log.Info().Str("event", "job_seen").Str("job", id).Str("queue", w.Queue).Str("team", w.Team).Str("pool", w.Pool).
@@ -93,30 +77,6 @@
 	d.signal()
 }
 
-// applyCancellation cancels a job if the cancellation is one of it. Callers hold mu.
-func (d *Dispatcher) applyCancellation(id string, c *workload.Cancellation) {
-	j := d.jobs[id]
-	if j == nil {
-		pending, known := d.pendingCancels[id]
-		if known && pending.Cancellation == *c { // a repeated one, perhaps in another partition
-			return
-		}
-		if len(d.pendingCancels) < maxPendingCancels || !d.loaded {
-			d.pendingCancels[id] = cancellation{Cancellation: *c, readAt: bootclock.Now()}
-		}
-		return
-	}
-	if j.State.Ended() || !d.cancels(c, j) {
-		return
-	}
-	j.Cancel(d.now())
-	j.published = j.State
-	d.Log.Info().Str("event", "job_cancelled").Str("job", id).Str("queue", c.Queue).Str("team", c.Team).
-		Msg("job cancelled")
-	d.markChanged(j)
-	d.stopRuns(j)
-}
-
 // stopRuns stops all runs of a job that has ended. Callers hold mu.
 func (d *Dispatcher) stopRuns(j *job) {
 	j.EachTask(func(t *workload.Task) {
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -261,13 +261,9 @@
 			return j
 		}
 	}
-	if c, ok := d.pendingCancels[id]; ok {
-		delete(d.pendingCancels, id)
-		j.partitions |= c.partitions
-		if !w.State.Ended() && d.cancels(&c.Cancellation, j) {
-			w.Cancel(now)
-			d.noteEnded(j)
-		}
+	if d.takeCancellations(j) && !w.State.Ended() {
+		w.Cancel(now)
+		d.noteEnded(j)
 	}
 	j.published = w.State
 	return j
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -64,7 +64,7 @@
 // or the address of its submission. The configuration does not count, because the leader may read a version later than
 // the entry instance that stored the cancellation. It decides only where an address is not known, as in a record of an
 // earlier version. Callers hold mu.
-func (d *Dispatcher) cancels(c *workload.Cancellation, j *job) bool {
+func (d *Dispatcher) cancels(c workload.Cancellation, j *job) bool {
 	switch {
 	case c.Team != j.Team:
 		return false
--- a/internal/dispatch/retention.go
+++ b/internal/dispatch/retention.go
@@ -82,44 +82,11 @@
 		if j.partitions&(1<<n) != 0 {
 			removals[n] = append(removals[n],
 				store.Record{Key: workload.SubmissionKey(j.ID)}, store.Record{Key: workload.CancelKey(j.ID)})
-		}
-	}
-}
-
-// addCancelRemovals adds the removal of up to a number of old cancellations whose jobs have not appeared, and returns
-// how many it added. Clients may cancel any number of IDs that nobody has used. Callers hold mu.
-func (d *Dispatcher) addCancelRemovals(removals map[int][]store.Record, most int, boot time.Duration) (added int) {
-	for id, c := range d.pendingCancels {
-		if added == most {
-			break
-		}
-		if boot-c.readAt < d.Bounds.StatusRetention+endedRetentionMargin ||
-			c.removalSentAt != 0 && boot-c.removalSentAt < removalRetryDelay {
-			continue
-		}
-		added++
-		c.removalSentAt = boot
-		d.pendingCancels[id] = c
-		for n := range d.JobPartitions {
-			if c.partitions&(1<<n) != 0 {
-				removals[n] = append(removals[n], store.Record{Key: workload.CancelKey(id)})
+			for _, key := range j.cancelKeys {
+				removals[n] = append(removals[n], store.Record{Key: key})
 			}
 		}
 	}
-	return added
-}
-
-// noteCancelRemoval records that a partition no longer contains the cancellation of a job. Callers hold mu.
-func (d *Dispatcher) noteCancelRemoval(id string, partition int) {
-	c, ok := d.pendingCancels[id]
-	if !ok {
-		return
-	}
-	if c.partitions &^= 1 << partition; c.partitions == 0 {
-		delete(d.pendingCancels, id)
-		return
-	}
-	d.pendingCancels[id] = c
 }
 
 // sendRemovals appends removals of submissions. Their effect is known when they have been read back: an append without
--- a/internal/dispatch/retention_test.go
+++ b/internal/dispatch/retention_test.go
@@ -207,16 +207,46 @@
 	remove()
 	is.Equal(s.count(), 0)
 	d.mu.Lock()
-	c := d.pendingCancels[endedID]
-	c.readAt -= time.Hour
-	d.pendingCancels[endedID] = c
+	d.pendingCancels.byID[endedID][0].readAt -= time.Hour
 	d.mu.Unlock()
 	remove()
 	waitFor(t, "the removals are sent", func() bool { return s.count() == 2 })
-	is.Equal(s.appends[0].Records, []store.Record{{Key: workload.CancelKey(endedID)}})
-	is.Equal(len(d.pendingCancels), 1) // until both removals have been read back
+	own := workload.Cancellation{Queue: "queue", Team: "team"}.Key(endedID)
+	is.Equal(s.appends[0].Records, []store.Record{{Key: own}, {Key: workload.CancelKey(endedID)}})
 	for partition := range 2 {
-		d.applyJobRecord(partition, store.Record{Key: workload.CancelKey(endedID)})
+		is.Equal(d.pendingCancels.count, 1) // until both removals have been read back
+		for _, r := range s.appends[partition].Records {
+			d.applyJobRecord(partition, r)
+		}
 	}
-	is.Equal(len(d.pendingCancels), 0)
+	is.Equal(d.pendingCancels.count, 0)
+	is.Equal(len(d.pendingCancels.byID), 0)
+}
+
+// TestCancellationsOfOthersAreRemoved guards against cancellations of a known job by other clients that stay in the
+// store for ever, and against the removal of the key that all clients share while it may hold the owner's cancellation.
+func TestCancellationsOfOthersAreRemoved(t *testing.T) {
+	is := is.New(t)
+	d, s := newFixture(1), &appendStore{}
+	defer d.stop()
+	d.Store, d.JobPartitions = s, 1
+	d.Bounds.StatusRetention = time.Minute
+	j := d.addJob(endedID, oneTask)
+	own := workload.Cancellation{Queue: "queue", Team: "team", Address: "h/queue/"}
+	other := workload.Cancellation{Queue: "queue", Team: "other", Address: "h/queue/"}
+	for _, c := range []workload.Cancellation{own, other} {
+		value, err := json.Marshal(c)
+		is.NoErr(err)
+		d.applyJobRecord(0, store.Record{Key: c.Key(endedID), Value: value})
+		d.applyJobRecord(0, store.Record{Key: workload.CancelKey(endedID), Value: value})
+	}
+	is.Equal(j.State, workload.StateCancelled)
+	removals := map[int][]store.Record{}
+	is.Equal(d.addCancelRemovals(removals, 10, bootclock.Now()+time.Hour), 1)
+	is.Equal(removals[0], []store.Record{{Key: other.Key(endedID)}})
+	clear(removals)
+	d.addRemovals(removals, j)
+	is.Equal(removals[0], []store.Record{
+		{Key: workload.SubmissionKey(endedID)}, {Key: workload.CancelKey(endedID)}, {Key: own.Key(endedID)},
+	})
 }
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -108,12 +108,10 @@
 			far.Spec.Times, far.Spec.Every, far.Spec.FirstAt = 2, time.Minute, time.Now()
 		}, 4000},
 		"cancelled": {func(d *Dispatcher, far *job) {
-			d.applyCancellation(far.ID, &workload.Cancellation{Queue: far.Queue, Team: far.Team})
+			d.applyCancellation(far.ID, workload.Cancellation{Queue: far.Queue, Team: far.Team}, 0)
 		}, 4000},
 		"cancelled before the term": {func(d *Dispatcher, far *job) {
-			d.pendingCancels[far.ID] = cancellation{
-				Cancellation: workload.Cancellation{Queue: far.Queue, Team: far.Team},
-			}
+			d.pendingCancels.add(far.ID, workload.Cancellation{Queue: far.Queue, Team: far.Team}, 0, 1)
 			submission, err := json.Marshal(workload.Submission{
 				Queue: far.Queue, Pool: far.Pool, Team: far.Team, Spec: far.Spec, AtMillis: far.Submitted.UnixMilli(),
 			})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -310,14 +310,15 @@
 
 // cancel stores a cancellation and confirms it.
 func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request) {
-	value, err := json.Marshal(workload.Cancellation{
-		Queue: q.queue.Name, Team: q.team, Address: q.queue.Address(),
-	})
+	c := workload.Cancellation{Queue: q.queue.Name, Team: q.team, Address: q.queue.Address()}
+	value, err := json.Marshal(c)
 	if err != nil {
 		h.refuse(w, r, q, &refusal{status: http.StatusBadRequest, reason: err.Error()})
 		return
 	}
-	if h.append(ctx, w, r, q, store.Record{Key: workload.CancelKey(q.id), Value: value}) {
+	own := store.Record{Key: c.Key(q.id), Value: value}
+	shared := store.Record{Key: workload.CancelKey(q.id), Value: value} // a leader of an earlier version reads no other
+	if h.append(ctx, w, r, q, own, shared) {
 		counters.cancelled.Add(1)
 		h.Log.Info().Str("event", "cancel_accepted").Str("job", q.id).Str("queue", q.queue.Name).Str("team", q.team).
 			Int64("config_version", q.version).Msg("cancellation stored")
@@ -325,15 +326,15 @@
 	}
 }
 
-// append stores one record and retries refused appends. If it fails, it responds to the request and returns false. A
-// repeated append is harmless because readers identify the record by its key.
+// append stores records, all or none, and retries refused appends. If it fails, it responds to the request and returns
+// false. A repeated append is harmless because readers identify each record by its key.
 func (h *Handler) append(
-	ctx context.Context, w http.ResponseWriter, r *http.Request, q *request, record store.Record,
+	ctx context.Context, w http.ResponseWriter, r *http.Request, q *request, records ...store.Record,
 ) bool {
 	began := time.Now()
 	unknown := false
 	for {
-		err := h.Jobs.Append(ctx, record)
+		err := h.Jobs.Append(ctx, records...)
 		if err == nil {
 			return true
 		}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -226,3 +226,17 @@
 	queue := h.Config.Config().Queues[0]
 	is.Equal(c, workload.Cancellation{Queue: queue.Name, Address: queue.Address()})
 }
+
+// TestCancellationIsStoredForEarlierVersions guards against an acknowledged cancellation that a leader of an earlier
+// version does not carry out during an upgrade: it reads no other key than the one that all clients share.
+func TestCancellationIsStoredForEarlierVersions(t *testing.T) {
+	is := is.New(t)
+	s := &countingStore{}
+	h := newHandler(t, s, oneQueue{})
+	h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodDelete, "http://a.example/0011223344556677", nil))
+	is.Equal(s.records.Load(), int32(2))
+	is.Equal(s.last.Load().Key, "c/0011223344556677")
+	var earlier struct{ Queue, Team string }
+	is.NoErr(json.Unmarshal(s.last.Load().Value, &earlier))
+	is.Equal(earlier.Queue, "queue")
+}
--- a/internal/store/batcher.go
+++ b/internal/store/batcher.go
@@ -16,9 +16,9 @@
 	// batchTimeout bounds one append of a batch. A slow store answers within it; a repeat before that would only
 	// lengthen the queue at the partition.
 	batchTimeout = 2500 * time.Millisecond
-	// maxBatchRecords bounds the records of one append, and maxQueuedRecords the records that wait for one.
-	maxBatchRecords  = 100
-	maxQueuedRecords = 256
+	// maxBatchItems bounds the items of one append, and maxQueuedItems those that wait for one.
+	maxBatchItems  = 100
+	maxQueuedItems = 256
 )
 
 // Batcher appends records to one partition with one call at a time. Records that arrive during a call are appended
@@ -30,32 +30,47 @@
 	topic     string
 	partition int
 	queue     chan batchItem
-	// pending is the number of records that are queued or being appended.
+	// pending is the number of items that are queued or being appended.
 	pending atomic.Int32
 }
 
+// batchItem is a group of records that are appended by one call.
 type batchItem struct {
-	record Record
-	done   chan error // buffered, so that a result is not blocked by a waiter that has returned
+	records []Record
+	done    chan error // buffered, so that a result is not blocked by a waiter that has returned
+}
+
+// callSize returns the number of bytes that the records add to an append.
+func (i *batchItem) callSize() int {
+	size := 0
+	for _, r := range i.records {
+		size += r.CallSize()
+	}
+	return size
 }
 
 // NewBatcher returns a Batcher whose appends run until ctx is done.
 func NewBatcher(ctx context.Context, s Store, limits Limits, topic string, partition int) *Batcher {
 	g := &Batcher{
-		store: s, limits: limits, topic: topic, partition: partition, queue: make(chan batchItem, maxQueuedRecords),
+		store: s, limits: limits, topic: topic, partition: partition, queue: make(chan batchItem, maxQueuedItems),
 	}
 	go g.run(ctx)
 	return g
 }
 
-// Append appends one record together with others. If the queue is full, it returns ErrBusy without sending the record,
-// and ErrRefused if the record exceeds the limits of size. If ctx is done before the result arrives, the outcome is
-// unknown.
-func (g *Batcher) Append(ctx context.Context, r Record) error {
-	if !g.limits.Fits(r) {
-		return fmt.Errorf("%w: record of %d bytes, at most %d are possible", ErrRefused, r.Size(), g.limits.Record)
+// Append appends records by one call, all or none, together with those of others. If the queue is full, it returns
+// ErrBusy without sending them, and ErrRefused if they exceed the limits of size. If ctx is done before the result
+// arrives, the outcome is unknown.
+func (g *Batcher) Append(ctx context.Context, records ...Record) error {
+	item := batchItem{records: records, done: make(chan error, 1)}
+	for _, r := range records {
+		if !g.limits.Fits(r) {
+			return fmt.Errorf("%w: record of %d bytes, at most %d are possible", ErrRefused, r.Size(), g.limits.Record)
+		}
+	}
+	if size := item.callSize(); size > g.limits.Call {
+		return fmt.Errorf("%w: records of %d bytes, at most %d are possible in a call", ErrRefused, size, g.limits.Call)
 	}
-	item := batchItem{record: r, done: make(chan error, 1)}
 	g.pending.Add(1)
 	select {
 	case g.queue <- item:
@@ -91,14 +106,14 @@
 	}
 }
 
-// collect adds the queued records to the batch, up to maxBatchRecords and to the size of a call. It returns the first
-// record that does not fit any more, if there is one.
+// collect adds the queued items to the batch, up to maxBatchItems and to the size of a call. It returns the first item
+// that does not fit any more, if there is one.
 func (g *Batcher) collect(batch []batchItem) ([]batchItem, *batchItem) {
-	size := batch[0].record.CallSize()
-	for len(batch) < maxBatchRecords {
+	size := batch[0].callSize()
+	for len(batch) < maxBatchItems {
 		select {
 		case item := <-g.queue:
-			if size += item.record.CallSize(); size > g.limits.Call {
+			if size += item.callSize(); size > g.limits.Call {
 				return batch, &item
 			}
 			batch = append(batch, item)
@@ -110,7 +125,7 @@
 }
 
 // append appends a batch and reports the result to the waiting callers. If the store refuses it for good, each half is
-// appended by itself, so that a record that cannot be stored fails alone.
+// appended by itself, so that an item that cannot be stored fails alone.
 func (g *Batcher) append(ctx context.Context, batch []batchItem) {
 	err := g.appendOnce(ctx, batch)
 	if half := len(batch) / 2; half > 0 && errors.Is(err, ErrRefused) {
@@ -126,9 +141,9 @@
 func (g *Batcher) appendOnce(ctx context.Context, batch []batchItem) error {
 	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
 	defer cancel()
-	records := make([]Record, len(batch))
-	for i, item := range batch {
-		records[i] = item.record
+	records := make([]Record, 0, len(batch))
+	for _, item := range batch {
+		records = append(records, item.records...)
 	}
 	_, err := g.store.Append(ctx, Append{Topic: g.topic, Partition: g.partition, Records: records})
 	return err
@@ -162,15 +177,15 @@
 	return g
 }
 
-// Append appends a record to one of the partitions, first to the preferred one. Partitions can fail independently, so
-// a record that one partition does not acknowledge in time goes to the next; readers must tolerate a record that is
-// in two partitions. Unless all attempts were refused, an error means that the outcome is unknown. A record that a
-// partition refuses for good is not tried at the others.
-func (g *Batchers) Append(ctx context.Context, r Record) error {
+// Append appends records to one of the partitions, all or none, first to the preferred one. Partitions can fail
+// independently, so records that one partition does not acknowledge in time go to the next; readers must tolerate a
+// record that is in two partitions. Unless all attempts were refused, an error means that the outcome is unknown.
+// Records that a partition refuses for good are not tried at the others.
+func (g *Batchers) Append(ctx context.Context, records ...Record) error {
 	unknown := false
 	for n := range g.partitions {
 		p := g.choose(n)
-		err := g.appendTo(ctx, p, r)
+		err := g.appendTo(ctx, p, records)
 		if err == nil {
 			return nil
 		}
@@ -189,10 +204,10 @@
 	return ErrBusy
 }
 
-func (g *Batchers) appendTo(ctx context.Context, partition int, r Record) error {
+func (g *Batchers) appendTo(ctx context.Context, partition int, records []Record) error {
 	ctx, cancel := context.WithTimeout(ctx, partitionTimeout)
 	defer cancel()
-	return g.partitions[partition].Append(ctx, r)
+	return g.partitions[partition].Append(ctx, records...)
 }
 
 // choose returns the n-th partition in the order of preference, starting from the preferred one: first those without
--- a/internal/store/batcher_test.go
+++ b/internal/store/batcher_test.go
@@ -162,3 +162,21 @@
 	}
 	is.Equal(s.records, records-2)
 }
+
+// TestRecordsOfOneCallStayTogether guards against an acknowledged group of records of which only a part is stored: a
+// leader of another version may read the missing one alone.
+func TestRecordsOfOneCallStayTogether(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Record: 1000, Call: 3000}
+	s := &sizedStore{slowStore: slowStore{release: make(chan struct{})}, limits: limits, odd: "bad"}
+	close(s.release)
+	g := NewBatchers(t.Context(), s, limits, "topic", 1, 0)
+	is.NoErr(g.Append(t.Context(), Record{Key: "a"}, Record{Key: "b"}))
+	is.Equal(s.records, 2)
+	is.True(errors.Is(g.Append(t.Context(), Record{Key: "c"}, Record{Key: "bad"}), ErrRefused))
+	is.True(errors.Is(g.Append(t.Context(), Record{Key: "c"}, Record{Value: make([]byte, 1200)}), ErrRefused))
+	is.True(errors.Is(g.Append(t.Context(), []Record{
+		{Value: make([]byte, 900)}, {Value: make([]byte, 900)}, {Value: make([]byte, 900)}, {Value: make([]byte, 900)},
+	}...), ErrRefused))
+	is.Equal(s.records, 2)
+}
--- a/internal/store/tail.go
+++ b/internal/store/tail.go
@@ -62,7 +62,10 @@
 // of a page.
 func (t *Tail) CatchUp(ctx context.Context) (end int64, newest map[string]int64, err error) {
 	newest = make(map[string]int64)
-	keys := make(map[string]bool)
+	var keys map[string]bool
+	if t.Synced != nil {
+		keys = make(map[string]bool)
+	}
 	after, first := "", true
 	sent := bootclock.Now()
 	for {
@@ -75,7 +78,9 @@
 		}
 		for _, r := range page.Records {
 			newest[r.Key] = r.Offset
-			keys[r.Key] = len(r.Value) > 0
+			if keys != nil {
+				keys[r.Key] = len(r.Value) > 0
+			}
 			t.apply(r)
 		}
 		first = false
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"strconv"
 	"strings"
@@ -391,6 +392,8 @@
 	wavePrefix       = "w/"
 	donePrefix       = "d/"
 	partPrefix       = "t/"
+	// clientSeparator separates the ID from the client in the key of a cancellation.
+	clientSeparator = "/"
 )
 
 // HomeSizesKey is the key of the record that holds the initial number of instances of each pool.
@@ -426,7 +429,8 @@
 // SubmissionKey returns the key of a job's submission.
 func SubmissionKey(id string) string { return submissionPrefix + id }
 
-// CancelKey returns the key of a job's cancellation.
+// CancelKey returns the key of the cancellations of an ID that all clients share, so that the store keeps the newest one
+// only. Earlier versions read and write no other; see Cancellation.Key.
 func CancelKey(id string) string { return cancelPrefix + id }
 
 // ProgressKey returns the key of a job's progress.
@@ -455,7 +459,8 @@
 	case submissionPrefix:
 		return KeySubmission, key[2:]
 	case cancelPrefix:
-		return KeyCancel, key[2:]
+		id, _, _ := strings.Cut(key[2:], clientSeparator)
+		return KeyCancel, id
 	case progressPrefix:
 		return KeyProgress, key[2:]
 	case wavePrefix:
@@ -479,6 +484,17 @@
 	Address string `json:"address,omitempty"`
 }
 
+// Key returns the key of a client's cancellation of an ID. Clients of other teams or queues have other keys, so that
+// theirs do not replace it in the store.
+func (c Cancellation) Key(id string) string {
+	client := fnv.New64a()
+	for _, part := range []string{c.Team, c.Queue, c.Address} {
+		_, _ = client.Write([]byte(part))
+		_, _ = client.Write([]byte{0})
+	}
+	return CancelKey(id) + clientSeparator + strconv.FormatUint(client.Sum64(), 16)
+}
+
 // UnmarshalJSON implements json.Unmarshaler. A record without a queue is not one of an entry instance; without a team,
 // it would cancel any job of a public queue.
 func (c *Cancellation) UnmarshalJSON(text []byte) error {
