--- a/internal/dispatch/confirm_test.go
+++ b/internal/dispatch/confirm_test.go
@@ -15,6 +15,7 @@
 	"pollenlead/internal/scheduling"
 	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
+	"pollenlead/internal/workload"
 )
 
 // producerStore accepts appends as the store does: none of an earlier epoch. during is called while an append is under
@@ -170,3 +171,32 @@
 	is.Equal(strings.Count(log.String(), "orders_held"), 1)
 	is.Equal(strings.Count(log.String(), "orders_resumed"), 1)
 }
+
+// TestFormerLeaderStopsNothingForAWave guards against a former leader that stops a task of a step on a worker that its
+// successor has not reached, while the successor stops another one: more are out of service than the step allows. An
+// append of the wave's progress may have waited for an outage of the store in between.
+func TestFormerLeaderStopsNothingForAWave(t *testing.T) {
+	for name, step := range map[string]fleet.Step{
+		"long-running": {Count: 1, LongRunning: true, MayMiss: 1}, "with checkpoints": {Count: 1, Checkpoints: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newFixture(1)
+			d.Workers = &unresponsiveWorkers{}
+			defer d.stop()
+			confirmed := bootclock.Now()
+			d.LastConfirmed = func() time.Duration { return confirmed }
+			r := d.addJob("0011223344556677", step).Task(0, 0, 0).Assign("w0", 1, d.now())
+			r.Phase, r.Percent, r.SeenAt, r.Released = workload.RunActive, 100, d.now(), true
+			d.attach(r)
+			w := newInstanceDriver(d)
+			i := &waveInstance{phase: scheduling.MaintenanceDraining, worker: "w0"}
+			confirmed -= 2 * time.Second
+			is.True(!w.drainInstance(i, time.Minute))
+			is.Equal(r.Phase, workload.RunActive)
+			confirmed = bootclock.Now()
+			is.True(!w.drainInstance(i, time.Minute))
+			is.Equal(r.Phase, workload.RunStopping)
+		})
+	}
+}
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -129,8 +129,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.agent(i.worker)
-	w.stopResumable(a)
-	w.stopLate(a, left)
+	if d.termConfirmed() { // otherwise a successor may be stopping others
+		w.stopResumable(a)
+		w.stopLate(a, left)
+	}
 	// An earlier leader may have started runs there that are not stored, and only the worker's report shows their ends.
 	read := a.contacted || d.leaseExpired(a, bootclock.Now())
 	return read && a.vacant()
