--- a/internal/dispatch/confirm_test.go
+++ b/internal/dispatch/confirm_test.go
@@ -12,6 +12,7 @@
 
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
+	"pollenlead/internal/follow"
 	"pollenlead/internal/scheduling"
 	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
@@ -200,3 +201,40 @@
 		})
 	}
 }
+
+// TestUnansweredOrderCountsAsDown guards against more instances of a wave that are down at once than the operator
+// allows: the order of an earlier leader, or one without an answer, is carried out seconds later, after another instance
+// has been ordered in place of the one that is still listed as up.
+func TestUnansweredOrderCountsAsDown(t *testing.T) {
+	is := is.New(t)
+	d := newFixture(2)
+	d.Workers = &unresponsiveWorkers{}
+	defer d.stop()
+	service := &slowInstances{}
+	d.Instances, d.Bounds.InstanceOrdersPerSecond = service, 1000
+	d.agent("w0").contacted = false // ends there may be lost until it answers
+	d.waveRecords = map[int64]*waveRecord{1: {
+		SeenMillis: time.Now().UnixMilli(), Ordered: map[string]string{"m0": "w0"},
+	}}
+	w := newInstanceDriver(d)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listed = map[string]fleet.Instance{
+		"m0": {ID: "m0", Pool: "pool", Phase: fleet.InstanceUp, Worker: "w0"},
+		"m1": {ID: "m1", Pool: "pool", Phase: fleet.InstanceUp, Worker: "w1"},
+	}
+	w.listedAt = bootclock.Now()
+	x := w.restoreWave(follow.Wave{WaveRequest: fleet.WaveRequest{
+		Number: 1, Instances: []string{"m0", "m1"}, FinishBy: time.Minute, MaxDown: 1,
+	}, SeenAt: bootclock.Now()})
+	x.instances["m1"].phase, x.instances["m1"].worker = scheduling.MaintenanceDraining, "w1"
+	w.drain(t.Context(), x) // takes the instance m0 as not ordered, because it is listed as up
+	w.drain(t.Context(), x)
+	is.Equal(x.instances["m0"].phase, scheduling.MaintenanceDraining)
+	is.Equal(service.orders.Load(), int32(0))
+	d.agent("w0").contacted = true
+	w.drain(t.Context(), x)
+	is.Equal(service.orders.Load(), int32(1))
+	is.Equal(x.instances["m0"].phase, scheduling.MaintenanceOrdered)
+	is.Equal(x.instances["m1"].phase, scheduling.MaintenanceDraining)
+}
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -18,20 +18,24 @@
 
 // drain moves long-running tasks away from draining instances, and orders the maintenance of those without runs.
 func (w *instanceDriver) drain(ctx context.Context, x *wave) {
-	var ready []string
+	var ready, repeated []string
 	for _, id := range x.byDrain() {
 		i := x.instances[id]
 		switch i.phase {
 		case scheduling.MaintenanceDraining:
-			if w.isDrained(x, id) && w.mayOrder(id) {
+			switch {
+			case !w.isDrained(x, id) || !w.mayOrder(id):
+			case i.unanswered: // it counts as down already
+				repeated = append(repeated, id)
+			default:
 				ready = append(ready, id)
 			}
 		case scheduling.MaintenanceOrdered:
 			w.drainAgain(id, i)
 		}
 	}
-	wanted := min(len(ready), x.mayGoDown())
-	w.orderMaintenance(ctx, x, ready[:w.waveBudget(wanted)])
+	wanted := append(repeated, ready[:min(len(ready), x.mayGoDown())]...)
+	w.orderMaintenance(ctx, x, wanted[:w.waveBudget(len(wanted))])
 }
 
 // byDrain returns the instances of the wave in the order in which their drains began. Few tasks of a long-running step
@@ -42,11 +46,11 @@
 	})
 }
 
-// mayGoDown returns the number of instances that the wave may order now.
+// mayGoDown returns the number of further instances that the wave may order now.
 func (x *wave) mayGoDown() int {
 	down := 0
 	for _, i := range x.instances {
-		if i.phase == scheduling.MaintenanceOrdered {
+		if i.mayBeDown() {
 			down++
 		}
 	}
@@ -228,6 +232,9 @@
 		return
 	}
 	i.confirmed = err == nil
+	if refused == nil { // a refused order is not carried out later, but an earlier one may be
+		i.unanswered = !i.confirmed
+	}
 	i.orderedAt = bootclock.Now() // a list that was requested before the answer may show the state before the order
 	if i.confirmed {
 		w.awaitNextIncarnation(i)
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -49,6 +49,9 @@
 	// refusedOff means that the order was refused while the instance was switched off. The order then waits until the
 	// instance has a worker.
 	refusedOff bool
+	// unanswered means that an order was sent, perhaps by an earlier leader, and none has been answered since. It may be
+	// carried out seconds later, also while the instance is listed as up, so the instance counts as down.
+	unanswered bool
 	// confirmed means that the order was answered: the maintenance has begun, or had been done before.
 	confirmed bool
 	// incarnation is the one that the worker had when the order was answered; 0 if it is not known.
@@ -60,6 +63,11 @@
 	missingAt time.Duration
 }
 
+// mayBeDown reports whether the instance is down for the wave or may be at any moment.
+func (i *waveInstance) mayBeDown() bool {
+	return i.phase == scheduling.MaintenanceOrdered || i.unanswered && i.phase != scheduling.MaintenanceDone
+}
+
 // inMaintenance reports whether the wave drains or maintains the instance.
 func (i *waveInstance) inMaintenance() bool {
 	return i.phase == scheduling.MaintenanceDraining || i.phase == scheduling.MaintenanceOrdered
@@ -102,7 +110,7 @@
 	x.endReported, x.startReported = stored.Closed, true
 	for id, worker := range stored.Ordered {
 		if i := x.instances[id]; i != nil {
-			*i = waveInstance{phase: scheduling.MaintenanceOrdered, worker: worker}
+			*i = waveInstance{phase: scheduling.MaintenanceOrdered, worker: worker, unanswered: true}
 		}
 	}
 	for _, id := range stored.Done {
