--- a/internal/dispatch/unheard.go
+++ b/internal/dispatch/unheard.go
@@ -12,6 +12,10 @@
 // unheard, and so are pools with one. Until they have answered, a new leader counts the most that a team may have
 // running there.
 
+// maxClockStep is the largest difference between the clocks of two entry instances while one of them has been set wrongly
+// for some seconds. The earlier leader may have begun an occurrence by that much early.
+const maxClockStep = 5 * time.Second
+
 // unboundedRoom stands for the capacity of a worker whose entry is not known.
 const unboundedRoom = 1 << 60
 
@@ -45,7 +49,7 @@
 	addJobs := func(jobs map[string]*job) {
 		for _, j := range jobs {
 			if u := uses[j.Team]; u != nil && !u.reachesLimit(room) && d.awaitsCheck(j.Job, unchecked) {
-				u.addJob(j.Job, d.occurrenceClock(j).Add(maxClockSkew+d.Bounds.EarlyStart/2))
+				u.addJob(j.Job, d.occurrenceClock(j).Add(maxClockStep+d.Bounds.EarlyStart/2))
 			}
 		}
 	}
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -104,6 +104,9 @@
 		"due soon": {func(_ *Dispatcher, far *job) {
 			far.Spec.Times, far.Spec.Every, far.Spec.FirstAt = 2, time.Second, time.Now().Add(-500*time.Millisecond)
 		}, 8000},
+		"due soon by a clock that was set forward": {func(_ *Dispatcher, far *job) {
+			far.Spec.Times, far.Spec.Every, far.Spec.FirstAt = 2, time.Second, time.Now().Add(3*time.Second)
+		}, 8000},
 		"due later": {func(_ *Dispatcher, far *job) {
 			far.Spec.Times, far.Spec.Every, far.Spec.FirstAt = 2, time.Minute, time.Now()
 		}, 4000},
