--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -118,7 +118,7 @@
 }
 
 // limits returns the resources that each team may still use, while runs that are not known may be on workers of the
-// unchecked pools. Callers hold mu.
+// unchecked pools, and others are listed by their workers but belong to no known task. Callers hold mu.
 func (d *Dispatcher) limits(unchecked map[string]bool) scheduling.Limits {
 	limits := scheduling.Limits{}
 	c := d.Follower.Config()
@@ -126,9 +126,10 @@
 		return limits
 	}
 	unheard := d.unheardUses(c.Teams, unchecked)
+	unclaimed, unread := d.unclaimedUses()
 	for i := range c.Teams {
 		t := &c.Teams[i]
-		left := t.UpperLimit.Sub(d.running[t.Name]).Sub(unheard[t.Name])
+		left := t.UpperLimit.Sub(d.running[t.Name]).Sub(unheard[t.Name]).Sub(unclaimed[t.Name]).Sub(unread)
 		replaceZeroLimit(&left.CPUMilli, t.UpperLimit.CPUMilli)
 		replaceZeroLimit(&left.MemoryMB, t.UpperLimit.MemoryMB)
 		replaceZeroLimit(&left.GPU, t.UpperLimit.GPU)
--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollenlead/internal/bootclock"
+	"pollenlead/internal/fleet"
 	"pollenlead/internal/worker"
 	"pollenlead/internal/workload"
 )
@@ -138,6 +139,35 @@
 	maps.DeleteFunc(a.unclaimedRuns, func(key runKey, _ unclaimedRun) bool { return !listed[key] })
 }
 
+// unclaimedUses returns the most that teams may be using by unclaimed runs: by team where the job is known, and otherwise
+// for any of them the room that is left on the workers. Callers hold mu.
+func (d *Dispatcher) unclaimedUses() (byTeam map[string]fleet.Resources, ofAnyTeam fleet.Resources) {
+	for _, a := range d.agents {
+		unread := false
+		for key := range a.unclaimedRuns {
+			id, _, step, _, _ := workload.ParseTaskName(key.task)
+			j := d.jobs[id]
+			switch {
+			case j == nil:
+				unread = true
+			case step < len(j.Spec.Steps):
+				if byTeam == nil {
+					byTeam = map[string]fleet.Resources{}
+				}
+				byTeam[j.Team] = byTeam[j.Team].Add(j.Spec.Steps[step].Charge())
+			}
+		}
+		switch {
+		case !unread:
+		case a.entry == nil || !a.kindKnown():
+			ofAnyTeam = unbounded
+		default:
+			ofAnyTeam = ofAnyTeam.Add(smaller(a.entry.Capacity.Sub(a.used), unbounded))
+		}
+	}
+	return byTeam, ofAnyTeam
+}
+
 // logUnknownEnd logs an end that is not applied to any task. Callers hold mu.
 func (d *Dispatcher) logUnknownEnd(a *agent, e worker.End, why string) {
 	d.counters.unknownEnds.Add(1)
--- a/internal/dispatch/unheard.go
+++ b/internal/dispatch/unheard.go
@@ -19,6 +19,8 @@
 // unboundedRoom stands for the capacity of a worker whose entry is not known.
 const unboundedRoom = 1 << 60
 
+var unbounded = fleet.Resources{CPUMilli: unboundedRoom, MemoryMB: unboundedRoom, GPU: unboundedRoom}
+
 // maxUnheardTasks bounds the tasks of a step that are added at once, so that the sums do not overflow.
 const maxUnheardTasks = 1 << 16
 
@@ -80,7 +82,7 @@
 			continue
 		}
 		if a.entry == nil || !a.kindKnown() {
-			return fleet.Resources{CPUMilli: unboundedRoom, MemoryMB: unboundedRoom, GPU: unboundedRoom}
+			return unbounded
 		}
 		room = room.Add(a.entry.Capacity)
 		for _, r := range a.runs {
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -150,3 +150,47 @@
 		d.unheardUses(teams, d.uncheckedPools())
 	}
 }
+
+// TestLimitCountsUnclaimedRuns guards against a team that has more running than its limit: an earlier leader started a
+// task without storing it, its worker has listed the run, and the new leader has not read the job, or takes its
+// occurrence for not due yet. Until it knows the job, any team may be the one that runs it.
+func TestLimitCountsUnclaimedRuns(t *testing.T) {
+	cpu := func(milli int64) fleet.Resources { return fleet.Resources{CPUMilli: milli} }
+	for name, x := range map[string]struct {
+		change func(d *Dispatcher) // between the report and the decision
+		want   int                 // assigned tasks of a core each; the limit is four cores
+	}{
+		"unread job":                        {func(*Dispatcher) {}, 0},
+		"unread job on a small worker":      {func(d *Dispatcher) { d.agent("w0").entry.Capacity = cpu(1500) }, 2},
+		"unread job on a worker of no pool": {func(d *Dispatcher) { d.agent("w0").entry = nil }, 0},
+		"read job of the team":              {func(d *Dispatcher) { d.addJob(unreadJob, fleet.Step{Count: 1, Need: cpu(1000)}) }, 3},
+		"occurrence that is not due": {func(d *Dispatcher) {
+			j := d.addJob(unreadJob, fleet.Step{Count: 1, Need: cpu(1000)})
+			j.Occurrences, j.NextOccurrence = nil, 0
+			j.Spec.Times, j.Spec.FirstAt = 1, time.Now().Add(time.Hour)
+		}, 3},
+		"read job of another team": {func(d *Dispatcher) {
+			d.addJob(unreadJob, fleet.Step{Count: 1, Need: cpu(1000)}).Team = "other"
+		}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newUnreadFixture()
+			defer d.stop()
+			d.Follower = followConfig(t, &fleet.Config{
+				Version: 1, Pools: []fleet.Pool{{Name: "pool"}},
+				Teams:  []fleet.Team{{Name: "team", UpperLimit: cpu(4000)}, {Name: "other"}},
+				Queues: []fleet.Queue{{Name: "queue", Pool: "pool", Stretch: 1}},
+			})
+			d.applyReport(d.agent("w0"), worker.Report{ClockMillis: 1, Running: []worker.Running{
+				{Task: workload.TaskName(unreadJob, 0, 0, 0), Run: 1},
+			}}, bootclock.Now())
+			near := d.addJob("8899aabbccddeeff", fleet.Step{Count: 8, Need: cpu(1000)})
+			x.change(d)
+			d.claim(unreadJob)
+			d.dirty["pool"] = true
+			d.place()
+			is.Equal(assigned(near), x.want)
+		})
+	}
+}
