--- a/internal/workload/gang.go
+++ b/internal/workload/gang.go
@@ -1,6 +1,9 @@
 package workload
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // keepCheckpoint keeps the checkpoint of a run that has ended. The value from any member of a gang is valid for all of
 // them; the newest one is kept, as members end at different times and that of a lost member is learned last.
@@ -26,6 +29,19 @@
 	return t.Checkpoint
 }
 
+// gangFailures returns how often the gang has failed. Any number of its members may report that one run has failed. A
+// record of an earlier version has only the number of failures of each member.
+func (s *Step) gangFailures() int {
+	var runs []int
+	unnumbered := 0
+	for member := range s.Held() {
+		runs = append(runs, member.FailedRuns...)
+		unnumbered = max(unnumbered, member.Failures-len(member.FailedRuns))
+	}
+	slices.Sort(runs)
+	return unnumbered + len(slices.Compact(runs))
+}
+
 // SetCheckpoint records a checkpoint that the worker reported at the given time.
 func (r *Run) SetCheckpoint(checkpoint string, at time.Time) {
 	if checkpoint != "" && checkpoint != r.Checkpoint {
--- a/internal/workload/gang_test.go
+++ b/internal/workload/gang_test.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"encoding/json"
 	"strconv"
 	"testing"
 	"time"
@@ -76,3 +77,64 @@
 	}
 	is.Equal(j.State, StateFailed)
 }
+
+// TestGangRunFailsOnce guards against a gang that is given up after one failed run because several of its members report
+// the failure, also when a change of leader comes between these reports.
+func TestGangRunFailsOnce(t *testing.T) {
+	for name, restored := range map[string]bool{"one leader": false, "next leader": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j := newGang(3)
+			for n := range 2 {
+				runs := make([]*Run, 3)
+				for m, task := range tasksOf(j.Occurrences[0].Steps[0]) {
+					runs[m] = task.Assign("w", n+1, start)
+				}
+				for m := range runs {
+					j.End(runs[m].Task, runs[m], worker.EndFailed, "", 2, start)
+					if n == 1 {
+						break
+					}
+					is.Equal(j.State, StateRunning) // the gang has failed once
+					if restored && m == 0 {
+						j = restoredGang(t, j)
+						for k, task := range tasksOf(j.Occurrences[0].Steps[0]) {
+							if k > 0 {
+								runs[k] = task.Runs[0]
+							}
+						}
+					}
+				}
+			}
+			is.Equal(j.State, StateFailed)
+		})
+	}
+}
+
+// TestGangFailuresOfAnEarlierVersion guards against a member that is started more often than its queue allows after an
+// upgrade: earlier versions stored the number of its failures alone.
+func TestGangFailuresOfAnEarlierVersion(t *testing.T) {
+	is := is.New(t)
+	j := newGang(2)
+	j.Occurrences, j.NextOccurrence = nil, 0
+	is.NoErr(j.Restore([]byte(`{"state":"running","next":1,"occ":[{"n":0,"steps":[{"s":0,"t":[{"i":0,"r":2,"f":2}]}]}]}`),
+		nil, start))
+	task := j.Task(0, 0, 0)
+	j.End(task, task.Assign("w", 3, start), worker.EndFailed, "", 3, start)
+	is.Equal(j.State, StateFailed)
+}
+
+// restoredGang returns the gang as the next leader restores it.
+func restoredGang(t *testing.T, j *Job) *Job {
+	t.Helper()
+	value, err := json.Marshal(j.Progress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newGang(j.Spec.Steps[0].Count)
+	next.Occurrences, next.NextOccurrence = nil, 0
+	if err := next.Restore(value, nil, start); err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -114,8 +115,8 @@
 	RestoredRun int
 	// Failures is the number of runs that failed.
 	Failures int
-	// FailedRuns holds the numbers of the runs whose failures were counted since the job was restored. Those of a
-	// long-running task are not kept, because its failures have no limit.
+	// FailedRuns holds the numbers of the runs whose failures were counted since the job was restored, and of a member of
+	// a gang also before. Those of a long-running task are not kept, because its failures have no limit.
 	FailedRuns []int
 	// FailedOn is the worker of the most recent failed run, and FailedAt the time of its end. A restored task has the time
 	// of its restoration.
@@ -421,25 +422,26 @@
 	}
 }
 
-// fail counts a failed run. The failures of a gang are those of all its members: each counts a failure of its own runs,
-// and the others of the same run end with it.
+// fail counts a failed run.
 func (t *Task) fail(run *Run, attempts int, now time.Time) {
 	t.Failures++
 	t.markChanged()
 	if run != nil {
 		t.FailedOn, t.FailedAt = run.Worker, now
 	}
+	if t.Step.Spec.LongRunning {
+		return
+	}
+	if run != nil && !slices.Contains(t.FailedRuns, run.Number) {
+		t.FailedRuns = append(t.FailedRuns, run.Number)
+	}
 	failures := t.Failures
 	if t.Step.Spec.Gang {
-		failures = 0
-		for member := range t.Step.Held() {
-			failures += member.Failures
-		}
+		failures = t.Step.gangFailures()
 	}
-	if t.Step.Spec.LongRunning || failures < attempts {
-		return
+	if failures >= attempts {
+		t.Step.Job.finish(StateFailed, now)
 	}
-	t.Step.Job.finish(StateFailed, now)
 }
 
 // Cancel ends the job. The caller has to stop its runs.
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -152,11 +152,13 @@
 }
 
 type taskProgress struct {
-	Index      int           `json:"i"`
-	LastRun    int           `json:"r"`
-	Failures   int           `json:"f,omitempty"`
-	FailedOn   string        `json:"fo,omitempty"`
-	Checkpoint string        `json:"c,omitempty"`
+	Index      int    `json:"i"`
+	LastRun    int    `json:"r"`
+	Failures   int    `json:"f,omitempty"`
+	FailedOn   string `json:"fo,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+	// FailedRuns holds the numbers of the failed runs of a member of a gang. A record of an earlier version lacks them.
+	FailedRuns []int         `json:"fr,omitempty"`
 	Runs       []runProgress `json:"runs,omitempty"`
 }
 
@@ -223,6 +225,9 @@
 	p := taskProgress{
 		Index: t.Index, LastRun: t.LastRun, Failures: t.Failures, FailedOn: t.FailedOn, Checkpoint: t.Checkpoint,
 	}
+	if t.Step.Spec.Gang {
+		p.FailedRuns = t.FailedRuns
+	}
 	for _, r := range t.Runs {
 		p.Runs = append(p.Runs, runProgress{Number: r.Number, Worker: r.Worker})
 	}
@@ -325,6 +330,7 @@
 			s.Job.ID, p.LastRun, p.Failures, p.Index, s.Index)
 	}
 	t.RestoredRun = p.LastRun
+	t.FailedRuns = p.FailedRuns
 	t.LastRun, t.Failures, t.FailedOn, t.Checkpoint = p.LastRun, p.Failures, p.FailedOn, p.Checkpoint
 	if t.FailedOn != "" {
 		t.FailedAt = now
