Liveness: other clients cancel the IDs of jobs

Each third job is cancelled by clients of another team and another queue, and each cancelled one by them after its owner.

With the comparison and the separate keys taken out, the first case fails: LOST, a job is shown as cancelled.

--- a/internal/dispatch/livenesstest/worker_test.go
+++ b/internal/dispatch/livenesstest/worker_test.go
@@ -234,6 +234,9 @@
 		x.violate("UNASKED: start of %s", s.Task)
 		return worker.ErrInvalid
 	}
+	if c := item.job.cancelled; !c.IsZero() && now.Sub(x.disrupted) > settleTime {
+		x.violate("UNASKED: start of %s, which was cancelled %v before", s.Task, now.Sub(c))
+	}
 	w.deadline = max(w.deadline, min(s.DeadlineMillis, clock+maxLease.Milliseconds()))
 	if r := w.running[s.Task]; r != nil && r.number == s.Run {
 		return nil
--- a/internal/dispatch/livenesstest/world_test.go
+++ b/internal/dispatch/livenesstest/world_test.go
@@ -215,12 +215,30 @@
 	j.accepted = now
 	x.jobs[j.id] = j
 	x.store.put(topicJobs, len(x.jobs)%partitions, workload.SubmissionKey(j.id), value)
+	if len(x.jobs)%3 == 0 {
+		x.cancelByOthers(j)
+	}
 }
 
+// cancelJob cancels a job. Other clients cancel the same ID right after its owner.
 func (x *world) cancelJob(j *jobModel) {
 	j.cancelled = time.Now()
-	value, _ := json.Marshal(workload.Cancellation{Queue: j.queue, Team: team})
-	x.store.put(topicJobs, 0, workload.CancelKey(j.id), value)
+	x.putCancellation(j.id, workload.Cancellation{Queue: j.queue, Team: team})
+	x.cancelByOthers(j)
+}
+
+// cancelByOthers has clients of another team and of another queue cancel the ID of a job. They have no such job.
+func (x *world) cancelByOthers(j *jobModel) {
+	x.putCancellation(j.id, workload.Cancellation{Queue: j.queue, Team: "other"})
+	x.putCancellation(j.id, workload.Cancellation{Queue: "other", Team: team})
+}
+
+// putCancellation stores a cancellation as entry instances do: under the key of its client, and under the one that all
+// clients share.
+func (x *world) putCancellation(id string, c workload.Cancellation) {
+	value, _ := json.Marshal(c)
+	x.store.put(topicJobs, 0, c.Key(id), value)
+	x.store.put(topicJobs, 0, workload.CancelKey(id), value)
 }
 
 // item returns a task by its name. Callers hold mu.
