Only an order that may still be carried out counts as unanswered

Cause: 429 of the instances service counted as an order without an answer, although nothing was done; a wave of one would have waited for that instance.

Result: TestRefusedOrderIsNotUnanswered failed before on ErrBusy.

--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -78,7 +78,8 @@
 	d.notePartition(id, partition)
 }
 
-// applyCancellation cancels the job with an ID, or keeps the cancellation if it is not one of that job. Callers hold mu.
+// applyCancellation cancels the job with an ID, or keeps the cancellation if it is not one of that job. Callers hold
+// mu.
 func (d *Dispatcher) applyCancellation(id string, c workload.Cancellation, partition int) {
 	j := d.jobs[id]
 	if j == nil || !d.cancels(c, j) {
@@ -93,8 +94,8 @@
 	d.cancelJob(j)
 }
 
-// takeCancellations takes the cancellations of a new job from the pending ones, and reports whether there are any. Those
-// of other clients stay pending until they are removed from the store. Callers hold mu.
+// takeCancellations takes the cancellations of a new job from the pending ones, and reports whether there are any.
+// Those of other clients stay pending until they are removed from the store. Callers hold mu.
 func (d *Dispatcher) takeCancellations(j *job) (cancelled bool) {
 	if len(d.pendingCancels.byID[j.ID]) == 0 {
 		return false
@@ -131,35 +132,38 @@
 	d.stopRuns(j)
 }
 
-// addCancelRemovals adds the removal of up to a number of old cancellations that apply to no job, and returns how many it
-// added. Clients may cancel any number of IDs that nobody has used. The key that all clients share is removed with the
-// job if there is one. Callers hold mu.
+// addCancelRemovals adds the removal of up to a number of old cancellations that apply to no job, and returns how many
+// it added. Clients may cancel any number of IDs that nobody has used. The key that all clients share is removed with
+// the job if there is one. Callers hold mu.
 func (d *Dispatcher) addCancelRemovals(removals map[int][]store.Record, most int, boot time.Duration) (added int) {
 	for id, list := range d.pendingCancels.byID {
 		for i := range list {
-			c := &list[i]
 			if added == most {
 				return added
 			}
-			if !d.removableCancellation(c, boot) {
-				continue
-			}
-			added++
-			c.removalSentAt = boot
-			records := []store.Record{{Key: c.by.Value().Key(id)}}
-			if d.jobs[id] == nil {
-				records = append(records, store.Record{Key: workload.CancelKey(id)})
-			}
-			for n := range d.JobPartitions {
-				if c.partitions&(1<<n) != 0 {
-					removals[n] = append(removals[n], records...)
-				}
+			if d.removableCancellation(&list[i], boot) {
+				added++
+				list[i].removalSentAt = boot
+				d.addCancelRemoval(removals, id, &list[i])
 			}
 		}
 	}
 	return added
 }
 
+// addCancelRemoval adds the removal of a cancellation from the partitions in which it was read. Callers hold mu.
+func (d *Dispatcher) addCancelRemoval(removals map[int][]store.Record, id string, c *cancellation) {
+	records := []store.Record{{Key: c.by.Value().Key(id)}}
+	if d.jobs[id] == nil {
+		records = append(records, store.Record{Key: workload.CancelKey(id)})
+	}
+	for n := range d.JobPartitions {
+		if c.partitions&(1<<n) != 0 {
+			removals[n] = append(removals[n], records...)
+		}
+	}
+}
+
 // removableCancellation reports whether the removal of a pending cancellation may be sent now. Callers hold mu.
 func (d *Dispatcher) removableCancellation(c *cancellation, boot time.Duration) bool {
 	if boot-c.readAt < d.Bounds.StatusRetention+endedRetentionMargin {
--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -40,8 +40,8 @@
 	return store.Record{Key: workload.CancelKey(sharedID), Value: value}
 }
 
-// keptCancellations returns what the store keeps of cancellations of sharedID that entry instances write to one partition
-// one after the other: the newest record of each key.
+// keptCancellations returns what the store keeps of cancellations of sharedID that entry instances write to one
+// partition one after the other: the newest record of each key.
 func keptCancellations(t *testing.T, written ...workload.Cancellation) []store.Record {
 	t.Helper()
 	newest := map[string]store.Record{}
@@ -161,8 +161,8 @@
 	}
 }
 
-// TestCancellationsInTwoPartitions guards against a cancellation that is forgotten because a leader reads one of another
-// client from another partition after it.
+// TestCancellationsInTwoPartitions guards against a cancellation that is forgotten because a leader reads one of
+// another client from another partition after it.
 func TestCancellationsInTwoPartitions(t *testing.T) {
 	own := workload.Cancellation{Queue: "orders", Team: "shop"}
 	other := workload.Cancellation{Queue: "orders", Team: "mill"}
--- a/internal/dispatch/confirm_test.go
+++ b/internal/dispatch/confirm_test.go
@@ -13,6 +13,7 @@
 	"pollenlead/internal/bootclock"
 	"pollenlead/internal/fleet"
 	"pollenlead/internal/follow"
+	"pollenlead/internal/instances"
 	"pollenlead/internal/scheduling"
 	"pollenlead/internal/store"
 	"pollenlead/internal/worker"
@@ -203,8 +204,8 @@
 }
 
 // TestUnansweredOrderCountsAsDown guards against more instances of a wave that are down at once than the operator
-// allows: the order of an earlier leader, or one without an answer, is carried out seconds later, after another instance
-// has been ordered in place of the one that is still listed as up.
+// allows: the order of an earlier leader, or one without an answer, is carried out seconds later, after another
+// instance has been ordered in place of the one that is still listed as up.
 func TestUnansweredOrderCountsAsDown(t *testing.T) {
 	is := is.New(t)
 	d := newFixture(2)
@@ -238,3 +239,22 @@
 	is.Equal(x.instances["m0"].phase, scheduling.MaintenanceOrdered)
 	is.Equal(x.instances["m1"].phase, scheduling.MaintenanceDraining)
 }
+
+// TestRefusedOrderIsNotUnanswered guards against a wave that waits for an instance whose order was certainly not
+// carried out, because the service refused it or accepted no further calls.
+func TestRefusedOrderIsNotUnanswered(t *testing.T) {
+	for _, x := range []struct {
+		err        error
+		unanswered bool
+	}{
+		{instances.ErrBusy, false}, {&instances.RefusedError{Reason: instances.RefusedBusy}, false}, {errUnconfirmed, false},
+		{context.DeadlineExceeded, true}, {nil, false},
+	} {
+		is := is.New(t)
+		d := newFixture(0)
+		w, wave := newWave(d)
+		w.applyOrderOutcome(wave, "m0", x.err)
+		is.Equal(wave.instances["m0"].unanswered, x.unanswered)
+		d.stop()
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -207,8 +207,9 @@
 	d := &Dispatcher{
 		Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{},
 		active: map[string]map[string]*job{}, waiting: map[string]map[string]*job{},
-		changed: map[string]*job{}, pendingCancels: pendingCancels{byID: map[string][]cancellation{}}, agents: map[string]*agent{},
-		queues: map[string]*fleet.Queue{}, running: map[string]fleet.Resources{},
+		changed: map[string]*job{}, agents: map[string]*agent{},
+		pendingCancels: pendingCancels{byID: map[string][]cancellation{}},
+		queues:         map[string]*fleet.Queue{}, running: map[string]fleet.Resources{},
 		endedUnheard:   map[string]*job{},
 		ordersInFlight: map[*workload.Run]bool{}, unreleased: map[*workload.Run]bool{},
 		spareEnds: map[string]*spareEnd{}, unpublished: map[*job]bool{}, withheld: map[*workload.Run]bool{},
--- a/internal/dispatch/maintain.go
+++ b/internal/dispatch/maintain.go
@@ -232,7 +232,7 @@
 		return
 	}
 	i.confirmed = err == nil
-	if refused == nil { // a refused order is not carried out later, but an earlier one may be
+	if refused == nil && !errors.Is(err, instances.ErrBusy) { // otherwise only an earlier order may be carried out later
 		i.unanswered = !i.confirmed
 	}
 	i.orderedAt = bootclock.Now() // a list that was requested before the answer may show the state before the order
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -60,10 +60,10 @@
 	return c.Queue(queue)
 }
 
-// cancels reports whether a cancellation is one of the job: its client has the job's team, and has named the job's queue
-// or the address of its submission. The configuration does not count, because the leader may read a version later than
-// the entry instance that stored the cancellation. It decides only where an address is not known, as in a record of an
-// earlier version. Callers hold mu.
+// cancels reports whether a cancellation is one of the job: its client has the job's team, and has named the job's
+// queue or the address of its submission. The configuration does not count, because the leader may read a version
+// later than the entry instance that stored the cancellation. It decides only where an address is not known, as in a
+// record of an earlier version. Callers hold mu.
 func (d *Dispatcher) cancels(c workload.Cancellation, j *job) bool {
 	switch {
 	case c.Team != j.Team:
--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -139,8 +139,8 @@
 	maps.DeleteFunc(a.unclaimedRuns, func(key runKey, _ unclaimedRun) bool { return !listed[key] })
 }
 
-// unclaimedUses returns the most that teams may be using by unclaimed runs: by team where the job is known, and otherwise
-// for any of them the room that is left on the workers. Callers hold mu.
+// unclaimedUses returns the most that teams may be using by unclaimed runs: by team where the job is known, and
+// otherwise for any of them the room that is left on the workers. Callers hold mu.
 func (d *Dispatcher) unclaimedUses() (byTeam map[string]fleet.Resources, ofAnyTeam fleet.Resources) {
 	for _, a := range d.agents {
 		unread := false
--- a/internal/dispatch/unheard.go
+++ b/internal/dispatch/unheard.go
@@ -12,8 +12,8 @@
 // unheard, and so are pools with one. Until they have answered, a new leader counts the most that a team may have
 // running there.
 
-// maxClockStep is the largest difference between the clocks of two entry instances while one of them has been set wrongly
-// for some seconds. The earlier leader may have begun an occurrence by that much early.
+// maxClockStep is the largest difference between the clocks of two entry instances while one of them has been set
+// wrongly for some seconds. The earlier leader may have begun an occurrence by that much early.
 const maxClockStep = 5 * time.Second
 
 // unboundedRoom stands for the capacity of a worker whose entry is not known.
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -163,7 +163,9 @@
 		"unread job":                        {func(*Dispatcher) {}, 0},
 		"unread job on a small worker":      {func(d *Dispatcher) { d.agent("w0").entry.Capacity = cpu(1500) }, 2},
 		"unread job on a worker of no pool": {func(d *Dispatcher) { d.agent("w0").entry = nil }, 0},
-		"read job of the team":              {func(d *Dispatcher) { d.addJob(unreadJob, fleet.Step{Count: 1, Need: cpu(1000)}) }, 3},
+		"read job of the team": {func(d *Dispatcher) {
+			d.addJob(unreadJob, fleet.Step{Count: 1, Need: cpu(1000)})
+		}, 3},
 		"occurrence that is not due": {func(d *Dispatcher) {
 			j := d.addJob(unreadJob, fleet.Step{Count: 1, Need: cpu(1000)})
 			j.Occurrences, j.NextOccurrence = nil, 0
--- a/internal/workload/gang_test.go
+++ b/internal/workload/gang_test.go
@@ -78,8 +78,8 @@
 	is.Equal(j.State, StateFailed)
 }
 
-// TestGangRunFailsOnce guards against a gang that is given up after one failed run because several of its members report
-// the failure, also when a change of leader comes between these reports.
+// TestGangRunFailsOnce guards against a gang that is given up after one failed run because several of its members
+// report the failure, also when a change of leader comes between these reports.
 func TestGangRunFailsOnce(t *testing.T) {
 	for name, restored := range map[string]bool{"one leader": false, "next leader": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -435,8 +435,8 @@
 // SubmissionKey returns the key of a job's submission.
 func SubmissionKey(id string) string { return submissionPrefix + id }
 
-// CancelKey returns the key of the cancellations of an ID that all clients share, so that the store keeps the newest one
-// only. Earlier versions read and write no other; see Cancellation.Key.
+// CancelKey returns the key of the cancellations of an ID that all clients share, so that the store keeps the newest
+// one only. Earlier versions read and write no other; see Cancellation.Key.
 func CancelKey(id string) string { return cancelPrefix + id }
 
 // ProgressKey returns the key of a job's progress.
