--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -212,7 +212,7 @@
 		Leader:   leaderClient,
 		Overload: &overload.Gate{Published: n.notes.queues},
 		Budget: &jobbudget.Gate{
-			Published: n.notes.room, Unled: n.unledRoom, Fraction: n.shareFraction, Now: bootclock.Now,
+			Published: n.notes.room, Leaderless: n.leaderlessRoom, Fraction: n.shareFraction, Now: bootclock.Now,
 		},
 		KeyWithdrawal: n.settings.Bounds.KeyWithdrawal, Log: n.log, Draining: &n.draining,
 	}
--- a/internal/entrynode/note.go
+++ b/internal/entrynode/note.go
@@ -91,8 +91,8 @@
 	return n.Room
 }
 
-// unledRoom returns what this entry instance may accept in a period while no leader counts the jobs.
-func (n *Node) unledRoom() jobbudget.Room {
+// leaderlessRoom returns what this entry instance may accept in a period while no leader counts the jobs.
+func (n *Node) leaderlessRoom() jobbudget.Room {
 	budget := n.jobBudget()
 	if budget.Bytes == 0 {
 		return jobbudget.Room{Each: 1, Common: math.MaxInt64}
--- a/internal/jobbudget/gate.go
+++ b/internal/jobbudget/gate.go
@@ -28,8 +28,8 @@
 type Gate struct {
 	// Published returns the Room that the leader published last, encoded, or nothing if none is known.
 	Published func() json.RawMessage
-	// Unled returns what may be accepted in each unledPeriod while no leader publishes a Room.
-	Unled func() Room
+	// Leaderless returns what may be accepted in each leaderlessPeriod while no leader publishes a Room.
+	Leaderless func() Room
 	// Fraction returns a team's share as a fraction of all shares.
 	Fraction func(team string) float64
 	// Now returns the time of a monotonic clock.
@@ -40,16 +40,16 @@
 	room    Room
 	// current and last are what has been accepted in this period and in the one before.
 	current, last accepted
-	// publishedAt is when a new Room was found, unledAt when the last period without a leader began, and admittedAt when
+	// publishedAt is when a new Room was found, leaderlessAt when the last period without a leader began, admittedAt when
 	// the last job was admitted.
-	publishedAt, unledAt, admittedAt time.Duration
+	publishedAt, leaderlessAt, admittedAt time.Duration
 }
 
 const (
-	// unledAfter is the time without a new Room after which no leader is taken to publish any: there is none, or one of an
+	// leaderlessAfter is the time without a new Room after which no leader is taken to publish any: there is none, or one of an
 	// earlier version. It is longer than a change of leader takes.
-	unledAfter  = 10 * time.Second
-	unledPeriod = time.Second
+	leaderlessAfter  = 10 * time.Second
+	leaderlessPeriod = time.Second
 	// countedAfter is the age from which on a leader that publishes a Room has counted an accepted job.
 	countedAfter = time.Second
 )
@@ -109,12 +109,12 @@
 		g.apply(encoded, now)
 		return
 	}
-	if g.publishedAt > 0 && now-g.publishedAt < unledAfter {
+	if g.publishedAt > 0 && now-g.publishedAt < leaderlessAfter {
 		return
 	}
-	if now-g.unledAt >= unledPeriod {
-		g.unledAt = now
-		g.beginPeriod(g.Unled(), now)
+	if now-g.leaderlessAt >= leaderlessPeriod {
+		g.leaderlessAt = now
+		g.beginPeriod(g.Leaderless(), now)
 	}
 }
 
--- a/internal/jobbudget/jobbudget_test.go
+++ b/internal/jobbudget/jobbudget_test.go
@@ -27,10 +27,10 @@
 	f := &fleet{Holdings: Holdings{Budget: budget, Teams: map[string]int64{}, Shares: shares, Instances: instances}}
 	for range instances {
 		f.gates = append(f.gates, &Gate{
-			Published: func() json.RawMessage { return f.encoded },
-			Unled:     func() Room { return Holdings{Budget: budget, Shares: shares, Instances: instances}.Room(0) },
-			Fraction:  func(team string) float64 { return Fraction(shares, team) },
-			Now:       func() time.Duration { return f.now },
+			Published:  func() json.RawMessage { return f.encoded },
+			Leaderless: func() Room { return Holdings{Budget: budget, Shares: shares, Instances: instances}.Room(0) },
+			Fraction:   func(team string) float64 { return Fraction(shares, team) },
+			Now:        func() time.Duration { return f.now },
 		})
 	}
 	return f
